--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,39 @@
+# Targets: build, lint, test, race, demo, golden, slopes, clean.
+
+programs = router agent hickoryvane standin bench
+modules  = core $(programs) proof
+
+.PHONY: all build fmt lint test race demo golden slopes clean
+
+all: build
+
+build:
+	@mkdir -p bin
+	go build -o bin/ $(foreach p,$(programs),./$(p))
+
+fmt:
+	cd tools && go tool gofumpt -w $(foreach m,$(modules),../$(m))
+
+lint:
+	@out=$$(cd tools && go tool gofumpt -l $(foreach m,$(modules),../$(m))); \
+	if [ -n "$$out" ]; then echo "not formatted with gofumpt:"; echo "$$out"; exit 1; fi
+	go vet $(foreach m,$(modules),./$(m)/...)
+	cd tools && go tool revive -config ../revive.toml -set_exit_status $(foreach m,$(modules),../$(m)/...)
+
+test: build
+	go test $(foreach m,$(modules),./$(m)/...)
+
+race: build
+	go test -race $(foreach m,$(modules),./$(m)/...)
+
+demo: build
+	bin/bench demo -examples examples/rekkverk -bin bin
+
+golden: build
+	go test ./proof/... -args -update
+
+slopes: build
+	bin/bench slopes
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/agent/main.go
@@ -0,0 +1,4 @@
+// Command agent is a program of hickoryvane.
+package main
+
+func main() {}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is a program of hickoryvane.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/event/list.go
@@ -0,0 +1,71 @@
+package event
+
+import "github.com/charmbracelet/log"
+
+// Events. 1xx process, 2xx wire and peers, 3xx configuration and store, 4xx requests, 5xx targets,
+// 6xx moves, 7xx leases and orders.
+const (
+	Started       ID = 101
+	Stopping      ID = 102
+	Stopped       ID = 103
+	Ready         ID = 104
+	Failed        ID = 105
+	PeerUp        ID = 201
+	PeerDown      ID = 202
+	BadFrame      ID = 203
+	BadPeer       ID = 204
+	RingFull      ID = 205
+	ConfigInForce ID = 301
+	ConfigIgnored ID = 302
+	StoreDown     ID = 303
+	StoreUp       ID = 304
+	ConfigInvalid ID = 305
+	Refused       ID = 401
+	Cut           ID = 402
+	Blocked       ID = 403
+	Resumed       ID = 404
+	TargetCrashed ID = 501
+	TargetUp      ID = 502
+	TargetSlow    ID = 503
+	TargetLeaving ID = 504
+	MoveStage     ID = 601
+	MoveBad       ID = 602
+	MoveEnded     ID = 603
+	LeaseTaken    ID = 701
+	LeaseLost     ID = 702
+	OrderSent     ID = 703
+	OrderRefused  ID = 704
+)
+
+var list = []Kind{
+	{Started, log.InfoLevel, "process started"},
+	{Stopping, log.InfoLevel, "graceful shutdown started"},
+	{Stopped, log.InfoLevel, "process stopped"},
+	{Ready, log.InfoLevel, "process is ready"},
+	{Failed, log.ErrorLevel, "process failed"},
+	{PeerUp, log.InfoLevel, "peer connected"},
+	{PeerDown, log.WarnLevel, "peer connection lost"},
+	{BadFrame, log.WarnLevel, "malformed frame dropped"},
+	{BadPeer, log.WarnLevel, "peer rejected"},
+	{RingFull, log.WarnLevel, "ring is full"},
+	{ConfigInForce, log.InfoLevel, "configuration in force"},
+	{ConfigIgnored, log.DebugLevel, "older configuration ignored"},
+	{StoreDown, log.WarnLevel, "object API is not available"},
+	{StoreUp, log.InfoLevel, "object API is available again"},
+	{ConfigInvalid, log.ErrorLevel, "configuration from the object API is invalid"},
+	{Refused, log.DebugLevel, "request refused"},
+	{Cut, log.WarnLevel, "answer cut"},
+	{Blocked, log.WarnLevel, "request fingerprint blocked"},
+	{Resumed, log.DebugLevel, "answer resumed"},
+	{TargetCrashed, log.WarnLevel, "target crashed"},
+	{TargetUp, log.InfoLevel, "target is reachable"},
+	{TargetSlow, log.WarnLevel, "target is slow"},
+	{TargetLeaving, log.InfoLevel, "target is leaving"},
+	{MoveStage, log.InfoLevel, "move changed its share"},
+	{MoveBad, log.WarnLevel, "version judged bad"},
+	{MoveEnded, log.InfoLevel, "move ended"},
+	{LeaseTaken, log.InfoLevel, "lease acquired"},
+	{LeaseLost, log.WarnLevel, "lease lost"},
+	{OrderSent, log.InfoLevel, "order sent to target"},
+	{OrderRefused, log.WarnLevel, "order refused"},
+}
--- /dev/null
+++ b/core/ring/ring.go
@@ -0,0 +1,82 @@
+// Package ring provides a bounded queue between two goroutines.
+package ring
+
+import "sync"
+
+// Ring is a bounded first-in, first-out queue. All methods are safe for concurrent use.
+type Ring[T any] struct {
+	mu sync.Mutex
+	// items has a fixed length; head is the index of the oldest of n items.
+	items []T
+	head  int
+	n     int
+	// ready holds at most one signal; it is sent when the ring becomes non-empty.
+	ready chan struct{}
+}
+
+// New returns a ring for at most size items; size must be at least 1.
+func New[T any](size int) *Ring[T] {
+	return &Ring[T]{items: make([]T, size), ready: make(chan struct{}, 1)}
+}
+
+// Offer appends v and reports whether there was room.
+func (r *Ring[T]) Offer(v T) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n == len(r.items) {
+		return false
+	}
+	r.push(v)
+	return true
+}
+
+// Replace appends v. When the ring is full it drops the oldest item and reports true.
+func (r *Ring[T]) Replace(v T) (dropped bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n == len(r.items) {
+		r.pop()
+		dropped = true
+	}
+	r.push(v)
+	return dropped
+}
+
+// Take removes and returns the oldest item; ok is false when the ring is empty.
+func (r *Ring[T]) Take() (v T, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n == 0 {
+		return v, false
+	}
+	return r.pop(), true
+}
+
+// Ready returns a channel that receives a value after items were added.
+// After a receive, the reader calls Take until it reports false.
+func (r *Ring[T]) Ready() <-chan struct{} { return r.ready }
+
+// Len returns the number of items held.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.n
+}
+
+func (r *Ring[T]) push(v T) {
+	r.items[(r.head+r.n)%len(r.items)] = v
+	r.n++
+	select {
+	case r.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Ring[T]) pop() T {
+	var zero T
+	v := r.items[r.head]
+	r.items[r.head] = zero
+	r.head = (r.head + 1) % len(r.items)
+	r.n--
+	return v
+}
--- /dev/null
+++ b/core/store/store.go
@@ -0,0 +1,59 @@
+// Package store defines the platform's object API as the system uses it, and its HTTP adapter.
+package store
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a Store.
+var (
+	// ErrNotFound means that no object has the name.
+	ErrNotFound = errors.New("object not found")
+	// ErrExists means that a create found an object of that name.
+	ErrExists = errors.New("object exists")
+	// ErrConflict means that the object changed since it was read.
+	ErrConflict = errors.New("object changed since it was read")
+	// ErrUnavailable means that the API is down; the call had no effect.
+	ErrUnavailable = errors.New("object API is not available")
+	// ErrUnsure means that a write may or may not have taken effect; read back before writing again.
+	ErrUnsure = errors.New("outcome of the write is unknown")
+	// ErrGone means that a watch is too far behind and must start anew with a list.
+	ErrGone = errors.New("watch version is too old")
+)
+
+// Rev is an opaque version of an object.
+type Rev string
+
+// Object is a named value of a kind.
+type Object struct {
+	// Sort is the kind of the object, for example "config", "lease", "move" or "claim".
+	Sort string
+	Name string
+	Rev  Rev
+	// Value is at most 1 MB.
+	Value []byte
+}
+
+// Change is one event of a watch.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// Store is the platform's object API.
+type Store interface {
+	// Get returns an object, or ErrNotFound.
+	Get(ctx context.Context, sort, name string) (Object, error)
+	// List returns all objects of a kind and the version from which to watch.
+	List(ctx context.Context, sort string) ([]Object, Rev, error)
+	// Create writes a new object, or returns ErrExists or ErrUnsure.
+	Create(ctx context.Context, o Object) (Object, error)
+	// Update replaces an object if it still has o.Rev, or returns ErrConflict, ErrNotFound or ErrUnsure.
+	Update(ctx context.Context, o Object) (Object, error)
+	// Delete removes an object if it still has o.Rev.
+	Delete(ctx context.Context, o Object) error
+	// Watch calls f for each change of a kind after rev until ctx ends or the connection is lost.
+	Watch(ctx context.Context, sort string, rev Rev, f func(Change)) error
+}
--- /dev/null
+++ b/hickoryvane/main.go
@@ -0,0 +1,4 @@
+// Command hickoryvane is a program of hickoryvane.
+package main
+
+func main() {}
--- /dev/null
+++ b/router/main.go
@@ -0,0 +1,4 @@
+// Command router is a program of hickoryvane.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is a program of hickoryvane.
+package main
+
+func main() {}
