--- /dev/null
+++ b/core/chat/request.go
@@ -0,0 +1,88 @@
+// Package chat reads and writes the common chat-completions protocol: requests in JSON and
+// answers as JSON or as server-sent events.
+package chat
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/ident"
+)
+
+const (
+	// BodyMax is the largest request body in bytes.
+	BodyMax = 2 << 20
+	// OutputDefault is the number of output tokens expected when a request states no limit.
+	OutputDefault ident.Tokens = 256
+	// OutputMax is the largest accepted limit of output tokens.
+	OutputMax ident.Tokens = 128 << 10
+	// messagesMax bounds the messages of one request.
+	messagesMax = 4096
+)
+
+// ErrRequest means that a body is not a chat-completions request.
+var ErrRequest = errors.New("not a chat-completions request")
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Request is the part of a chat-completions request that the scheduler reads.
+// Other members of the body reach the target unchanged.
+type Request struct {
+	Model    string    `json:"model"`
+	Messages []Message `json:"messages"`
+	Stream   bool      `json:"stream"`
+	// MaxTokens and MaxCompletion are the older and the newer name of the same limit.
+	MaxTokens     ident.Tokens `json:"max_tokens"`
+	MaxCompletion ident.Tokens `json:"max_completion_tokens"`
+	User          string       `json:"user"`
+}
+
+// Parse reads a request body. Errors wrap ErrRequest and name the fault.
+func Parse(body []byte) (r Request, err error) {
+	defer func() { err = errors.WithMessage(err, "read request") }()
+	if err = json.Unmarshal(body, &r); err != nil {
+		return r, errors.Wrap(ErrRequest, err.Error())
+	}
+	switch {
+	case len(r.Messages) == 0:
+		return r, errors.Wrap(ErrRequest, "messages is empty")
+	case len(r.Messages) > messagesMax:
+		return r, errors.Wrapf(ErrRequest, "more than %d messages", messagesMax)
+	case r.limit() < 0 || r.limit() > OutputMax:
+		return r, errors.Wrapf(ErrRequest, "max_tokens is not between 1 and %d", OutputMax)
+	}
+	return r, nil
+}
+
+// Prompt returns the text whose blocks engines cache: roles and contents in order.
+func (r Request) Prompt() []byte {
+	var b bytes.Buffer
+	for _, m := range r.Messages {
+		b.WriteString(m.Role)
+		b.WriteByte('\n')
+		b.WriteString(m.Content)
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+// Output returns the expected number of output tokens.
+func (r Request) Output() ident.Tokens {
+	if n := r.limit(); n > 0 {
+		return n
+	}
+	return OutputDefault
+}
+
+func (r Request) limit() ident.Tokens {
+	if r.MaxCompletion != 0 {
+		return r.MaxCompletion
+	}
+	return r.MaxTokens
+}
