--- /dev/null
+++ b/agent/node/claim.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"time"
+
+	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/wire"
+)
+
+// claim records a keyed request for a router. A claim that names no agent yet ends with the connection of
+// its router: the router needs the answer to a second claim, which names the agent, before it sends the body.
+func (c *Core) claim(now time.Time, p answer.Peer, m *wire.Claim) {
+	held, err := c.claims.Claim(now, m)
+	if err != nil {
+		c.refuse(p, m.ID, fault.NotRunf(fault.Duplicate, "%s", err))
+		return
+	}
+	mine := c.peers[p].claims
+	if held.Attempt == m.Attempt && m.Agent == "" {
+		mine[m.ID] = m.Attempt
+	} else {
+		delete(mine, m.ID)
+	}
+	c.send(p, held)
+}
--- /dev/null
+++ b/agent/node/core.go
@@ -0,0 +1,294 @@
+// Package node is the agent beside one target: the queue of its target, dispatch, kept answers and the
+// agent's part in the coordination of the deployment. Core makes all decisions; Agent drives it.
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/facts"
+	"hickoryvane.example/core/guard"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/ledger"
+	"hickoryvane.example/core/lease"
+	"hickoryvane.example/core/queue"
+	"hickoryvane.example/core/wire"
+)
+
+const (
+	// reportInterval is the longest time between two load reports.
+	reportInterval = time.Second
+	// reportMin is the shortest time between two load reports.
+	reportMin = 100 * time.Millisecond
+	// orphanTime is the time for which a request without a key runs on after its router was lost.
+	orphanTime = 30 * time.Second
+	// drainKeep is the time for which ended answers are kept for their readers during a stop.
+	drainKeep = 10 * time.Second
+	// fullRetry is the time after which a refused offer may be sent again.
+	fullRetry = time.Second
+)
+
+// Core is the state machine of an agent. It is not safe for concurrent use.
+type Core struct {
+	self ident.ProcessID
+	boot ident.Boot
+	// decl is the declaration of the target; ok is false until a configuration names this VM.
+	decl   conf.Target
+	ok     bool
+	force  *conf.Force
+	queue  *queue.Queue
+	ledger *ledger.Ledger
+	claims *ledger.Claims
+	// keep holds the answers of dispatched requests.
+	keep  *answer.Store
+	guard *guard.Guard
+	facts *facts.Machine
+	fence *lease.Fence
+	peers map[answer.Peer]*peer
+	// byID finds the peer of a process; the newest connection wins.
+	byID map[ident.ProcessID]answer.Peer
+	// offers holds each offer from its receipt until its end.
+	offers map[ident.RequestID]*offer
+	// resuming holds the Attach messages that wait for an answer from the target.
+	resuming map[ident.RequestID][]attach
+	// waiting holds orders until the lease was read.
+	waiting []order
+	// given holds the peers that wait for the result of an order.
+	given map[ident.RequestID]answer.Peer
+	report  report
+	verdict verdict
+	// up is false while the target does not answer.
+	up       bool
+	leaving  bool
+	drainAt  time.Time
+	nextFact time.Time
+	acts     []Action
+}
+
+// peer is a connected process.
+type peer struct {
+	hello wire.Hello
+	// claims are the claims of the peer that name no agent yet.
+	claims map[ident.RequestID]ident.RequestID
+}
+
+// Phase of an offer.
+type phase uint8
+
+const (
+	queued phase = iota
+	granted
+	running
+)
+
+// offer is a request that this agent queues or runs.
+type offer struct {
+	wire.Offer
+	peer  answer.Peer
+	phase phase
+	// began is the time of the dispatch, first the time of the first part; zero before.
+	began time.Time
+	first time.Time
+	// last is the time of the newest part.
+	last   time.Time
+	tokens ident.Tokens
+	// left is true when the caller left; its outcome is no evidence about the target.
+	left bool
+	// orphan is the time when the last router of the request was lost; zero while there is one.
+	orphan time.Time
+}
+
+type attach struct {
+	peer answer.Peer
+	msg  wire.Attach
+}
+
+type order struct {
+	peer answer.Peer
+	msg  wire.Order
+}
+
+// Option changes a Core.
+type Option func(*Core)
+
+// WithAnswers bounds the kept answers and the time for which they are kept.
+func WithAnswers(n ident.Bytes, keep time.Duration) Option {
+	return func(c *Core) { c.keep = answer.New(c.boot, answer.WithBytes(n), answer.WithKeep(keep)) }
+}
+
+// WithQueue replaces the queue.
+func WithQueue(q *queue.Queue) Option { return func(c *Core) { c.queue = q } }
+
+// New returns the core of the agent self, started as boot.
+func New(self ident.ProcessID, boot ident.Boot, deployment string, rnd *rand.Rand, opts ...Option) *Core {
+	c := &Core{
+		self:     self,
+		boot:     boot,
+		force:    conf.NewForce(deployment),
+		queue:    queue.New(),
+		ledger:   ledger.New(boot),
+		claims:   ledger.NewClaims(),
+		keep:     answer.New(boot),
+		guard:    guard.New(),
+		facts:    facts.New(self, boot, rnd),
+		fence:    lease.NewFence(false),
+		peers:    make(map[answer.Peer]*peer),
+		byID:     make(map[ident.ProcessID]answer.Peer),
+		offers:   make(map[ident.RequestID]*offer),
+		resuming: make(map[ident.RequestID][]attach),
+		up:       true,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Take returns the actions since the last call.
+func (c *Core) Take() []Action {
+	acts := c.acts
+	c.acts = nil
+	return acts
+}
+
+// Opened takes in a new connection.
+func (c *Core) Opened(p answer.Peer, h wire.Hello) {
+	c.peers[p] = &peer{hello: h, claims: make(map[ident.RequestID]ident.RequestID)}
+	c.byID[h.Process] = p
+	c.log(event.PeerUp, "peer", h.Process)
+	c.report.due = true
+	c.sendCache(p)
+}
+
+// Closed takes in the loss of a connection. Offers that wait are forgotten, because their router
+// treats them as not run; requests that run go on.
+func (c *Core) Closed(now time.Time, p answer.Peer) {
+	gone, ok := c.peers[p]
+	if !ok {
+		return
+	}
+	delete(c.peers, p)
+	if c.byID[gone.hello.Process] == p {
+		delete(c.byID, gone.hello.Process)
+	}
+	for id, attempt := range gone.claims {
+		c.claims.Release(&wire.Release{ID: id, Attempt: attempt})
+	}
+	c.keep.Close(p)
+	for id, o := range c.offers {
+		if o.peer == p {
+			c.lostRouter(now, id, o)
+		}
+	}
+	c.log(event.PeerDown, "peer", gone.hello.Process)
+	c.grant(now)
+}
+
+func (c *Core) lostRouter(now time.Time, id ident.RequestID, o *offer) {
+	if o.phase == running {
+		o.orphan = now
+		return
+	}
+	c.queue.Remove(now, id)
+	c.ledger.Revoke(now, id)
+	delete(c.offers, id)
+}
+
+// Message takes in a message of a peer.
+func (c *Core) Message(now time.Time, p answer.Peer, m wire.Message) {
+	if c.peers[p] == nil {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Offer:
+		c.offer(now, p, m)
+	case *wire.Withdraw:
+		c.withdraw(now, p, m.ID)
+	case *wire.Decline:
+		c.decline(now, p, m)
+	case *wire.Body:
+		c.body(now, p, m)
+	case *wire.Cancel:
+		c.cancel(now, p, m.ID)
+	case *wire.Credit:
+		c.keep.Credit(p, m.ID, m.Bytes)
+		c.flush(p)
+	case *wire.Attach:
+		c.attach(now, p, m)
+	default:
+		c.control(now, p, m)
+	}
+}
+
+// control takes in messages that do not belong to one request's path.
+func (c *Core) control(now time.Time, p answer.Peer, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Claim:
+		c.claim(now, p, m)
+	case *wire.Release:
+		c.claims.Release(m)
+		delete(c.peers[p].claims, m.ID)
+	case *wire.Facts:
+		c.gossip(now, p, m)
+	case *wire.Order:
+		c.order(now, p, m)
+	}
+}
+
+// Tick applies the passing of time; it is called at least every 50 ms.
+func (c *Core) Tick(now time.Time) {
+	refused, lapsed := c.queue.Lapse(now)
+	c.refuseAll(refused)
+	for _, it := range lapsed {
+		c.ledger.Revoke(now, it.ID)
+		delete(c.offers, it.ID)
+	}
+	for _, l := range c.ledger.Lapse(now) {
+		c.queue.Remove(now, l.ID)
+		if o := c.offers[l.ID]; o != nil && o.phase == granted {
+			delete(c.offers, l.ID)
+		}
+	}
+	_, wake := c.keep.Sweep(now)
+	c.flushAll(wake)
+	c.cancelOrphans(now)
+	c.force.Tick(now)
+	c.gossipTick(now)
+	c.judge(now)
+	c.grant(now)
+	c.reportTick(now)
+}
+
+func (c *Core) cancelOrphans(now time.Time) {
+	for id, o := range c.offers {
+		if o.phase == running && !o.left && !o.Keyed && !o.orphan.IsZero() && now.Sub(o.orphan) >= orphanTime {
+			o.left = true
+			c.act(Stop{ID: id})
+		}
+	}
+}
+
+// Ready reports whether the agent serves.
+func (c *Core) Ready() bool { return c.ok && c.up && c.drainAt.IsZero() }
+
+// Generation returns the generation of the configuration in force.
+func (c *Core) Generation() ident.Generation { return c.force.Generation() }
+
+func (c *Core) act(a Action) { c.acts = append(c.acts, a) }
+
+func (c *Core) send(p answer.Peer, m wire.Message) {
+	if c.peers[p] != nil {
+		c.act(Send{Peer: p, Message: m})
+	}
+}
+
+func (c *Core) log(id event.ID, pairs ...any) { c.act(Log{Event: id, Pairs: pairs}) }
+
+// requestOf returns what is written to the target.
+func requestOf(o *offer, m *wire.Body) target.Request {
+	return target.Request{ID: o.ID, Method: m.Method, Path: m.Path, Type: m.Type, Data: m.Data, Key: m.Key}
+}
--- /dev/null
+++ b/agent/node/offer.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"time"
+
+	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/guard"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/ledger"
+	"hickoryvane.example/core/queue"
+	"hickoryvane.example/core/wire"
+)
+
+// offer queues a request, or refuses it as not run.
+func (c *Core) offer(now time.Time, p answer.Peer, m *wire.Offer) {
+	if e := c.admit(now, m); e != nil {
+		c.refuse(p, m.ID, e)
+		return
+	}
+	alone := c.guard.Check(now, m.Print) == guard.Alone
+	it := queue.ItemOf(now, m, c.peers[p].hello.Process, c.weight(m.Account), alone)
+	evicted, e := c.queue.Push(now, it)
+	c.refuseAll(evicted)
+	if e != nil {
+		c.refuse(p, m.ID, e)
+		return
+	}
+	c.offers[m.ID] = &offer{Offer: *m, peer: p}
+	c.grant(now)
+}
+
+// admit returns the reason why an offer is not queued, or nil.
+func (c *Core) admit(now time.Time, m *wire.Offer) *fault.Error {
+	switch {
+	case !c.ok || m.Service != c.decl.Service || m.Version != c.decl.Version:
+		return fault.NotRunf(fault.Config, "target does not serve %s %s", m.Service, m.Version)
+	case !c.drainAt.IsZero() || c.leaving:
+		return fault.NotRunf(fault.Draining, "target is leaving")
+	case c.refusing(m):
+		return fault.NotRunf(fault.Bad, "version %s was judged bad", m.Version)
+	case !c.up:
+		return fault.NotRunf(fault.Target, "target does not answer")
+	case c.guard.Check(now, m.Print) == guard.Blocked:
+		return fault.NotRunf(fault.Crashes, "the request crashed several targets")
+	case c.ledger.State(now, m.ID) != ledger.Absent || c.offers[m.ID] != nil:
+		return &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "the request is known to this agent"}
+	}
+	return nil
+}
+
+// grant hands out tickets while the window has room.
+func (c *Core) grant(now time.Time) {
+	if !c.up || c.keep.Full() {
+		return
+	}
+	for {
+		it, refused, ok := c.queue.Next(now)
+		c.refuseAll(refused)
+		if !ok {
+			return
+		}
+		o := c.offers[it.ID]
+		ticket, err := c.ledger.Grant(now, it.ID)
+		if o == nil || err != nil {
+			c.queue.Remove(now, it.ID)
+			c.drop(it.ID, fault.NotRunf(fault.Shed, "the ledger of the agent is full"))
+			continue
+		}
+		o.phase = granted
+		c.send(o.peer, &wire.Grant{ID: it.ID, Ticket: ticket})
+	}
+}
+
+func (c *Core) withdraw(now time.Time, p answer.Peer, id ident.RequestID) {
+	if o := c.offers[id]; o == nil || o.peer != p || o.phase == running {
+		return
+	}
+	c.queue.Remove(now, id)
+	c.ledger.Revoke(now, id)
+	delete(c.offers, id)
+	c.grant(now)
+}
+
+func (c *Core) decline(now time.Time, p answer.Peer, m *wire.Decline) {
+	if o := c.offers[m.ID]; o == nil || o.peer != p || o.phase != granted {
+		return
+	}
+	if c.ledger.Decline(m.ID, m.Ticket) {
+		c.queue.Remove(now, m.ID)
+		delete(c.offers, m.ID)
+		c.grant(now)
+	}
+}
+
+// body is the dispatch: the ledger records the id before anything is written to the target.
+func (c *Core) body(now time.Time, p answer.Peer, m *wire.Body) {
+	o := c.offers[m.ID]
+	if o == nil || o.phase != granted || o.peer != p {
+		c.refuseBody(now, p, m.ID)
+		return
+	}
+	if e := c.recheck(now, o); e != nil {
+		c.ledger.Decline(m.ID, m.Ticket)
+		c.queue.Remove(now, m.ID)
+		c.drop(m.ID, e)
+		c.grant(now)
+		return
+	}
+	if err := c.ledger.Dispatch(now, m.ID, m.Ticket); err != nil {
+		c.queue.Remove(now, m.ID)
+		delete(c.offers, m.ID)
+		c.refuseBody(now, p, m.ID)
+		return
+	}
+	c.start(now, p, o, m)
+}
+
+// recheck returns the reason why a granted request is not dispatched after all, or nil.
+func (c *Core) recheck(now time.Time, o *offer) *fault.Error {
+	switch {
+	case c.refusing(&o.Offer):
+		return fault.NotRunf(fault.Bad, "version %s was judged bad", o.Version)
+	case !c.up:
+		return fault.NotRunf(fault.Target, "target does not answer")
+	case c.guard.Check(now, o.Print) == guard.Blocked:
+		return fault.NotRunf(fault.Crashes, "the request crashed several targets")
+	}
+	return nil
+}
+
+// refuseBody answers a body without a valid ticket. Only an id that the ledger does not know was not run.
+func (c *Core) refuseBody(now time.Time, p answer.Peer, id ident.RequestID) {
+	if c.ledger.State(now, id) == ledger.Absent {
+		c.refuse(p, id, fault.NotRunf(fault.Lapsed, "the ticket is not valid"))
+		return
+	}
+	c.refuse(p, id, &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "the request was dispatched before"})
+}
+
+func (c *Core) start(now time.Time, p answer.Peer, o *offer, m *wire.Body) {
+	o.phase, o.began, o.last = running, now, now
+	c.queue.Started(now, m.ID)
+	if err := c.keep.Open(m.ID, o.Account); err != nil { // the ledger has ruled out a second dispatch
+		c.log(event.Cut, "request", m.ID, "error", err)
+	}
+	if e := c.keep.Attach(p, &wire.Attach{ID: m.ID, Boot: c.boot, Account: o.Account, Credit: m.Credit}); e != nil {
+		c.log(event.Cut, "request", m.ID, "error", e)
+	}
+	c.act(Start{Request: requestOf(o, m)})
+}
+
+// cancel stops a request whose caller left. A request with a key runs on, because its caller may come back.
+func (c *Core) cancel(now time.Time, p answer.Peer, id ident.RequestID) {
+	c.keep.Detach(p, id)
+	o := c.offers[id]
+	if o == nil {
+		return
+	}
+	if o.phase != running {
+		c.withdraw(now, p, id)
+		return
+	}
+	if !o.Keyed && !o.left {
+		o.left = true
+		c.act(Stop{ID: id})
+	}
+}
+
+// drop ends an offer that was not dispatched.
+func (c *Core) drop(id ident.RequestID, e *fault.Error) {
+	if o := c.offers[id]; o != nil {
+		delete(c.offers, id)
+		c.refuse(o.peer, id, e)
+	}
+}
+
+func (c *Core) refuseAll(rs []queue.Refusal) {
+	for _, r := range rs {
+		c.drop(r.Item.ID, r.Fault)
+	}
+}
+
+func (c *Core) refuse(p answer.Peer, id ident.RequestID, e *fault.Error) {
+	c.send(p, &wire.Refuse{ID: id, Run: e.Run, Reason: e.Reason, Detail: e.Detail, Retry: e.Retry.Milliseconds()})
+}
+
+// weight returns the declared weight of an account.
+func (c *Core) weight(a ident.AccountID) int {
+	if x := c.force.Index(); x != nil {
+		if acc, ok := x.Account(a); ok {
+			return acc.Weight
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/agent/node/report.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"time"
+
+	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/wire"
+)
+
+// cacheMax bounds the blocks in one cache report, so that it fits into a frame.
+const cacheMax = 4096
+
+// report is the state of load and cache reports.
+type report struct {
+	seq  ident.Seq
+	sent time.Time
+	// due is true when something changed that routers should know soon.
+	due bool
+	// cacheSeq numbers cache reports; known holds the blocks reported.
+	cacheSeq ident.Seq
+	known    map[ident.Block]struct{}
+}
+
+// reportTick sends a load report when one is due.
+func (c *Core) reportTick(now time.Time) {
+	age := now.Sub(c.report.sent)
+	if !c.ok || age < reportMin || (!c.report.due && age < reportInterval) {
+		return
+	}
+	c.report.sent, c.report.due = now, false
+	c.report.seq++
+	l := &wire.Load{
+		Target: c.decl.Name, Service: c.decl.Service, Version: c.decl.Version, Seq: c.report.seq,
+		Draining: c.leaving || !c.drainAt.IsZero(),
+		Refusing: !c.up || c.verdict.bad,
+	}
+	c.queue.Load().Fill(l)
+	c.broadcast(l)
+}
+
+func (c *Core) broadcast(m wire.Message) {
+	for p, peer := range c.peers {
+		if peer.hello.Role == string(member.Router) {
+			c.send(p, m)
+		}
+	}
+}
+
+// CacheChanged takes in cache events of the target in their order.
+func (c *Core) CacheChanged(events []target.CacheEvent) {
+	m := &wire.Cache{Target: c.decl.Name}
+	for _, e := range events {
+		m.Added = append(m.Added, e.Added...)
+		m.Removed = append(m.Removed, e.Removed...)
+	}
+	if c.report.known == nil {
+		c.report.known = make(map[ident.Block]struct{})
+	}
+	for _, b := range m.Added {
+		c.report.known[b] = struct{}{}
+	}
+	for _, b := range m.Removed {
+		delete(c.report.known, b)
+	}
+	if len(m.Added)+len(m.Removed) > cacheMax {
+		c.resetCache()
+		return
+	}
+	c.report.cacheSeq++
+	m.Seq = c.report.cacheSeq
+	c.broadcast(m)
+}
+
+// CacheReset takes in the whole contents of the target's prefix cache, after events were lost.
+func (c *Core) CacheReset(blocks []ident.Block) {
+	c.report.known = make(map[ident.Block]struct{}, len(blocks))
+	for _, b := range blocks {
+		c.report.known[b] = struct{}{}
+	}
+	c.resetCache()
+}
+
+func (c *Core) resetCache() {
+	c.report.cacheSeq++
+	for p, peer := range c.peers {
+		if peer.hello.Role == string(member.Router) {
+			c.sendCache(p)
+		}
+	}
+}
+
+// sendCache tells one peer all that is known of the cache.
+func (c *Core) sendCache(p answer.Peer) {
+	if !c.ok || c.report.cacheSeq == 0 {
+		return
+	}
+	m := &wire.Cache{Target: c.decl.Name, Seq: c.report.cacheSeq, Reset: true}
+	for b := range c.report.known {
+		if len(m.Added) == cacheMax {
+			break
+		}
+		m.Added = append(m.Added, b)
+	}
+	c.send(p, m)
+}
--- /dev/null
+++ b/agent/target/engine.go
@@ -0,0 +1,242 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/chat"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+)
+
+const (
+	// resumes bounds how often one broken stream is taken up again.
+	resumes = 3
+	// resumePause is the pause before a broken stream is taken up again.
+	resumePause = 100 * time.Millisecond
+)
+
+// Engine is a model engine that speaks the chat-completions protocol.
+type Engine struct {
+	base string
+	rt   http.RoundTripper
+}
+
+// NewEngine returns the engine at addr (IP number and port).
+func NewEngine(addr string) *Engine {
+	return &Engine{base: "http://" + addr, rt: newTransport(true)}
+}
+
+// stream is the state of one answer over several connections.
+type stream struct {
+	emit func(Part)
+	// next is the number of events passed on.
+	next int
+	out  Outcome
+}
+
+// Run implements Target. A stream whose connection breaks is taken up again from its last event
+// while the engine lives; the request itself is never sent again.
+func (e *Engine) Run(ctx context.Context, r Request, emit func(Part)) Outcome {
+	res, out := send(ctx, e.rt, e.base, r)
+	if res == nil {
+		return out
+	}
+	defer func() { _ = res.Body.Close() }()
+	if !isStream(res) {
+		return copyParts(res, emit)
+	}
+	s := &stream{emit: emit}
+	if s.read(res) {
+		return s.out
+	}
+	return e.resume(ctx, r.ID, s)
+}
+
+// Resume implements Target.
+func (e *Engine) Resume(ctx context.Context, id ident.RequestID, emit func(Part)) (out Outcome, ok bool) {
+	s := &stream{emit: emit}
+	res, err := e.reopen(ctx, id, 0)
+	if err != nil {
+		return Outcome{Run: fault.Unknown, Reason: fault.Gone}, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	if s.read(res) {
+		return s.out, true
+	}
+	return e.resume(ctx, id, s), true
+}
+
+func (e *Engine) resume(ctx context.Context, id ident.RequestID, s *stream) Outcome {
+	lost := Outcome{Run: fault.Ran, Reason: fault.Target, Detail: "the engine was lost", Lost: true, Output: s.out.Output}
+	for range resumes {
+		select {
+		case <-ctx.Done():
+			return lost
+		case <-time.After(resumePause):
+		}
+		res, err := e.reopen(ctx, id, s.next)
+		if err != nil {
+			continue
+		}
+		whole := s.read(res)
+		_ = res.Body.Close()
+		if whole {
+			return s.out
+		}
+	}
+	return lost
+}
+
+func (e *Engine) reopen(ctx context.Context, id ident.RequestID, after int) (res *http.Response, err error) {
+	defer func() { err = errors.WithMessage(err, "resume stream") }()
+	url := fmt.Sprintf("%s/v1/requests/%s/stream?after=%d", e.base, id, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err = e.rt.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK || !isStream(res) {
+		_ = res.Body.Close()
+		return nil, errors.Errorf("status %d", res.StatusCode)
+	}
+	return res, nil
+}
+
+// read passes on the events of one connection and reports whether the stream ended by itself.
+func (s *stream) read(res *http.Response) bool {
+	events := chat.NewReader(res.Body)
+	for {
+		ev, err := events.Next()
+		if err != nil {
+			return false
+		}
+		if string(ev.Data) == chat.Done {
+			s.out.Whole, s.out.Run = true, fault.Ran
+			return true
+		}
+		s.pass(res, ev)
+	}
+}
+
+func (s *stream) pass(res *http.Response, ev chat.Event) {
+	p := Part{Data: ev.Data}
+	if s.next == 0 {
+		p.Status, p.Type, p.Stream = http.StatusOK, res.Header.Get("Content-Type"), true
+	}
+	if d, err := chat.ParseDelta(ev.Data); err == nil {
+		if len(d.Choices) > 0 && d.Choices[0].Delta != nil && d.Choices[0].Delta.Content != "" {
+			p.Tokens = 1
+			s.out.Output++
+		}
+		if d.Usage != nil {
+			s.usage(d.Usage)
+		}
+	}
+	s.next++
+	s.emit(p)
+}
+
+func (s *stream) usage(u *chat.Usage) {
+	s.out.Prompt, s.out.Output = u.Prompt, u.Completion
+	if u.Details != nil {
+		s.out.Cached = u.Details.Cached
+	}
+}
+
+// Cancel implements Target.
+func (e *Engine) Cancel(ctx context.Context, id ident.RequestID) (err error) {
+	defer func() { err = errors.WithMessage(err, "cancel request") }()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/v1/requests/"+string(id)+"/cancel", nil)
+	if err != nil {
+		return err
+	}
+	res, err := e.rt.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, partMax))
+	return res.Body.Close()
+}
+
+// Probe implements Target.
+func (e *Engine) Probe(ctx context.Context) error { return probe(ctx, e.rt, e.base) }
+
+// order is the body of an order.
+type order struct {
+	Verb    string          `json:"verb"`
+	Version ident.Version   `json:"version"`
+	Value   string          `json:"value"`
+	Fence   ident.Fence     `json:"fence"`
+	Issuer  ident.ProcessID `json:"issuer"`
+}
+
+// Order implements Target.
+func (e *Engine) Order(ctx context.Context, o Order) (err error) {
+	defer func() { err = errors.WithMessage(err, "order") }()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body := order{Verb: o.Verb, Version: o.Version, Value: o.Value, Fence: o.Fence, Issuer: o.Issuer}
+	req, err := sling.New().Base(e.base).Post("/orders").BodyJSON(body).Request()
+	if err != nil {
+		return err
+	}
+	res, err := e.rt.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	switch {
+	case res.StatusCode == http.StatusConflict:
+		return ErrFence
+	case res.StatusCode >= http.StatusMultipleChoices:
+		return errors.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// Load reads the lagging load report of the engine.
+func (e *Engine) Load(ctx context.Context) (l Load, err error) {
+	err = e.get(ctx, "/load", &l)
+	return l, errors.WithMessage(err, "read load")
+}
+
+// CacheSince returns the cache events after seq.
+func (e *Engine) CacheSince(ctx context.Context, seq ident.Seq) (events []CacheEvent, err error) {
+	err = e.get(ctx, fmt.Sprintf("/cache?after=%d", seq), &events)
+	return events, errors.WithMessage(err, "read cache events")
+}
+
+func (e *Engine) get(ctx context.Context, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := sling.New().Base(e.base).Get(path).Request()
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: e.rt}
+	res, err := sling.New().Client(client).Do(req.WithContext(ctx), v, nil)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+func isStream(res *http.Response) bool {
+	return res.StatusCode == http.StatusOK && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+}
--- /dev/null
+++ b/agent/target/target.go
@@ -0,0 +1,100 @@
+// Package target speaks the protocols of back ends: model engines and plain services.
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+)
+
+// ErrFence means that the target refused an order because of an old fencing number.
+var ErrFence = errors.New("target refused an old fencing number")
+
+// Request is one dispatch.
+type Request struct {
+	ID     ident.RequestID
+	Method string
+	// Path is the path and query at the target.
+	Path string
+	Type string
+	Data []byte
+	// Key is the Idempotency-Key of the caller, if any; targets that know it protect themselves.
+	Key string
+}
+
+// Part is a piece of an answer.
+type Part struct {
+	// Status and Type are set in the first part only.
+	Status int
+	Type   string
+	// Stream is true in the first part when the answer is a stream of server-sent events.
+	Stream bool
+	Data   []byte
+	Tokens ident.Tokens
+}
+
+// Outcome is the end of a dispatch.
+type Outcome struct {
+	// Whole is true when the target ended the answer itself.
+	Whole bool
+	// Run is fault.NotRun only if no byte was written to the target.
+	Run    fault.Run
+	Reason fault.Reason
+	Detail string
+	// Lost is true when the connection to the target broke and could not be resumed.
+	Lost   bool
+	Prompt ident.Tokens
+	Output ident.Tokens
+	Cached ident.Tokens
+}
+
+// Order is an order for a target under a lease.
+type Order struct {
+	Verb    string
+	Version ident.Version
+	Value   string
+	Fence   ident.Fence
+	// Issuer names the process that gives the order, for targets that check it.
+	Issuer ident.ProcessID
+}
+
+// Load is what a target reports of itself; it lags behind.
+type Load struct {
+	Running int          `json:"running"`
+	Waiting int          `json:"waiting"`
+	Held    ident.Tokens `json:"held"`
+	Memory  ident.Tokens `json:"memory"`
+}
+
+// CacheEvent tells which prompt blocks entered or left a target's prefix cache.
+type CacheEvent struct {
+	Seq     ident.Seq     `json:"seq"`
+	Added   []ident.Block `json:"added"`
+	Removed []ident.Block `json:"removed"`
+}
+
+// Timeouts of calls that are not requests of callers.
+const (
+	probeTimeout = 500 * time.Millisecond
+	orderTimeout = 30 * time.Second
+	dialTimeout  = time.Second
+)
+
+// Target is a back end.
+type Target interface {
+	// Run sends r once and calls emit for each part in order. It never sends r twice.
+	Run(ctx context.Context, r Request, emit func(Part)) Outcome
+	// Resume reads the answer of a request that was sent before, from its start.
+	// ok is false when the target does not know the request.
+	Resume(ctx context.Context, id ident.RequestID, emit func(Part)) (out Outcome, ok bool)
+	// Cancel stops a request.
+	Cancel(ctx context.Context, id ident.RequestID) error
+	// Probe returns nil when the target answers.
+	Probe(ctx context.Context) error
+	// Order gives an order, or returns ErrFence.
+	Order(ctx context.Context, o Order) error
+}
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -111,6 +111,8 @@
 	Data []byte
 	// Credit is the number of answer bytes that the agent may send before it waits for Credit messages.
 	Credit ident.Bytes
+	// Key is the caller's Idempotency-Key, passed on to the target.
+	Key string
 }
 
 // Refuse ends an offer, a grant or an Attach without an answer.
