--- /dev/null
+++ b/core/queue/item.go
@@ -0,0 +1,92 @@
+package queue
+
+import (
+	"time"
+
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/wire"
+)
+
+// Item is one offer in the queue.
+type Item struct {
+	ID      ident.RequestID
+	Account ident.AccountID
+	// Weight is the account's share relative to the others; values below 1 count as 1.
+	Weight int
+	Tier   ident.Tier
+	// Deadline is the latest time of the first byte of the answer.
+	Deadline time.Time
+	// Prompt and Output are the estimated lengths.
+	Prompt ident.Tokens
+	Output ident.Tokens
+	// Cached is the part of Prompt that the engine is expected to take from its prefix cache.
+	Cached ident.Tokens
+	Print  ident.Print
+	// Router sent the offer.
+	Router ident.ProcessID
+	// Alone is true when the request is suspected of crashing targets: it runs while nothing else runs.
+	Alone bool
+	// Arrived is set by Push.
+	Arrived time.Time
+}
+
+// ItemOf returns the item for an offer received at now.
+func ItemOf(now time.Time, o *wire.Offer, from ident.ProcessID, weight int, alone bool) Item {
+	return Item{
+		ID:       o.ID,
+		Account:  o.Account,
+		Weight:   weight,
+		Tier:     o.Tier,
+		Deadline: now.Add(time.Duration(o.Wait) * time.Millisecond),
+		Prompt:   o.Prompt,
+		Output:   o.Output,
+		Print:    o.Print,
+		Router:   from,
+		Alone:    alone,
+	}
+}
+
+// Charge returns the length for which the item is charged: prompt and expected output.
+func (it *Item) Charge() ident.Tokens { return max(it.Prompt, 0) + max(it.Output, 0) }
+
+// Refusal is an offer that left the queue without a grant; its router is to be told.
+type Refusal struct {
+	Item Item
+	// Fault has run state fault.NotRun.
+	Fault *fault.Error
+}
+
+// Outcome is the end of a running request.
+type Outcome struct {
+	// Prompt and Output are the lengths as the target reported them; zero if unknown.
+	Prompt ident.Tokens
+	Output ident.Tokens
+	// Cached is the part of Prompt that came from the prefix cache.
+	Cached ident.Tokens
+	// Failed is true when the target failed or the caller left; speeds are not learnt from it.
+	Failed bool
+}
+
+// Summary is the part of wire.Load that the queue knows.
+type Summary struct {
+	// Waiting counts queued tokens by tier, up to the lowest tier that waits.
+	Waiting []ident.Tokens
+	// Running and Held count what the engine holds or has reserved.
+	Running int
+	Held    ident.Tokens
+	// Window is the number of requests that the engine is given at a time.
+	Window int
+	// Prefill is the learnt prompt speed of one request, and Decode the learnt output speed of all
+	// running requests together, in tokens per second; zero if not learnt yet.
+	Prefill float64
+	Decode  float64
+	// Floor is the lowest tier that waits; NoFloor when nothing waits.
+	Floor ident.Tier
+}
+
+// Fill copies the summary into a load report.
+func (s Summary) Fill(l *wire.Load) {
+	l.Waiting, l.Running, l.Held = s.Waiting, s.Running, s.Held
+	l.Window, l.Prefill, l.Decode, l.Floor = s.Window, s.Prefill, s.Decode, s.Floor
+}
