Ledger: tests of dispatch, tickets, bound and claims

Cause: promises P1 and P6 rest on the ledger of one agent and on the claims that two homes hold. Ruled out: dropping the oldest record when the ledger is full; a resend of the dropped id would run again, so a full ledger refuses new grants. Expiry of claims without a known agent before the retention time; the update that names the agent may have been lost while the body was written. Focused tests and a property test; a wrapper that keeps used tickets valid shows that the property can fail.

--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,105 @@
+package ledger_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/ledger"
+	"hickoryvane.example/core/wire"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// Guards against a body that is written after its grant expired, was declined or was revoked.
+func TestDispatchNeedsAValidTicket(t *testing.T) {
+	g := NewWithT(t)
+	l := ledger.New(1)
+	a, err := l.Grant(t0, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Dispatch(t0, "b", a)).To(MatchError(ledger.ErrTicket))
+	g.Expect(l.Dispatch(t0.Add(ledger.GrantTime), "a", a)).To(MatchError(ledger.ErrTicket))
+	g.Expect(l.Lapse(t0.Add(ledger.GrantTime))).To(Equal([]ledger.Lapsed{{ID: "a", Ticket: a}}))
+
+	b, _ := l.Grant(t0, "b")
+	g.Expect(l.Decline("b", b)).To(BeTrue())
+	g.Expect(l.Dispatch(t0, "b", b)).To(MatchError(ledger.ErrTicket))
+	c, _ := l.Grant(t0, "c")
+	g.Expect(l.Revoke(t0, "c")).To(Equal(ledger.Absent))
+	g.Expect(l.Dispatch(t0, "c", c)).To(MatchError(ledger.ErrTicket))
+}
+
+// Guards against a ticket of an earlier run of the agent that is taken for one of this run.
+func TestTicketsDifferBetweenBoots(t *testing.T) {
+	g := NewWithT(t)
+	old, _ := ledger.New(ident.BootAt(t0)).Grant(t0, "a")
+	l := ledger.New(ident.BootAt(t0.Add(time.Second)))
+	_, err := l.Grant(t0, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Dispatch(t0, "a", old)).To(MatchError(ledger.ErrTicket))
+}
+
+// Guards against a full ledger that makes room by forgetting an id too early.
+func TestFullLedgerRefusesInsteadOfForgetting(t *testing.T) {
+	g := NewWithT(t)
+	l := ledger.New(1, ledger.WithRecords(3))
+	for i := range 3 {
+		id := ident.RequestID(strconv.Itoa(i))
+		k, err := l.Grant(t0, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.Dispatch(t0, id, k)).To(Succeed())
+	}
+	l.End(t0, "0")
+	late := t0.Add(ledger.Retention - 1)
+	_, err := l.Grant(late, "x")
+	g.Expect(err).To(MatchError(ledger.ErrFull))
+	g.Expect(l.State(late, "0")).To(Equal(ledger.Ended))
+	_, err = l.Grant(t0.Add(ledger.Retention), "x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.State(t0.Add(100*ledger.Retention), "1")).To(Equal(ledger.Running))
+}
+
+// Guards against a second send that is told to run while the first holds the claim.
+func TestClaimNamesTheFirstAttempt(t *testing.T) {
+	g := NewWithT(t)
+	c := ledger.NewClaims()
+	first := &wire.Claim{ID: "r", Account: "a", Attempt: "1"}
+	_, err := c.Claim(t0, first)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Claim(t0, &wire.Claim{ID: "r", Account: "a", Attempt: "1", Agent: "vm1", Boot: 7})
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := c.Claim(t0, &wire.Claim{ID: "r", Account: "a", Attempt: "2", Agent: "vm2", Boot: 8})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(&wire.Claimed{ID: "r", Attempt: "1", Agent: "vm1", Boot: 7}))
+	_, err = c.Claim(t0, &wire.Claim{ID: "r", Account: "b", Attempt: "3"})
+	g.Expect(err).To(MatchError(ledger.ErrAccount))
+}
+
+// Guards against a claim that is dropped on the word of a process that does not hold it, and against
+// one that is never dropped.
+func TestClaimEndsByReleaseReportOrTime(t *testing.T) {
+	g := NewWithT(t)
+	c := ledger.NewClaims(ledger.WithClaims(1))
+	claim := &wire.Claim{ID: "r", Account: "a", Attempt: "1", Agent: "vm1", Boot: 7}
+	hold := func(at time.Time) { _, err := c.Claim(at, claim); g.Expect(err).NotTo(HaveOccurred()) }
+	hold(t0)
+	g.Expect(c.Release(&wire.Release{ID: "r", Attempt: "2"})).To(BeFalse())
+	g.Expect(c.Unreceived("r", "vm1", 6)).To(BeFalse())
+	g.Expect(c.Unreceived("r", "vm1", 7)).To(BeTrue())
+	hold(t0)
+	g.Expect(c.Release(&wire.Release{ID: "r", Attempt: "1"})).To(BeTrue())
+
+	hold(t0)
+	for i := range 100 { // updates extend the time and must not grow the record
+		hold(t0.Add(time.Duration(i) * time.Second))
+	}
+	other := &wire.Claim{ID: "s", Account: "a", Attempt: "9"}
+	_, err := c.Claim(t0.Add(ledger.ClaimTime), other)
+	g.Expect(err).To(MatchError(ledger.ErrClaims))
+	_, err = c.Claim(t0.Add(99*time.Second+ledger.ClaimTime), other)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Len()).To(Equal(1))
+}
--- /dev/null
+++ b/core/ledger/prop_test.go
@@ -0,0 +1,123 @@
+package ledger_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/ledger"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// book is what the property needs of a ledger.
+type book interface {
+	Grant(now time.Time, id ident.RequestID) (ident.Ticket, error)
+	Revoke(now time.Time, id ident.RequestID) ledger.State
+	Dispatch(now time.Time, id ident.RequestID, t ident.Ticket) error
+	End(now time.Time, id ident.RequestID)
+	Lapse(now time.Time) []ledger.Lapsed
+	Len() int
+}
+
+// reuse is a ledger with a planted fault: a ticket that was used stays valid.
+type reuse struct {
+	*ledger.Ledger
+	used map[ident.Ticket]bool
+}
+
+func (r reuse) Dispatch(now time.Time, id ident.RequestID, t ident.Ticket) error {
+	err := r.Ledger.Dispatch(now, id, t)
+	if err == nil || r.used[t] {
+		r.used[t] = true
+		return nil
+	}
+	return err
+}
+
+const (
+	retention = 10 * time.Second
+	records   = 3
+)
+
+// drive sends a random history of events and returns an error when an id is written twice within the
+// retention time, or when more records are held than allowed.
+func drive(t *rapid.T, b book) error {
+	now := t0
+	ids := rapid.SampledFrom([]ident.RequestID{"a", "b", "c", "d"})
+	tickets := map[ident.RequestID][]ident.Ticket{}
+	running, ended := map[ident.RequestID]bool{}, map[ident.RequestID]time.Time{}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		id := ids.Draw(t, "id")
+		switch rapid.IntRange(0, 5).Draw(t, "event") {
+		case 0:
+			if k, err := b.Grant(now, id); err == nil {
+				tickets[id] = append(tickets[id], k)
+			}
+		case 1, 2:
+			// Any ticket ever issued, for any id: the network may delay and repeat bodies.
+			ks := tickets[ids.Draw(t, "of")]
+			if len(ks) == 0 || b.Dispatch(now, id, rapid.SampledFrom(ks).Draw(t, "ticket")) != nil {
+				continue
+			}
+			if at, ok := ended[id]; running[id] || ok && now.Sub(at) < retention {
+				return errors.Errorf("%s was written twice", id)
+			}
+			running[id] = true
+		case 3:
+			if b.End(now, id); running[id] {
+				running[id], ended[id] = false, now
+			}
+		case 4:
+			b.Lapse(now)
+			b.Revoke(now, id)
+		case 5:
+			now = now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond)
+		}
+		if b.Len() > records {
+			return errors.Errorf("%d records are held", b.Len())
+		}
+	}
+	return nil
+}
+
+func newBook() *ledger.Ledger {
+	return ledger.New(1, ledger.WithRetention(retention), ledger.WithRecords(records))
+}
+
+// Guards against a request that runs twice (promise P1), whatever is delayed, repeated or mixed up.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := drive(t, newBook()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a property that cannot fail.
+func TestAtMostOnceCatchesReusedTickets(t *testing.T) {
+	g := NewWithT(t)
+	faulty := rapid.Custom(func(t *rapid.T) error {
+		return drive(t, reuse{newBook(), map[ident.Ticket]bool{}})
+	})
+	g.Expect(anyError(faulty)).To(BeTrue())
+}
+
+func anyError(gen *rapid.Generator[error]) bool {
+	for seed := range 200 {
+		if gen.Example(seed) != nil {
+			return true
+		}
+	}
+	return false
+}
