Machines for facts, membership and leases: first API

The daemons need types to build on before the machines are proved. facts: table with a total order per slot, gossip by push, marks and bucket digests. member: states from the VM list and signs of life, rendezvous choices. lease: holder and candidate over store results, check of orders at the agent. Not tested yet; tests follow per package.

--- /dev/null
+++ b/core/facts/digest.go
@@ -0,0 +1,139 @@
+package facts
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/wire"
+)
+
+// A digest is a message with Digest set. Its marks have an empty sort: one per bucket, with the
+// number of the bucket as boot and the hash of the bucket as count. The answer lists differing
+// buckets in full: for each a mark with an empty sort and the key listed, then the marks of the
+// facts in it. A digest of all marks would take 600 KB at 980 processes with ten facts each.
+const listed = "list"
+
+func bucketOf(s slot) int {
+	d := xxhash.New()
+	_, _ = d.WriteString(s.sort + "\x00" + s.key + "\x00" + string(s.origin))
+	return int(d.Sum64() % buckets)
+}
+
+func versionHash(s slot, f wire.Fact) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(s.sort + "\x00" + s.key + "\x00" + string(s.origin))
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(f.Boot))
+	binary.BigEndian.PutUint64(b[8:], f.Count)
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+// repair sends the digest to one peer of the region and to the counterparts over the link.
+func (m *Machine) repair(out []Send, peers Peers) []Send {
+	msg := &wire.Facts{Digest: true}
+	for i, h := range m.digest {
+		msg.Marks = append(msg.Marks, wire.Mark{Boot: ident.Boot(i), Count: h})
+	}
+	for _, p := range slices.Concat(m.choose(1), peers.Far) {
+		out = append(out, Send{To: p, Facts: msg})
+	}
+	return out
+}
+
+// handleDigest answers a digest with the lists of differing buckets, or such lists with facts.
+func (m *Machine) handleDigest(out []Send, now time.Time, from ident.ProcessID, marks []wire.Mark) []Send {
+	lists := map[int]map[slot]bool{}
+	var differ []int
+	for _, k := range marks {
+		if k.Sort != "" || k.Boot >= buckets {
+			continue
+		}
+		i := int(k.Boot)
+		if k.Key == listed {
+			lists[i] = map[slot]bool{}
+		} else if m.digest[i] != k.Count {
+			differ = append(differ, i)
+		}
+	}
+	if len(lists) > 0 {
+		return m.handleLists(out, now, from, marks, lists)
+	}
+	return m.list(out, from, differ)
+}
+
+// list sends the marks of differing buckets, as many buckets as the budget allows, from a random one on.
+func (m *Machine) list(out []Send, from ident.ProcessID, differ []int) []Send {
+	if len(differ) == 0 {
+		return out
+	}
+	msg := &wire.Facts{Digest: true}
+	by := m.byBucket()
+	start := m.rnd.IntN(len(differ))
+	for j := range differ {
+		i := differ[(start+j)%len(differ)]
+		ks := []wire.Mark{{Key: listed, Boot: ident.Boot(i)}}
+		total := markSize(ks[0])
+		for _, s := range by[i] {
+			k := m.held[s].mark()
+			ks, total = append(ks, k), total+markSize(k)
+		}
+		if total > m.left {
+			break
+		}
+		m.left -= total
+		msg.Marks = append(msg.Marks, ks...)
+	}
+	if len(msg.Marks) == 0 {
+		return out
+	}
+	return send(out, from, msg)
+}
+
+func (m *Machine) byBucket() (by [buckets][]slot) {
+	for s := range m.held {
+		if m.rule(s.sort).repairs() {
+			by[bucketOf(s)] = append(by[bucketOf(s)], s)
+		}
+	}
+	for i := range by {
+		slices.SortFunc(by[i], func(a, b slot) int {
+			if lessSlot(a, b) {
+				return -1
+			}
+			return 1
+		})
+	}
+	return by
+}
+
+// handleLists answers the marks of listed buckets, and sends what the lists do not name.
+func (m *Machine) handleLists(out []Send, now time.Time, from ident.ProcessID, marks []wire.Mark, lists map[int]map[slot]bool) []Send {
+	msg := &wire.Facts{}
+	for _, k := range marks {
+		if k.Sort == "" {
+			continue
+		}
+		s := m.slotOf(k.Sort, k.Key, k.Origin)
+		if seen := lists[bucketOf(s)]; seen != nil {
+			seen[s] = true
+		}
+		m.handleMark(msg, now, from, k)
+	}
+	by := m.byBucket()
+	for i := range by {
+		if lists[i] == nil {
+			continue
+		}
+		for _, s := range by[i] {
+			if !lists[i][s] {
+				m.add(msg, m.held[s], now)
+			}
+		}
+	}
+	return send(out, from, msg)
+}
--- /dev/null
+++ b/core/facts/gossip.go
@@ -0,0 +1,232 @@
+package facts
+
+import (
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/wire"
+)
+
+// Tick starts a round; it is called once per Round. It pushes new facts to at most Fan peers of the
+// region and, on the pair for the region link, to the other region. Every repairRounds rounds it
+// sends a digest to one peer.
+func (m *Machine) Tick(now time.Time, peers Peers) []Send {
+	m.round++
+	m.left, m.served, m.near = m.push, m.serve, peers.Near
+	if m.round%repairRounds == 0 {
+		m.expire(now)
+		m.forgetAsked(now)
+	}
+	var out []Send
+	m.cool()
+	var pushed []slot
+	for _, p := range m.choose(Fan) {
+		out, pushed = m.pushTo(out, pushed, now, p)
+	}
+	if !peers.Backup {
+		out = m.pushFar(out, now, peers)
+	}
+	for _, s := range pushed {
+		if e := m.held[s]; e != nil {
+			e.hot--
+		}
+	}
+	if m.round%repairRounds == m.phase {
+		out = m.repair(out, peers)
+	}
+	return out
+}
+
+// cool drops slots that need no more pushes from the list of hot ones.
+func (m *Machine) cool() {
+	seen := make(map[slot]bool, len(m.hot))
+	m.hot = slices.DeleteFunc(m.hot, func(s slot) bool {
+		e := m.held[s]
+		gone := e == nil || e.hot <= 0 || seen[s]
+		seen[s] = true
+		return gone
+	})
+}
+
+// choose returns up to n random peers of the region.
+func (m *Machine) choose(n int) []ident.ProcessID {
+	var out []ident.ProcessID
+	for try := 0; len(out) < n && try < 4*n && len(m.near) > 0; try++ {
+		p := m.near[m.rnd.IntN(len(m.near))]
+		if p != m.self && !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// pushTo sends the hot facts that p is not known to have, as far as the budget reaches. Facts that
+// found no room stay hot for a later round.
+func (m *Machine) pushTo(out []Send, pushed []slot, now time.Time, p ident.ProcessID) ([]Send, []slot) {
+	msg := &wire.Facts{}
+	for _, s := range m.hot {
+		e := m.held[s]
+		if e == nil || e.knows(p) {
+			continue
+		}
+		if !m.add(msg, e, now) {
+			break
+		}
+		if !slices.Contains(pushed, s) {
+			pushed = append(pushed, s)
+		}
+	}
+	return send(out, p, msg), pushed
+}
+
+// pushFar sends facts of the own region over the link: small ones once, with a loss left to the
+// digest, and marks of large ones until a counterpart has the value or the fact is no longer hot.
+func (m *Machine) pushFar(out []Send, now time.Time, peers Peers) []Send {
+	if len(peers.Far) == 0 {
+		return out
+	}
+	msg := &wire.Facts{}
+	for _, s := range m.hot {
+		e := m.held[s]
+		if e == nil || !e.far {
+			continue
+		}
+		if o := e.fact.Origin; o != m.self && !slices.Contains(peers.Near, o) {
+			e.far = false
+			continue
+		}
+		if !m.add(msg, e, now) {
+			break
+		}
+		e.far = e.large() && !slices.ContainsFunc(peers.Far, e.knows)
+	}
+	for _, p := range peers.Far {
+		out = send(out, p, msg)
+	}
+	return out
+}
+
+// add puts a small fact, or the mark of a large one, into msg. It reports false when the budget of
+// the round is used up.
+func (m *Machine) add(msg *wire.Facts, e *entry, now time.Time) bool {
+	if e.large() {
+		k := e.mark()
+		if markSize(k) > m.left {
+			return false
+		}
+		m.left -= markSize(k)
+		msg.Marks = append(msg.Marks, k)
+		return true
+	}
+	if size(e.fact) > m.left {
+		return false
+	}
+	m.left -= size(e.fact)
+	msg.Facts = append(msg.Facts, e.aged(now))
+	return true
+}
+
+func send(out []Send, to ident.ProcessID, msg *wire.Facts) []Send {
+	if len(msg.Facts) == 0 && len(msg.Marks) == 0 && !msg.Digest {
+		return out
+	}
+	return append(out, Send{To: to, Facts: msg})
+}
+
+// Handle merges a message from a peer and returns the answers. Changed returns what was new.
+func (m *Machine) Handle(now time.Time, from ident.ProcessID, f *wire.Facts) []Send {
+	changed := m.merge(now, from, f.Facts)
+	for _, c := range changed {
+		delete(m.asked, m.slotOf(c.Sort, c.Key, c.Origin))
+	}
+	out := m.urgent(now, changed)
+	if f.Digest {
+		return m.handleDigest(out, now, from, f.Marks)
+	}
+	msg := &wire.Facts{}
+	for _, k := range f.Marks {
+		m.handleMark(msg, now, from, k)
+	}
+	return send(out, from, msg)
+}
+
+// handleMark answers one mark. A peer that holds less is sent the fact; a peer that holds more is
+// told what is held here, to which it answers with the fact. Equal marks need no answer.
+func (m *Machine) handleMark(msg *wire.Facts, now time.Time, from ident.ProcessID, k wire.Mark) {
+	r := m.rule(k.Sort)
+	s := m.slotOf(k.Sort, k.Key, k.Origin)
+	e := m.held[s]
+	held := wire.Mark{Sort: k.Sort, Key: k.Key, Origin: k.Origin}
+	if e != nil {
+		held.Boot, held.Count = e.fact.Boot, e.fact.Count
+	}
+	switch c := compare(r.Rank != nil, held.Boot, held.Count, k.Boot, k.Count); {
+	case c < 0:
+		m.ask(msg, now, s, held)
+	case c > 0:
+		m.give(msg, now, from, e)
+	case e != nil:
+		e.know(from)
+	}
+}
+
+// ask requests a newer version, unless a request for it is pending.
+func (m *Machine) ask(msg *wire.Facts, now time.Time, s slot, held wire.Mark) {
+	if at, ok := m.asked[s]; ok && now.Sub(at) < askWait {
+		return
+	}
+	if markSize(held) > m.left || len(m.asked) >= m.countMax {
+		return
+	}
+	m.left -= markSize(held)
+	m.asked[s] = now
+	msg.Marks = append(msg.Marks, held)
+}
+
+// give sends a fact that the peer asked for, within the serve budget.
+func (m *Machine) give(msg *wire.Facts, now time.Time, from ident.ProcessID, e *entry) {
+	if size(e.fact) > m.served {
+		return
+	}
+	m.served -= size(e.fact)
+	e.know(from)
+	msg.Facts = append(msg.Facts, e.aged(now))
+}
+
+func (m *Machine) forgetAsked(now time.Time) {
+	for s, at := range m.asked {
+		if now.Sub(at) >= askWait {
+			delete(m.asked, s)
+		}
+	}
+}
+
+// urgent pushes the urgent ones among new facts on at once.
+func (m *Machine) urgent(now time.Time, changed []wire.Fact) (out []Send) {
+	msg := &wire.Facts{}
+	for _, f := range changed {
+		e := m.held[m.slotOf(f.Sort, f.Key, f.Origin)]
+		if e != nil && m.rule(f.Sort).Urgent && !m.add(msg, e, now) {
+			break
+		}
+	}
+	if len(msg.Facts)+len(msg.Marks) == 0 {
+		return nil
+	}
+	for _, p := range m.choose(Fan) {
+		out = append(out, Send{To: p, Facts: msg})
+	}
+	return out
+}
+
+// Push returns the sends for own urgent facts set since the last round; the others wait for Tick.
+func (m *Machine) Push(now time.Time) []Send {
+	var fs []wire.Fact
+	for _, s := range m.hot {
+		if e := m.held[s]; e != nil && e.fact.Origin == m.self && e.hot == hotRounds {
+			fs = append(fs, e.fact)
+		}
+	}
+	return m.urgent(now, fs)
+}
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,204 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/store"
+)
+
+// Machine is a candidate for a lease and its holder once it was acquired. It has at most one store
+// call out at a time. It is not safe for concurrent use.
+type Machine struct {
+	name string
+	self ident.ProcessID
+	boot ident.Boot
+	term time.Duration
+
+	// seen is the last record read and rev its version; rev is empty before the first read.
+	seen Record
+	rev  store.Rev
+	// since is when seen was first read in this form; a change of it starts the wait of a candidate anew.
+	since time.Time
+
+	// held is true from a successful acquisition until lapse, loss or release.
+	held bool
+	// until is the end of validity: two thirds of the term after the start of the last renewal.
+	until time.Time
+
+	// out is the number of the outstanding call, zero if none; started is when it was issued.
+	out     ident.Seq
+	verb    Verb
+	started time.Time
+	// want is the record of an outstanding or unsure write, and unsure its start.
+	want   *Record
+	unsure time.Time
+	// next is the earliest time of the next call.
+	next time.Time
+	seq  ident.Seq
+	// leaving is true after Release: the lease is given up and not sought again.
+	leaving bool
+}
+
+// Option configures a Machine.
+type Option func(*Machine)
+
+// WithTerm sets the term; it is the same for all candidates of a lease.
+func WithTerm(d time.Duration) Option { return func(m *Machine) { m.term = d } }
+
+// New returns a candidate for the lease name.
+func New(name string, self ident.ProcessID, boot ident.Boot, opts ...Option) *Machine {
+	m := &Machine{name: name, self: self, boot: boot, term: DefaultTerm}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
+}
+
+// Held returns the fencing number and the remaining validity by the own clock. Callers check it
+// right before each use.
+func (m *Machine) Held(now time.Time) (f ident.Fence, valid time.Duration, ok bool) {
+	if !m.held || !now.Before(m.until) {
+		return 0, 0, false
+	}
+	return m.seen.Fence, m.until.Sub(now), true
+}
+
+// Seen returns the highest fencing number read.
+func (m *Machine) Seen() ident.Fence { return m.seen.Fence }
+
+// Release gives the lease up at the next Tick, so that another candidate need not wait for a term.
+func (m *Machine) Release() { m.leaving = true }
+
+// Tick returns the store call that is due, if any. It is called at least four times per term.
+func (m *Machine) Tick(now time.Time) []Call {
+	if m.held && !now.Before(m.until) {
+		m.held = false
+	}
+	if m.out != 0 || now.Before(m.next) {
+		return nil
+	}
+	switch {
+	case m.rev == "" || m.want != nil:
+		return m.call(now, Read, nil)
+	case m.held && m.leaving:
+		m.held = false
+		return m.write(now, Record{Fence: m.seen.Fence})
+	case m.leaving:
+		return nil
+	case m.held:
+		return m.write(now, Record{Holder: m.self, Boot: m.boot, Fence: m.seen.Fence})
+	case m.free(now):
+		return m.write(now, Record{Holder: m.self, Boot: m.boot, Fence: m.seen.Fence + 1})
+	}
+	return m.call(now, Read, nil)
+}
+
+// free reports whether the lease may be taken: released, never held, unchanged for a whole term, or
+// written by this very process in a write that seemed to have failed.
+func (m *Machine) free(now time.Time) bool {
+	if m.seen.Holder == "" || m.seen.Holder == m.self && m.seen.Boot == m.boot {
+		return true
+	}
+	return now.Sub(m.since) >= max(m.term, time.Duration(m.seen.Term)*time.Millisecond)
+}
+
+func (m *Machine) write(now time.Time, r Record) []Call {
+	r.Count, r.Term = m.seen.Count+1, m.term.Milliseconds()
+	m.want = &r
+	v := Update
+	if m.rev == absent {
+		v = Create
+	}
+	return m.call(now, v, &r)
+}
+
+// absent stands for the version of an object that does not exist.
+const absent store.Rev = "\x00absent"
+
+func (m *Machine) call(now time.Time, v Verb, r *Record) []Call {
+	m.seq++
+	m.out, m.verb, m.started = m.seq, v, now
+	o := store.Object{Sort: Sort, Name: m.name}
+	if r != nil {
+		o.Value = r.Encode()
+		m.unsure = now
+	}
+	if v == Update {
+		o.Rev = m.rev
+	}
+	m.next = now.Add(m.term / 3)
+	return []Call{{Seq: m.seq, Verb: v, Object: o}}
+}
+
+// Result takes the result of a call. Results of calls that were given up are ignored.
+func (m *Machine) Result(now time.Time, seq ident.Seq, o store.Object, err error) {
+	if seq == 0 || seq != m.out {
+		return
+	}
+	m.out = 0
+	if m.verb == Read {
+		m.read(now, o, err)
+		return
+	}
+	switch {
+	case err == nil:
+		m.rev = o.Rev
+		m.won(now)
+	case errors.Is(err, store.ErrUnavailable):
+		m.want = nil // no effect; the next Tick tries again
+		m.next = now.Add(m.term / 12)
+	case errors.Is(err, store.ErrUnsure):
+		m.next = now // read back at once
+	default: // changed by another
+		m.want = nil
+		m.rev, m.held, m.next = "", false, now
+	}
+}
+
+// won applies a write that took effect; validity counts from the start of that write.
+func (m *Machine) won(now time.Time) {
+	m.see(now, *m.want)
+	m.held = m.seen.Holder == m.self && m.seen.Boot == m.boot
+	m.until = m.unsure.Add(m.term * 2 / 3)
+	m.want = nil
+}
+
+func (m *Machine) see(now time.Time, r Record) {
+	if r != m.seen || m.since.IsZero() {
+		m.seen, m.since = r, now
+	}
+}
+
+// read applies the answer of a read, which resolves an unsure write.
+func (m *Machine) read(now time.Time, o store.Object, err error) {
+	if errors.Is(err, store.ErrNotFound) {
+		m.rev, m.want = absent, nil
+		m.see(now, Record{Fence: m.seen.Fence}) // numbers must not start anew if the object was deleted
+		m.next = now
+		return
+	}
+	var r Record
+	if err == nil {
+		r, err = Decode(o.Value)
+	}
+	if err != nil { // a malformed record is never replaced: its fencing number is not known
+		m.next = now.Add(m.term / 12)
+		return
+	}
+	m.rev = o.Rev
+	if m.want != nil && r == *m.want {
+		m.won(now)
+		return
+	}
+	m.want = nil
+	m.see(now, r)
+	if r.Holder != m.self || r.Boot != m.boot {
+		m.held = false
+	}
+	if m.free(now) || m.held {
+		m.next = now
+	}
+}
--- /dev/null
+++ b/core/member/choose.go
@@ -0,0 +1,106 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"hickoryvane.example/core/ident"
+)
+
+const (
+	// WatcherCount is the number of processes per region that watch the store.
+	WatcherCount = 2
+	// LinkCount is the number of processes per region that exchange facts over the region link.
+	LinkCount = 2
+	// SubsetMax is the largest number of agents per pool that a router connects to.
+	SubsetMax = 12
+	// HomeCount is the number of agents that hold the claim of a keyed request.
+	HomeCount = 2
+)
+
+// top returns the n members with the highest rendezvous weight for key, the highest first.
+func top(key string, all []Member, n int) []Member {
+	all = slices.Clone(all)
+	slices.SortFunc(all, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(ident.Rendezvous(key, string(b.VM)), ident.Rendezvous(key, string(a.VM))),
+			cmp.Compare(a.VM, b.VM),
+		)
+	})
+	return all[:min(n, len(all))]
+}
+
+func ids(ms []Member) []ident.ProcessID {
+	out := make([]ident.ProcessID, len(ms))
+	for i, p := range ms {
+		out[i] = p.VM
+	}
+	return out
+}
+
+// Watchers returns the routers of a region that watch the store. Processes that see different
+// members may choose more than WatcherCount in all; that costs store calls and is otherwise harmless.
+func (m *Machine) Watchers(region ident.Region) []ident.ProcessID {
+	return ids(top("watch", m.Live(Router, region), WatcherCount))
+}
+
+// Link returns the routers of a region for the exchange over the region link; the second is the backup.
+func (m *Machine) Link(region ident.Region) []ident.ProcessID {
+	return ids(top("link", m.Live(Router, region), LinkCount))
+}
+
+// Counterparts returns the processes of other regions with which this process exchanges facts: none
+// unless it is on the pair of its region. backup is true on the second of the pair.
+func (m *Machine) Counterparts() (far []ident.ProcessID, backup bool) {
+	own := m.regions[m.self.Centre]
+	i := slices.Index(m.Link(own), m.self.VM)
+	if i < 0 {
+		return nil, false
+	}
+	var names []ident.Region
+	for _, r := range m.regions {
+		if r != own && !slices.Contains(names, r) {
+			names = append(names, r)
+		}
+	}
+	slices.Sort(names)
+	for _, r := range names {
+		if pair := m.Link(r); len(pair) > 0 {
+			far = append(far, pair[min(i, len(pair)-1)])
+		}
+	}
+	return far, i > 0
+}
+
+// Subset returns the agents of a pool that this process connects to: at most n, those of its own
+// region first. pool lists the agents of the service; those that are not live are left out.
+func (m *Machine) Subset(service ident.Service, pool []ident.ProcessID, n int) []ident.ProcessID {
+	own := m.regions[m.self.Centre]
+	var near, far []Member
+	for _, id := range pool {
+		r := m.all[id]
+		if r == nil || r.state != Live {
+			continue
+		}
+		if p := m.member(r); p.Region == own {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	key := "subset\x00" + string(m.self.VM) + "\x00" + string(service)
+	out := top(key, near, n)
+	return ids(append(out, top(key, far, n-len(out))...))
+}
+
+// Homes returns the agents that hold the claim of a keyed request, the first two by rendezvous hash
+// over the live agents of pool.
+func (m *Machine) Homes(id ident.RequestID, pool []ident.ProcessID) []ident.ProcessID {
+	var live []Member
+	for _, p := range pool {
+		if r := m.all[p]; r != nil && r.state == Live {
+			live = append(live, m.member(r))
+		}
+	}
+	return ids(top("home\x00"+string(id), live, HomeCount))
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,223 @@
+// Package member decides which processes are alive, from the platform's lagging list and from
+// messages received, and derives deterministic choices from that.
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Role is the role of a process.
+type Role string
+
+// Roles.
+const (
+	Router Role = "router"
+	Agent  Role = "agent"
+)
+
+// State is the state of a member.
+type State string
+
+// States. Only Live members get new work; Suspected ones may still hold old work.
+const (
+	Live      State = "live"
+	Suspected State = "suspected"
+	Leaving   State = "leaving"
+	Gone      State = "gone"
+)
+
+const (
+	// SuspectAfter is the silence after which a watched member is suspected.
+	SuspectAfter = 3 * time.Second
+	// GoneAfter is the silence after which a watched or unlisted member is gone.
+	GoneAfter = 10 * time.Second
+	// LeaveWithin is the time within which a leaving member gets no new work. The states change in
+	// the call that reports it; the platform's list has to be read more often than this.
+	LeaveWithin = 3 * time.Second
+)
+
+// Entry is a VM as the platform's list names it.
+type Entry struct {
+	VM      ident.ProcessID
+	Address string
+	Role    Role
+	Centre  ident.DataCentre
+	Leaving bool
+}
+
+// Member is a process with its state.
+type Member struct {
+	Entry
+	Region ident.Region
+	State  State
+	// Boot is the newest boot heard; zero if none was heard.
+	Boot ident.Boot
+	// Listed is true when the last list named the VM.
+	Listed bool
+}
+
+// Change is the action to react to a new state of a member.
+type Change struct {
+	Member Member
+	Was    State
+}
+
+// Regions maps each data centre to its region.
+type Regions map[ident.DataCentre]ident.Region
+
+// record is what is known of a member.
+type record struct {
+	entry  Entry
+	state  State
+	boot   ident.Boot
+	listed bool
+	// said is true when the member itself announced that it leaves, in its current boot.
+	said bool
+	// watched is true while messages are expected from the member at least once a second.
+	watched bool
+	// heard is the last sign of life, or the time when watching began.
+	heard time.Time
+}
+
+// Machine is the membership as one process sees it.
+type Machine struct {
+	self    Entry
+	regions Regions
+	all     map[ident.ProcessID]*record
+}
+
+// New returns a membership that holds only the process itself.
+func New(self Entry, regions Regions) *Machine {
+	m := &Machine{self: self, regions: regions, all: map[ident.ProcessID]*record{}}
+	m.all[self.VM] = &record{entry: self, state: Live, listed: true}
+	return m
+}
+
+// SetRegions replaces the map of regions after a change of the configuration.
+func (m *Machine) SetRegions(r Regions) { m.regions = r }
+
+// List takes a new version of the platform's list.
+func (m *Machine) List(now time.Time, list []Entry) []Change {
+	named := make(map[ident.ProcessID]bool, len(list))
+	for _, e := range list {
+		named[e.VM] = true
+		r := m.get(e.VM, e, now)
+		r.entry, r.listed = e, true
+	}
+	for id, r := range m.all {
+		if !named[id] && id != m.self.VM {
+			r.listed, r.entry.Leaving = false, false
+		}
+	}
+	return m.update(now)
+}
+
+// Heard notes a message from a process, with what its handshake said. leaving is true when the
+// message says that it takes no new work; only a later boot takes that back. Messages of an earlier
+// boot are ignored.
+func (m *Machine) Heard(now time.Time, from Entry, boot ident.Boot, leaving bool) []Change {
+	r := m.get(from.VM, from, now)
+	if boot < r.boot {
+		return nil
+	}
+	if boot > r.boot {
+		r.boot, r.said = boot, false
+	}
+	r.heard = now
+	r.said = r.said || leaving
+	return m.update(now)
+}
+
+// Watch tells that messages are expected from id from now on, because a connection to it is wanted.
+func (m *Machine) Watch(now time.Time, id ident.ProcessID) {
+	if r := m.all[id]; r != nil && !r.watched {
+		r.watched, r.heard = true, now
+	}
+}
+
+// Unwatch tells that silence of id means nothing any more, because no connection is wanted.
+func (m *Machine) Unwatch(now time.Time, id ident.ProcessID) {
+	if r := m.all[id]; r != nil {
+		r.watched, r.heard = false, now
+	}
+}
+
+// Tick applies the passing of time; it is called at least once a second.
+func (m *Machine) Tick(now time.Time) []Change { return m.update(now) }
+
+func (m *Machine) get(id ident.ProcessID, e Entry, now time.Time) *record {
+	r := m.all[id]
+	if r == nil {
+		r = &record{entry: e, state: Gone, heard: now}
+		m.all[id] = r
+	}
+	return r
+}
+
+// update computes all states and returns the changes, ordered by VM. Members that are gone and not
+// listed are forgotten.
+func (m *Machine) update(now time.Time) (out []Change) {
+	for id, r := range m.all {
+		was := r.state
+		r.state = m.stateAt(id, r, now)
+		if r.state != was {
+			out = append(out, Change{Member: m.member(r), Was: was})
+		}
+		if r.state == Gone && !r.listed {
+			delete(m.all, id)
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Member.VM, b.Member.VM) })
+	return out
+}
+
+// stateAt derives the state of one record. Silence counts for watched members, and for those that
+// only messages vouch for.
+func (m *Machine) stateAt(id ident.ProcessID, r *record, now time.Time) State {
+	silence := now.Sub(r.heard)
+	if id == m.self.VM || r.listed && !r.watched {
+		silence = 0
+	}
+	switch {
+	case silence >= GoneAfter, silence >= SuspectAfter && !r.listed:
+		return Gone
+	case r.entry.Leaving, r.said:
+		return Leaving
+	case silence >= SuspectAfter:
+		return Suspected
+	}
+	return Live
+}
+
+func (m *Machine) member(r *record) Member {
+	return Member{Entry: r.entry, Region: m.regions[r.entry.Centre], State: r.state, Boot: r.boot, Listed: r.listed}
+}
+
+// State returns the state of a process; an unknown one is Gone.
+func (m *Machine) State(id ident.ProcessID) State {
+	if r := m.all[id]; r != nil {
+		return r.state
+	}
+	return Gone
+}
+
+// Members returns all known members ordered by VM.
+func (m *Machine) Members() []Member {
+	out := make([]Member, 0, len(m.all))
+	for _, r := range m.all {
+		out = append(out, m.member(r))
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// Live returns the live members of a role and region ordered by VM; an empty role or region means all.
+func (m *Machine) Live(role Role, region ident.Region) []Member {
+	return slices.DeleteFunc(m.Members(), func(p Member) bool {
+		return p.State != Live || role != "" && p.Role != role || region != "" && p.Region != region
+	})
+}
