--- /dev/null
+++ b/core/conf/index.go
@@ -0,0 +1,213 @@
+package conf
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Index answers the look-ups of a daemon in one configuration. It is built once and never changes, so it
+// may be used from any goroutine. What it returns must not be changed.
+type Index struct {
+	cfg      Config
+	accounts map[ident.AccountID]*Account
+	keys     map[string]*Account
+	services map[ident.Service]*Service
+	// models holds the names by which callers ask for model services.
+	models map[string]*Service
+	// paths holds the routes of all plain services, the most specific first.
+	paths []match
+	tiers map[string]*Tier
+	// ranks holds the tiers, the highest first.
+	ranks   []Tier
+	targets map[ident.TargetID]*Target
+	vms     map[ident.ProcessID]*Target
+	pools   map[ident.Service][]Target
+	regions map[ident.DataCentre]ident.Region
+	moves   map[ident.Service][]Move
+}
+
+type match struct {
+	service *Service
+	route   *Route
+}
+
+// NewIndex returns the index of a checked configuration.
+func NewIndex(cfg Config) *Index {
+	x := &Index{
+		cfg:      cfg,
+		accounts: map[ident.AccountID]*Account{},
+		keys:     map[string]*Account{},
+		services: map[ident.Service]*Service{},
+		models:   map[string]*Service{},
+		tiers:    map[string]*Tier{},
+		targets:  map[ident.TargetID]*Target{},
+		vms:      map[ident.ProcessID]*Target{},
+		pools:    map[ident.Service][]Target{},
+		regions:  map[ident.DataCentre]ident.Region{},
+		moves:    map[ident.Service][]Move{},
+	}
+	x.addPlaces()
+	x.addAccounts()
+	x.addServices()
+	x.addTargets()
+	return x
+}
+
+func (x *Index) addPlaces() {
+	for _, r := range x.cfg.Regions {
+		for _, c := range r.Centres {
+			x.regions[c] = r.Name
+		}
+	}
+	for i := range x.cfg.Tiers {
+		x.tiers[x.cfg.Tiers[i].Name] = &x.cfg.Tiers[i]
+	}
+	x.ranks = slices.SortedFunc(slices.Values(x.cfg.Tiers), func(a, b Tier) int { return cmp.Compare(a.Rank, b.Rank) })
+}
+
+func (x *Index) addAccounts() {
+	for i := range x.cfg.Accounts {
+		a := &x.cfg.Accounts[i]
+		x.accounts[a.Name] = a
+		for _, k := range a.Keys {
+			x.keys[k] = a
+		}
+	}
+}
+
+func (x *Index) addServices() {
+	for i := range x.cfg.Services {
+		s := &x.cfg.Services[i]
+		x.services[s.Name] = s
+		if s.Kind == Model {
+			x.models[string(s.Name)] = s
+			for _, m := range s.Models {
+				x.models[m] = s
+			}
+			continue
+		}
+		for j := range s.Routes {
+			x.paths = append(x.paths, match{service: s, route: &s.Routes[j]})
+		}
+	}
+	slices.SortStableFunc(x.paths, func(a, b match) int { return specific(a.route, b.route) })
+	for _, m := range x.cfg.Moves {
+		x.moves[m.Service] = append(x.moves[m.Service], m)
+	}
+}
+
+func (x *Index) addTargets() {
+	for i := range x.cfg.Targets {
+		t := &x.cfg.Targets[i]
+		x.targets[t.Name] = t
+		x.vms[t.VM] = t
+		x.pools[t.Service] = append(x.pools[t.Service], *t)
+	}
+}
+
+// Config returns the configuration.
+func (x *Index) Config() Config { return x.cfg }
+
+// Generation returns the generation of the configuration.
+func (x *Index) Generation() ident.Generation { return x.cfg.Generation }
+
+// Account returns the account with the given name.
+func (x *Index) Account(name ident.AccountID) (Account, bool) { return value(x.accounts[name]) }
+
+// ByKey returns the account of a key, given by its hash (ident.HashKey).
+func (x *Index) ByKey(hash string) (Account, bool) { return value(x.keys[hash]) }
+
+// Service returns the service with the given name.
+func (x *Index) Service(name ident.Service) (Service, bool) { return value(x.services[name]) }
+
+// ByModel returns the model service that callers ask for by the given model name.
+func (x *Index) ByModel(name string) (Service, bool) { return value(x.models[name]) }
+
+// Tier returns the tier with the given name.
+func (x *Index) Tier(name string) (Tier, bool) { return value(x.tiers[name]) }
+
+// Tiers returns all tiers, the highest first.
+func (x *Index) Tiers() []Tier { return x.ranks }
+
+// Target returns the target with the given name.
+func (x *Index) Target(name ident.TargetID) (Target, bool) { return value(x.targets[name]) }
+
+// ByVM returns the target beside the agent on the given VM.
+func (x *Index) ByVM(vm ident.ProcessID) (Target, bool) { return value(x.vms[vm]) }
+
+// Pool returns the targets of a service in the order of the declarations.
+func (x *Index) Pool(name ident.Service) []Target { return x.pools[name] }
+
+// Region returns the region of a data centre.
+func (x *Index) Region(centre ident.DataCentre) (ident.Region, bool) {
+	r, ok := x.regions[centre]
+	return r, ok
+}
+
+// Moves returns the moves of a service in the order in which they run.
+func (x *Index) Moves(name ident.Service) []Move { return x.moves[name] }
+
+// Match returns the plain service and the route of a call; the most specific path wins.
+func (x *Index) Match(method, path string) (s Service, r Route, ok bool) {
+	for _, m := range x.paths {
+		if m.route.matches(method, path) {
+			return *m.service, *m.route, true
+		}
+	}
+	return s, r, false
+}
+
+// Route returns the route of a call to a service; model is empty for plain services.
+// The most specific path wins; for equal paths, a route for the model name wins.
+func (x *Index) Route(name ident.Service, method, path, model string) (r Route, ok bool) {
+	s := x.services[name]
+	if s == nil {
+		return r, false
+	}
+	for _, c := range s.Routes {
+		if !c.matches(method, path) || (c.Model != "" && c.Model != model) {
+			continue
+		}
+		if !ok || specific(&c, &r) < 0 {
+			r, ok = c, true
+		}
+	}
+	return r, ok
+}
+
+// IsModel reports whether a model service has a route for the method and path, so that the body must be
+// read to find the service.
+func (x *Index) IsModel(method, path string) bool {
+	for _, s := range x.cfg.Services {
+		if s.Kind == Model && slices.ContainsFunc(s.Routes, func(r Route) bool { return r.matches(method, path) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// matches reports whether a call takes the route; a path that ends in "/" is a prefix.
+func (r *Route) matches(method, path string) bool {
+	if r.Method != method {
+		return false
+	}
+	return r.Path == path || (strings.HasSuffix(r.Path, "/") && strings.HasPrefix(path, r.Path))
+}
+
+// specific orders routes: longer paths first, then routes for one model name.
+func specific(a, b *Route) int {
+	if c := cmp.Compare(len(b.Path), len(a.Path)); c != 0 {
+		return c
+	}
+	return cmp.Compare(min(len(b.Model), 1), min(len(a.Model), 1))
+}
+
+func value[T any](p *T) (v T, ok bool) {
+	if p == nil {
+		return v, false
+	}
+	return *p, true
+}
--- /dev/null
+++ b/core/conf/problem.go
@@ -0,0 +1,98 @@
+package conf
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Problem is one fault in declarations or settings.
+type Problem struct {
+	// File is the name of the file; empty when the fault was found in a merged configuration.
+	File string `json:"file,omitempty"`
+	// Line is the line of the key in File, from 1; zero if unknown.
+	Line int `json:"line,omitempty"`
+	// Key is the path of the key, for example "accounts[north].keys[0]".
+	Key  string `json:"key"`
+	Text string `json:"text"`
+}
+
+// String returns the form shown to operators: file:line: key: text.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File + ":")
+		if p.Line > 0 {
+			fmt.Fprintf(&b, "%d:", p.Line)
+		}
+		b.WriteByte(' ')
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	b.WriteString(p.Text)
+	return b.String()
+}
+
+// place is the position of a key in a file.
+type place struct {
+	file string
+	line int
+}
+
+// report collects problems; places maps the path of each key to its position.
+type report struct {
+	places   map[string]place
+	problems []Problem
+}
+
+func newReport() *report { return &report{places: map[string]place{}} }
+
+// add notes a fault at key, or at the closest enclosing key whose position is known.
+func (r *report) add(key, format string, args ...any) {
+	at := r.find(key)
+	r.problems = append(r.problems, Problem{File: at.file, Line: at.line, Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+func (r *report) find(key string) place {
+	for k := key; k != ""; k = parent(k) {
+		if at, ok := r.places[k]; ok {
+			return at
+		}
+	}
+	return place{}
+}
+
+// parent returns the path of the enclosing key, or "". Names in brackets may hold dots.
+func parent(key string) string {
+	cut := strings.LastIndexByte(key, '.')
+	if strings.HasSuffix(key, "]") {
+		cut = strings.LastIndexByte(key, '[')
+	}
+	return key[:max(cut, 0)]
+}
+
+// list returns the problems in the order of files and lines.
+func (r *report) list() []Problem {
+	sort.SliceStable(r.problems, func(i, j int) bool {
+		a, b := r.problems[i], r.problems[j]
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+	return r.problems
+}
+
+// has reports whether a problem is noted at key.
+func (r *report) has(key string) bool {
+	for _, p := range r.problems {
+		if p.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// at returns the path of the entry with the given name in the list at key.
+func at[N ~string](key string, name N) string { return key + "[" + string(name) + "]" }
--- /dev/null
+++ b/core/conf/settings.go
@@ -0,0 +1,107 @@
+package conf
+
+import "hickoryvane.example/core/ident"
+
+// Router holds the settings of a router.
+type Router struct {
+	// Name is the process id, which is also the name of the VM in the platform's list.
+	Name       ident.ProcessID  `json:"name" need:"yes" form:"name"`
+	Deployment string           `json:"deployment" need:"yes" form:"name"`
+	Region     ident.Region     `json:"region" need:"yes" form:"name"`
+	Centre     ident.DataCentre `json:"centre" need:"yes" form:"name"`
+	// Listen is the address for callers.
+	Listen string `json:"listen" need:"yes" form:"address"`
+	// Admin is the address for peers (/wire), operators (/status), probes and metrics.
+	Admin string `json:"admin" need:"yes" form:"address"`
+	// Secret is the shared key of the deployment.
+	Secret string `json:"secret" need:"yes" unit:"characters" limit:"16..256"`
+	// Store and List are the addresses of the object API and of the list of VMs.
+	Store string `json:"store" need:"yes" form:"address"`
+	List  string `json:"vmlist" need:"yes" form:"address"`
+	// Peers are the admin addresses that the process contacts first.
+	Peers  []string     `json:"peers" limit:"0..64" form:"address"`
+	Bounds RouterBounds `json:"bounds"`
+}
+
+// RouterBounds bounds what one router holds.
+type RouterBounds struct {
+	// Requests bounds the requests that wait or run.
+	Requests int `json:"requests" unit:"requests" default:"4096" limit:"1..65536"`
+	// Body bounds the body of one request; it must fit into one message.
+	Body ident.Bytes `json:"body" unit:"bytes" default:"2097152" limit:"1024..4128768"`
+	// Memory bounds the bodies and answers held for callers.
+	Memory ident.Bytes `json:"memory" unit:"bytes" default:"67108864" limit:"1048576..1073741824"`
+	// Agents bounds the connections to agents of one pool.
+	Agents int `json:"agents" unit:"connections" default:"12" limit:"1..64"`
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	// Name is the process id, which is also the name of the VM in declarations and in the platform's list.
+	Name       ident.ProcessID  `json:"name" need:"yes" form:"name"`
+	Deployment string           `json:"deployment" need:"yes" form:"name"`
+	Region     ident.Region     `json:"region" need:"yes" form:"name"`
+	Centre     ident.DataCentre `json:"centre" need:"yes" form:"name"`
+	// Admin is the address for routers and peers (/wire), operators (/status), probes and metrics.
+	Admin string `json:"admin" need:"yes" form:"address"`
+	// Secret is the shared key of the deployment.
+	Secret string `json:"secret" need:"yes" unit:"characters" limit:"16..256"`
+	// Store and List are the addresses of the object API and of the list of VMs.
+	Store string `json:"store" need:"yes" form:"address"`
+	List  string `json:"vmlist" need:"yes" form:"address"`
+	// Peers are the admin addresses that the process contacts first.
+	Peers []string `json:"peers" limit:"0..64" form:"address"`
+	// Target is the address of the target beside the agent.
+	Target string      `json:"target" need:"yes" form:"address"`
+	Bounds AgentBounds `json:"bounds"`
+}
+
+// AgentBounds bounds what one agent holds.
+type AgentBounds struct {
+	// Offers bounds the offers that wait.
+	Offers int `json:"offers" unit:"offers" default:"1024" limit:"1..65536"`
+	// Window bounds the requests given to the target at a time.
+	Window int `json:"window" unit:"requests" default:"64" limit:"1..1024"`
+	// Answers bounds the kept answers.
+	Answers ident.Bytes `json:"answers" unit:"bytes" default:"67108864" limit:"1048576..1073741824"`
+	// Keep is the time for which an answer is kept after its end.
+	Keep Millis `json:"keep" unit:"ms" default:"120000" limit:"1000..3600000"`
+}
+
+// Operator holds the settings of the program hickoryvane.
+type Operator struct {
+	Deployment string `json:"deployment" need:"yes" form:"name"`
+	// Secret is the shared key of the deployment.
+	Secret string `json:"secret" need:"yes" unit:"characters" limit:"16..256"`
+	// Store is the address of the object API.
+	Store string `json:"store" need:"yes" form:"address"`
+	// Processes are admin addresses, some of each region.
+	Processes []string `json:"processes" need:"yes" limit:"1..1024" form:"address"`
+}
+
+// Standin holds the settings of one stand-in of the platform, for tests and the demo.
+type Standin struct {
+	// Kind selects the object API, a model engine, a plain service or the list of VMs.
+	Kind   string `json:"kind" need:"yes" one:"store engine service vmlist"`
+	Name   string `json:"name" need:"yes" form:"name"`
+	Listen string `json:"listen" need:"yes" form:"address"`
+	// Seed makes a run repeatable.
+	Seed uint64 `json:"seed" default:"1"`
+	// Slots bounds the requests that run at a time.
+	Slots int `json:"slots" unit:"requests" default:"16" limit:"1..1024"`
+	// Prefill and Decode are the speeds of an engine.
+	Prefill int `json:"prefill" unit:"tokens/s" default:"8000" limit:"1..1000000"`
+	Decode  int `json:"decode" unit:"tokens/s" default:"400" limit:"1..1000000"`
+	// Cache bounds the prompt blocks that an engine keeps.
+	Cache int `json:"cache" unit:"blocks" default:"4096" limit:"0..1048576"`
+	// Delay is the time that a plain call or a call of the object API takes.
+	Delay Millis `json:"delay" unit:"ms" default:"2" limit:"0..60000"`
+	// Reads and Writes limit the calls of the object API.
+	Reads  int `json:"reads" unit:"calls/s" default:"2000" limit:"1..100000"`
+	Writes int `json:"writes" unit:"calls/s" default:"300" limit:"1..100000"`
+}
+
+// Settings is one of the settings of a process.
+type Settings interface {
+	Router | Agent | Operator | Standin
+}
--- /dev/null
+++ b/core/conf/status.go
@@ -0,0 +1,60 @@
+package conf
+
+import (
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Names under which a configuration and the ends of moves are kept in the object API and spread as facts.
+const (
+	// ConfigSort and ConfigName name the object of the configuration; as a fact, both are sort and key.
+	ConfigSort = "config"
+	ConfigName = "config"
+	// MoveSort is the kind of the objects that record moves; the value is the JSON of a MoveStatus.
+	MoveSort = "move"
+	// StatusPath is the HTTP path of Status on the admin address of a process.
+	StatusPath = "/status"
+)
+
+// MoveState is the state of a move.
+type MoveState string
+
+// States of a move. Done and TakenBack are final.
+const (
+	Waiting   MoveState = "waiting"
+	Running   MoveState = "running"
+	Done      MoveState = "done"
+	TakenBack MoveState = "taken back"
+)
+
+// Ended reports whether s is final.
+func (s MoveState) Ended() bool { return s == Done || s == TakenBack }
+
+// Status is what a process reports of itself.
+type Status struct {
+	Process ident.ProcessID  `json:"process"`
+	Role    string           `json:"role"`
+	Boot    ident.Boot       `json:"boot"`
+	Centre  ident.DataCentre `json:"centre"`
+	// Generation is the one in force; zero means none.
+	Generation ident.Generation `json:"generation"`
+	Ready      bool             `json:"ready"`
+	Moves      []MoveStatus     `json:"moves"`
+}
+
+// MoveStatus is the state of a move as one process knows it, or as it is recorded in the object API.
+type MoveStatus struct {
+	Name    ident.Move    `json:"name"`
+	Service ident.Service `json:"service"`
+	From    ident.Version `json:"from"`
+	To      ident.Version `json:"to"`
+	State   MoveState     `json:"state"`
+	// Reason says why the move waits or was taken back.
+	Reason string `json:"reason"`
+	// Share is the part of new sessions that the new version receives, from 0 to 1.
+	Share float64 `json:"share"`
+	// Began and Ended are zero as long as the move has not begun or ended.
+	Began time.Time `json:"began,omitzero"`
+	Ended time.Time `json:"ended,omitzero"`
+}
