Agent: driver, program, connections and admin address

Cause: the agent's core needs goroutines, sockets and a command line around it. Ruled out: channels without bounds between duties; rings with a stated behaviour when full are used.

--- /dev/null
+++ b/agent/node/agent.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/admin"
+	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/group"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/lease"
+	"hickoryvane.example/core/links"
+	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/ring"
+	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
+)
+
+const (
+	// inboxSize bounds the events that wait for the core; their writers wait when it is full.
+	inboxSize = 4096
+	// tickInterval is the time between two ticks of the core.
+	tickInterval = 20 * time.Millisecond
+	// drainTimeout bounds a graceful shutdown.
+	drainTimeout = 15 * time.Minute
+	// flushTimeout bounds the writing of queued messages at the end.
+	flushTimeout = 2 * time.Second
+	// statusTimeout bounds the wait of an operator for the core.
+	statusTimeout = 2 * time.Second
+	// leaseTimeout bounds the reading of a lease.
+	leaseTimeout = 5 * time.Second
+)
+
+// input is one event for the core.
+type input func(now time.Time, c *Core)
+
+// Agent drives a Core: it connects it to peers, to the target and to the object API.
+type Agent struct {
+	cfg    conf.Agent
+	boot   ident.Boot
+	target target.Target
+	store  store.Store
+	log    *event.Logger
+	core   *Core
+	inbox  *ring.Ring[input]
+	links  *links.Links
+	// runs counts the goroutines that read answers from the target; they end with the context of Run.
+	runs sync.WaitGroup
+	// stops holds the functions that stop reading an answer, by request; only the core's goroutine uses it.
+	stops map[ident.RequestID]context.CancelFunc
+	// drain is closed when a graceful shutdown begins.
+	drain chan struct{}
+	once  sync.Once
+}
+
+// NewAgent returns an agent that is not running yet.
+func NewAgent(cfg conf.Agent, t target.Target, s store.Store, log *event.Logger) *Agent {
+	boot := ident.BootAt(time.Now())
+	a := &Agent{
+		cfg: cfg, boot: boot, target: t, store: s, log: log,
+		inbox: ring.New[input](inboxSize),
+		stops: make(map[ident.RequestID]context.CancelFunc),
+		drain: make(chan struct{}),
+	}
+	rnd := rand.New(rand.NewPCG(uint64(boot), ident.Rendezvous("agent", string(cfg.Name))))
+	a.core = New(cfg.Name, boot, cfg.Deployment, rnd, WithAnswers(cfg.Bounds.Answers, cfg.Bounds.Keep.Duration()))
+	auth := wire.Auth{Deployment: cfg.Deployment, Key: []byte(cfg.Secret)}
+	a.links = links.New(auth, a.hello, a.sink, log)
+	return a
+}
+
+// Stop begins a graceful shutdown; Run returns when it is complete.
+func (a *Agent) Stop() { a.once.Do(func() { close(a.drain) }) }
+
+// Run serves until ctx ends or a graceful shutdown is complete.
+func (a *Agent) Run(ctx context.Context) error {
+	ln, err := admin.Listen(a.cfg.Admin)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g := group.New()
+	handler := admin.Handler(&source{Agent: a, ctx: ctx}, http.NotFoundHandler())
+	g.Go(ctx, "admin", func(ctx context.Context) error { return admin.Serve(ctx, ln, handler) })
+	g.Go(ctx, "core", a.loop)
+	g.Go(ctx, "probe", a.probe)
+	if e, ok := a.target.(*target.Engine); ok {
+		g.Go(ctx, "cache", func(ctx context.Context) error { return a.follow(ctx, e) })
+	}
+	a.log.Log(event.Started, "role", "agent", "process", a.cfg.Name, "admin", ln.Addr())
+	first := <-g.Ends()
+	g.Seen()
+	fctx, stop := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	a.links.Flush(fctx)
+	stop()
+	cancel()
+	err = g.Wait()
+	a.runs.Wait()
+	a.log.Log(event.Stopped, "role", "agent")
+	if first.Err != nil && ctx.Err() == nil {
+		return first.Err
+	}
+	return err
+}
+
+// loop is the only goroutine that uses the core. It returns when a graceful shutdown is complete.
+func (a *Agent) loop(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	var end <-chan time.Time
+	drain := a.drain
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-end:
+			return nil
+		case <-drain:
+			drain, end = nil, time.After(drainTimeout)
+			a.core.Drain(time.Now())
+		case <-tick.C:
+			a.core.Tick(time.Now())
+		case <-a.inbox.Ready():
+			for in, ok := a.inbox.Take(); ok; in, ok = a.inbox.Take() {
+				in(time.Now(), a.core)
+			}
+		}
+		a.perform(ctx)
+		if drain == nil && a.core.Drained(time.Now()) {
+			return nil
+		}
+	}
+}
+
+// perform does what the core asked for.
+func (a *Agent) perform(ctx context.Context) {
+	for _, act := range a.core.Take() {
+		switch act := act.(type) {
+		case Send:
+			a.links.Send(links.ID(act.Peer), act.Message)
+		case Start:
+			a.start(ctx, act.Request)
+		case Resume:
+			a.resume(ctx, act.ID)
+		case Stop:
+			a.cancel(ctx, act.ID)
+		case Give:
+			a.give(ctx, act.Forward)
+		case ReadLease:
+			a.readLease(ctx, act.Name)
+		case Log:
+			a.log.Log(act.Event, act.Pairs...)
+		}
+	}
+}
+
+// do runs f as a goroutine whose result reaches the core as an input.
+func (a *Agent) do(ctx context.Context, f func(context.Context) input) {
+	a.runs.Add(1)
+	go func() {
+		defer a.runs.Done()
+		if in := f(ctx); in != nil {
+			_ = a.inbox.Put(ctx, in) // fails only when the process ends
+		}
+	}()
+}
+
+func (a *Agent) start(ctx context.Context, r target.Request) {
+	rctx, stop := context.WithCancel(ctx)
+	a.stops[r.ID] = stop
+	a.do(rctx, func(rctx context.Context) input {
+		out := a.target.Run(rctx, r, a.emit(ctx, r.ID))
+		return a.ended(ctx, r.ID, out)
+	})
+}
+
+func (a *Agent) resume(ctx context.Context, id ident.RequestID) {
+	rctx, stop := context.WithCancel(ctx)
+	a.stops[id] = stop
+	a.do(rctx, func(rctx context.Context) input {
+		out, _ := a.target.Resume(rctx, id, a.emit(ctx, id))
+		return a.ended(ctx, id, out)
+	})
+}
+
+// ended puts the end into the inbox itself, because the context of the run may have been stopped.
+func (a *Agent) ended(ctx context.Context, id ident.RequestID, out target.Outcome) input {
+	_ = a.inbox.Put(ctx, func(now time.Time, c *Core) {
+		if stop := a.stops[id]; stop != nil {
+			stop()
+			delete(a.stops, id)
+		}
+		c.Ended(now, id, out)
+	})
+	return nil
+}
+
+func (a *Agent) emit(ctx context.Context, id ident.RequestID) func(target.Part) {
+	return func(p target.Part) {
+		_ = a.inbox.Put(ctx, func(now time.Time, c *Core) { c.Part(now, id, p) })
+	}
+}
+
+// cancel tells the target to stop and stops reading the answer. The pause lets the target's own end arrive.
+func (a *Agent) cancel(ctx context.Context, id ident.RequestID) {
+	stop := a.stops[id]
+	a.do(ctx, func(ctx context.Context) input {
+		err := a.target.Cancel(ctx, id)
+		if stop != nil {
+			stop()
+		}
+		if err != nil {
+			a.log.Log(event.TargetSlow, "request", id, "error", err)
+		}
+		return nil
+	})
+}
+
+func (a *Agent) give(ctx context.Context, f lease.Forward) {
+	a.do(ctx, func(ctx context.Context) input {
+		o := target.Order{Verb: f.Order.Verb, Version: f.Order.Version, Value: f.Order.Value, Fence: f.Order.Fence, Issuer: a.cfg.Name}
+		err := a.target.Order(ctx, o)
+		return func(_ time.Time, c *Core) { c.Gave(f.Order.ID, err) }
+	})
+}
+
+func (a *Agent) readLease(ctx context.Context, name string) {
+	a.do(ctx, func(ctx context.Context) input {
+		ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+		defer cancel()
+		r, err := readLease(ctx, a.store, name)
+		return func(now time.Time, c *Core) { c.LeaseRead(now, name, r, err) }
+	})
+}
+
+// sink takes in what the connections bring.
+func (a *Agent) sink(ctx context.Context, e links.Event) error {
+	p := answer.Peer(e.Link)
+	return a.inbox.Put(ctx, func(now time.Time, c *Core) {
+		switch {
+		case e.Hello != nil:
+			c.Opened(p, *e.Hello)
+		case e.Closed:
+			c.Closed(now, p)
+		default:
+			c.Message(now, p, e.Message)
+		}
+	})
+}
+
+func (a *Agent) hello() wire.Hello {
+	return wire.Hello{Process: a.cfg.Name, Role: string(member.Agent), Boot: a.boot, Centre: a.cfg.Centre}
+}
--- a/agent/node/answers.go
+++ b/agent/node/answers.go
@@ -73,7 +73,6 @@
 	if !c.up {
 		return
 	}
-	c.up = false
 	var prints []ident.Print
 	for _, o := range c.offers {
 		if o.phase == running {
@@ -84,8 +83,14 @@
 	for _, f := range c.guard.Crashed(now, c.decl.Name, prints) {
 		c.publishGuard(now, f)
 	}
-	e := fault.NotRunf(fault.Target, "target does not answer")
-	c.refuseAll(c.queue.Drain(now, e))
+	c.downTarget(now)
+}
+
+// downTarget stops granting and gives the waiting offers back. A target that only does not answer, as one
+// that is frozen, makes no request suspect.
+func (c *Core) downTarget(now time.Time) {
+	c.up = false
+	c.refuseAll(c.queue.Drain(now, fault.NotRunf(fault.Target, "target does not answer")))
 	c.report.due = true
 }
 
@@ -95,7 +100,7 @@
 		return
 	}
 	if !up {
-		c.lostTarget(now)
+		c.downTarget(now)
 		return
 	}
 	c.up = true
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -13,8 +13,8 @@
 	"hickoryvane.example/core/facts"
 	"hickoryvane.example/core/guard"
 	"hickoryvane.example/core/ident"
-	"hickoryvane.example/core/ledger"
 	"hickoryvane.example/core/lease"
+	"hickoryvane.example/core/ledger"
 	"hickoryvane.example/core/queue"
 	"hickoryvane.example/core/wire"
 )
@@ -58,7 +58,7 @@
 	// waiting holds orders until the lease was read.
 	waiting []order
 	// given holds the peers that wait for the result of an order.
-	given map[ident.RequestID]answer.Peer
+	given   map[ident.RequestID]answer.Peer
 	report  report
 	verdict verdict
 	// up is false while the target does not answer.
--- /dev/null
+++ b/agent/node/duty.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/lease"
+	"hickoryvane.example/core/store"
+)
+
+const (
+	// probeInterval is the time between two probes of the target.
+	probeInterval = 250 * time.Millisecond
+	// probeFails is the number of failed probes in sequence after which the target counts as down.
+	probeFails = 4
+	// cacheInterval is the time between two reads of the target's cache events.
+	cacheInterval = 500 * time.Millisecond
+)
+
+// probe tells the core whether the target answers.
+func (a *Agent) probe(ctx context.Context) error {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	fails := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if a.target.Probe(ctx) == nil {
+			fails = 0
+		} else {
+			fails++
+		}
+		if fails > 0 && fails < probeFails {
+			continue
+		}
+		up := fails == 0
+		if a.inbox.Put(ctx, func(now time.Time, c *Core) { c.Probed(now, up) }) != nil {
+			return nil
+		}
+	}
+}
+
+// follow reads the cache events of an engine. After a gap it reads the whole contents.
+func (a *Agent) follow(ctx context.Context, e *target.Engine) error {
+	tick := time.NewTicker(cacheInterval)
+	defer tick.Stop()
+	var seq ident.Seq
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		events, err := e.CacheSince(ctx, seq)
+		if err != nil || len(events) == 0 {
+			continue // the probe tells about an engine that is down
+		}
+		if contiguous(seq, events) {
+			seq = events[len(events)-1].Seq
+			if a.inbox.Put(ctx, func(_ time.Time, c *Core) { c.CacheChanged(events) }) != nil {
+				return nil
+			}
+			continue
+		}
+		all, err := e.CacheAll(ctx)
+		if err != nil {
+			continue
+		}
+		seq = all.Seq
+		if a.inbox.Put(ctx, func(_ time.Time, c *Core) { c.CacheReset(all.Blocks) }) != nil {
+			return nil
+		}
+	}
+}
+
+func contiguous(seq ident.Seq, events []target.CacheEvent) bool {
+	for _, e := range events {
+		if e.Seq != seq+1 {
+			return false
+		}
+		seq = e.Seq
+	}
+	return true
+}
+
+// readLease returns the record of a lease; one that does not exist is the zero record.
+func readLease(ctx context.Context, s store.Store, name string) (r lease.Record, err error) {
+	o, err := s.Get(ctx, lease.Sort, name)
+	if errors.Is(err, store.ErrNotFound) {
+		return r, nil
+	}
+	if err != nil {
+		return r, errors.WithMessage(err, "read lease")
+	}
+	return lease.Decode(o.Value)
+}
+
+// source serves the admin address.
+type source struct {
+	*Agent
+	// ctx ends with the process; connections of peers outlive their HTTP requests.
+	ctx context.Context
+}
+
+// Accept implements admin.Source.
+func (s *source) Accept(w http.ResponseWriter, r *http.Request) { s.links.Accept(s.ctx, w, r) }
+
+// Status implements admin.Source.
+func (s *source) Status(ctx context.Context) (st conf.Status, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	out := make(chan conf.Status, 1)
+	if s.inbox.Put(ctx, func(_ time.Time, c *Core) { out <- c.status(s.cfg.Centre) }) != nil {
+		return st, false
+	}
+	select {
+	case st = <-out:
+		return st, true
+	case <-ctx.Done():
+		return st, false
+	}
+}
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"hickoryvane.example/core/answer"
@@ -94,7 +95,7 @@
 	if err != nil {
 		return
 	}
-	c.facts.Set(now, facts.SortBlock, GuardKey(f), b)
+	c.facts.Set(now, facts.SortBlock, guardKey(f), b)
 	if f.Sort == guard.Block {
 		c.log(event.Blocked, "print", f.Print)
 	}
@@ -113,3 +114,8 @@
 		c.publishGuard(now, more)
 	}
 }
+
+// guardKey names a guard fact, so that a newer statement replaces an older one about the same thing.
+func guardKey(f guard.Fact) string {
+	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
+}
--- a/agent/target/engine.go
+++ b/agent/target/engine.go
@@ -74,12 +74,13 @@
 	return e.resume(ctx, id, s), true
 }
 
+// resume takes up a broken stream. The engine counts as lost only if it does not answer a probe either.
 func (e *Engine) resume(ctx context.Context, id ident.RequestID, s *stream) Outcome {
-	lost := Outcome{Run: fault.Ran, Reason: fault.Target, Detail: "the engine was lost", Lost: true, Output: s.out.Output}
+	cut := Outcome{Run: fault.Ran, Reason: fault.Target, Detail: "the stream of the engine was cut", Output: s.out.Output}
 	for range resumes {
 		select {
 		case <-ctx.Done():
-			return lost
+			return cut
 		case <-time.After(resumePause):
 		}
 		res, err := e.reopen(ctx, id, s.next)
@@ -92,7 +93,8 @@
 			return s.out
 		}
 	}
-	return lost
+	cut.Lost = e.Probe(ctx) != nil && ctx.Err() == nil
+	return cut
 }
 
 func (e *Engine) reopen(ctx context.Context, id ident.RequestID, after int) (res *http.Response, err error) {
@@ -240,3 +242,15 @@
 func isStream(res *http.Response) bool {
 	return res.StatusCode == http.StatusOK && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
+
+// Contents is the whole prefix cache of an engine after event Seq.
+type Contents struct {
+	Seq    ident.Seq     `json:"seq"`
+	Blocks []ident.Block `json:"blocks"`
+}
+
+// CacheAll returns the whole contents of the prefix cache.
+func (e *Engine) CacheAll(ctx context.Context) (all Contents, err error) {
+	err = e.get(ctx, "/cache/all", &all)
+	return all, errors.WithMessage(err, "read cache")
+}
--- /dev/null
+++ b/core/admin/admin.go
@@ -0,0 +1,92 @@
+// Package admin serves the address of a process for peers, operators, probes and metrics.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/wire"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	// headerMax bounds the header of a request, in bytes.
+	headerMax = 16 << 10
+	// closeTimeout bounds the wait for open requests when a server stops.
+	closeTimeout = time.Second
+)
+
+// Source is the process that is served.
+type Source interface {
+	// Status returns what operators see; ok is false while the process cannot answer.
+	Status(ctx context.Context) (s conf.Status, ok bool)
+	// Accept serves one connection of a peer until it ends.
+	Accept(w http.ResponseWriter, r *http.Request)
+}
+
+// Handler returns the handler of the admin address.
+func Handler(s Source, metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.Path, s.Accept)
+	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
+		_, ok := s.Status(r.Context())
+		answer(w, ok)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
+		st, ok := s.Status(r.Context())
+		answer(w, ok && st.Ready)
+	})
+	mux.HandleFunc("GET "+conf.StatusPath, func(w http.ResponseWriter, r *http.Request) {
+		st, ok := s.Status(r.Context())
+		if !ok {
+			answer(w, false)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(st) // the reader may be gone
+	})
+	return mux
+}
+
+func answer(w http.ResponseWriter, ok bool) {
+	if !ok {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n")) // the reader may be gone
+}
+
+// Listen opens a listening socket at addr (IP number and port).
+func Listen(addr string) (ln net.Listener, err error) {
+	ln, err = net.Listen("tcp", addr)
+	return ln, errors.WithMessagef(err, "listen on %s", addr)
+}
+
+// Serve serves h on ln until ctx ends.
+func Serve(ctx context.Context, ln net.Listener, h http.Handler) (err error) {
+	defer func() { err = errors.WithMessagef(err, "serve %s", ln.Addr()) }()
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	select {
+	case err = <-done:
+		return err
+	case <-ctx.Done():
+	}
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	if srv.Shutdown(sctx) != nil {
+		_ = srv.Close()
+	}
+	if err = <-done; errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	return err
+}
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -5,36 +5,37 @@
 // Events. 1xx process, 2xx wire and peers, 3xx configuration and store, 4xx requests, 5xx targets,
 // 6xx moves, 7xx leases and orders.
 const (
-	Started       ID = 101
-	Stopping      ID = 102
-	Stopped       ID = 103
-	Ready         ID = 104
-	Failed        ID = 105
-	PeerUp        ID = 201
-	PeerDown      ID = 202
-	BadFrame      ID = 203
-	BadPeer       ID = 204
-	RingFull      ID = 205
-	ConfigInForce ID = 301
-	ConfigIgnored ID = 302
-	StoreDown     ID = 303
-	StoreUp       ID = 304
-	ConfigInvalid ID = 305
-	Refused       ID = 401
-	Cut           ID = 402
-	Blocked       ID = 403
-	Resumed       ID = 404
-	TargetCrashed ID = 501
-	TargetUp      ID = 502
-	TargetSlow    ID = 503
-	TargetLeaving ID = 504
-	MoveStage     ID = 601
-	MoveBad       ID = 602
-	MoveEnded     ID = 603
-	LeaseTaken    ID = 701
-	LeaseLost     ID = 702
-	OrderSent     ID = 703
-	OrderRefused  ID = 704
+	Started         ID = 101
+	Stopping        ID = 102
+	Stopped         ID = 103
+	Ready           ID = 104
+	Failed          ID = 105
+	PeerUp          ID = 201
+	PeerDown        ID = 202
+	BadFrame        ID = 203
+	BadPeer         ID = 204
+	RingFull        ID = 205
+	PeerUnreachable ID = 206
+	ConfigInForce   ID = 301
+	ConfigIgnored   ID = 302
+	StoreDown       ID = 303
+	StoreUp         ID = 304
+	ConfigInvalid   ID = 305
+	Refused         ID = 401
+	Cut             ID = 402
+	Blocked         ID = 403
+	Resumed         ID = 404
+	TargetCrashed   ID = 501
+	TargetUp        ID = 502
+	TargetSlow      ID = 503
+	TargetLeaving   ID = 504
+	MoveStage       ID = 601
+	MoveBad         ID = 602
+	MoveEnded       ID = 603
+	LeaseTaken      ID = 701
+	LeaseLost       ID = 702
+	OrderSent       ID = 703
+	OrderRefused    ID = 704
 )
 
 var list = []Kind{
@@ -48,6 +49,7 @@
 	{BadFrame, log.WarnLevel, "malformed frame dropped"},
 	{BadPeer, log.WarnLevel, "peer rejected"},
 	{RingFull, log.WarnLevel, "ring is full"},
+	{PeerUnreachable, log.DebugLevel, "peer cannot be reached"},
 	{ConfigInForce, log.InfoLevel, "configuration in force"},
 	{ConfigIgnored, log.DebugLevel, "older configuration ignored"},
 	{StoreDown, log.WarnLevel, "object API is not available"},
--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -1,7 +1,10 @@
 // Package ring provides a bounded queue between two goroutines.
 package ring
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Ring is a bounded first-in, first-out queue. All methods are safe for concurrent use.
 type Ring[T any] struct {
@@ -12,11 +15,13 @@
 	n     int
 	// ready holds at most one signal; it is sent when the ring becomes non-empty.
 	ready chan struct{}
+	// room holds at most one signal; it is sent when an item was taken.
+	room chan struct{}
 }
 
 // New returns a ring for at most size items; size must be at least 1.
 func New[T any](size int) *Ring[T] {
-	return &Ring[T]{items: make([]T, size), ready: make(chan struct{}, 1)}
+	return &Ring[T]{items: make([]T, size), ready: make(chan struct{}, 1), room: make(chan struct{}, 1)}
 }
 
 // Offer appends v and reports whether there was room.
@@ -30,6 +35,21 @@
 	return true
 }
 
+// Put appends v, and waits for room until ctx ends. It returns the error of ctx.
+func (r *Ring[T]) Put(ctx context.Context, v T) error {
+	for !r.Offer(v) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.room:
+		}
+	}
+	if r.Len() < len(r.items) { // another writer may wait as well
+		signal(r.room)
+	}
+	return nil
+}
+
 // Replace appends v. When the ring is full it drops the oldest item and reports true.
 func (r *Ring[T]) Replace(v T) (dropped bool) {
 	r.mu.Lock()
@@ -66,8 +86,12 @@
 func (r *Ring[T]) push(v T) {
 	r.items[(r.head+r.n)%len(r.items)] = v
 	r.n++
+	signal(r.ready)
+}
+
+func signal(c chan<- struct{}) {
 	select {
-	case r.ready <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -78,5 +102,6 @@
 	r.items[r.head] = zero
 	r.head = (r.head + 1) % len(r.items)
 	r.n--
+	signal(r.room)
 	return v
 }
--- a/core/ring/ring_test.go
+++ b/core/ring/ring_test.go
@@ -1,6 +1,7 @@
 package ring_test
 
 import (
+	"context"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -25,3 +26,29 @@
 	_, ok := r.Take()
 	g.Expect(ok).To(BeFalse())
 }
+
+// Guards against a writer that is never woken, or an item that is lost, when several writers wait for room.
+func TestPutWaitsForRoom(t *testing.T) {
+	g := NewWithT(t)
+	r := ring.New[int](2)
+	const writers, each = 4, 50
+	ends := make(chan error, writers)
+	for range writers {
+		go func(ctx context.Context) {
+			var err error
+			for i := 0; i < each && err == nil; i++ {
+				err = r.Put(ctx, 1)
+			}
+			ends <- err
+		}(t.Context())
+	}
+	for sum := 0; sum < writers*each; {
+		<-r.Ready()
+		for v, ok := r.Take(); ok; v, ok = r.Take() {
+			sum += v
+		}
+	}
+	for range writers {
+		g.Expect(<-ends).To(Succeed())
+	}
+}
--- a/core/wire/conn.go
+++ b/core/wire/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/hmac"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -46,6 +47,9 @@
 	bad int
 	// onBad is called for each malformed frame.
 	onBad func(error)
+	// sent and received count bytes of messages.
+	sent     atomic.Int64
+	received atomic.Int64
 }
 
 // Auth holds what a process needs to prove that it belongs to a deployment.
@@ -188,6 +192,7 @@
 			c.Close()
 			return nil, errors.WithMessage(err, "receive")
 		}
+		c.received.Add(int64(len(b)))
 		if m, err = Decode(b); err == nil {
 			return m, nil
 		}
@@ -282,14 +287,11 @@
 func (c *Conn) write(ctx context.Context, b []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	c.sent.Add(int64(len(b)))
 	return c.ws.Write(ctx, websocket.MessageBinary, b)
 }
 
-// Size returns the encoded size of m, for metering.
-func Size(m Message) ident.Bytes {
-	b, err := Encode(m)
-	if err != nil {
-		return 0
-	}
-	return ident.Bytes(len(b))
+// Bytes returns the bytes of messages sent and received.
+func (c *Conn) Bytes() (sent, received ident.Bytes) {
+	return ident.Bytes(c.sent.Load()), ident.Bytes(c.received.Load())
 }
