--- a/core/answer/attach.go
+++ b/core/answer/attach.go
@@ -87,7 +87,8 @@
 }
 
 // Next returns the next frame for a peer: a Chunk, an End, or a Refuse when the answer was dropped
-// before it was read to its end. It is called until ok is false, and again after a wake or Credit.
+// before it was read to its end. It is called until ok is false, and again after Attach,
+// Credit, or when the peer was returned to be woken.
 func (s *Store) Next(p Peer) (m wire.Message, ok bool) {
 	pe := s.peers[p]
 	if pe == nil {
--- a/core/answer/reader.go
+++ b/core/answer/reader.go
@@ -17,8 +17,9 @@
 	Taken Result = iota
 	// Foreign means that the frame belongs to another request or run of the agent; it was dropped.
 	Foreign
-	// Gap means that an earlier chunk is missing: the router attaches again. It is reported once per
-	// missing position, and again for each position after Attach was called.
+	// Gap means that an earlier chunk is missing: the router attaches again. For each missing position it
+	// is reported once by Chunk, because frames sent before the new Attach still arrive after it, and by
+	// each End.
 	Gap
 	// Complete means that the End matches all chunks received and the target ended the answer itself.
 	Complete
@@ -34,7 +35,7 @@
 	last  ident.Seq
 	ahead map[ident.Seq]*wire.Chunk
 	end   *wire.End
-	// asked is true after a gap was reported, until progress or Attach.
+	// asked is true after a gap was reported or Attach was called, until the next chunk is delivered.
 	asked bool
 }
 
@@ -72,9 +73,10 @@
 	return r.state()
 }
 
-// Attach returns the message that asks for what is missing.
+// Attach returns the message that asks for what is missing. The router sends it after a Gap, after the
+// connection was lost, and when nothing arrived for a while.
 func (r *Reader) Attach(a ident.AccountID, credit ident.Bytes) *wire.Attach {
-	r.asked = false
+	r.asked = true
 	return &wire.Attach{ID: r.id, Boot: r.boot, Account: a, Seq: r.last, Credit: credit}
 }
 
@@ -101,17 +103,18 @@
 		r.last = c.Seq
 		ready = append(ready, c)
 	}
-	if r.end != nil {
-		return ready, r.state()
+	if r.end == nil || r.end.Last > r.last {
+		return ready, Taken
 	}
-	return ready, Taken
+	return ready, r.state()
 }
 
 // state returns the result after the end is known.
 func (r *Reader) state() Result {
 	switch {
 	case r.end.Last > r.last:
-		return r.gap()
+		r.asked = true
+		return Gap
 	case r.Whole():
 		return Complete
 	}
--- a/core/answer/store.go
+++ b/core/answer/store.go
@@ -23,6 +23,8 @@
 	Room ident.Bytes = 256 << 10
 	// overhead is what a chunk costs in memory besides its data.
 	overhead ident.Bytes = 96
+	// base is what an answer costs in memory without chunks.
+	base ident.Bytes = 512
 )
 
 // Peer identifies one connection to a router; the caller numbers them and never uses a number again.
@@ -53,6 +55,8 @@
 	open    int
 
 	peers map[Peer]*peer
+	// woken are peers whose answers Open dropped; the next Append or Sweep returns them.
+	woken []Peer
 }
 
 // kept is one answer.
@@ -108,6 +112,7 @@
 // Sweep drops the answers whose time is over and returns their ids. It returns the peers that have a
 // refusal to read. It is called at least once a second.
 func (s *Store) Sweep(now time.Time) (dropped []ident.RequestID, wake []Peer) {
+	wake = s.take()
 	for len(s.ended) > 0 && now.Sub(s.ended[0].endAt) >= s.keep {
 		dropped = append(dropped, s.ended[0].id)
 		wake = s.drop(s.ended[0], wake)
@@ -115,6 +120,12 @@
 	return dropped, wake
 }
 
+// take returns the peers woken since the last call.
+func (s *Store) take() (wake []Peer) {
+	wake, s.woken = s.woken, nil
+	return wake
+}
+
 // drop removes the oldest ended answer. Its readers get a refusal.
 func (s *Store) drop(k *kept, wake []Peer) []Peer {
 	s.ended = s.ended[1:]
--- a/core/answer/write.go
+++ b/core/answer/write.go
@@ -15,21 +15,49 @@
 	ErrExists = errors.New("answer exists")
 	// ErrNone means that no running answer has that id.
 	ErrNone = errors.New("no such running answer")
-	// ErrFull means that running answers fill the store. The agent ends the answer as not whole: the
-	// missing part cannot be kept, and waiting would not free room while all answers run.
+	// ErrFull means that running answers fill the store. After Open the request is refused as not run.
+	// After Append the agent ends the answer as not whole: the missing part cannot be kept, and waiting
+	// would not free room while all answers run.
 	ErrFull = errors.New("answers fill the store")
 )
 
-// Open starts an answer, at the latest when its request is dispatched. Errors: ErrExists.
+// Open starts an answer, before the dispatch of its request is recorded. Errors: ErrExists, ErrFull.
 func (s *Store) Open(id ident.RequestID, a ident.AccountID) error {
 	if s.answers[id] != nil {
 		return ErrExists
 	}
+	if s.running+base > s.limit {
+		return ErrFull
+	}
 	s.answers[id] = &kept{id: id, account: a}
 	s.open++
+	s.woken = s.grow(s.answers[id], base, s.woken)
 	return nil
 }
 
+// Discard removes an answer that was opened for a request that was then not dispatched.
+func (s *Store) Discard(id ident.RequestID) {
+	k := s.answers[id]
+	if k == nil || k.end != nil || len(k.chunks) > 0 {
+		return
+	}
+	delete(s.answers, id)
+	s.open--
+	s.bytes -= k.bytes
+	s.running -= k.bytes
+}
+
+// grow charges n bytes to a running answer and drops ended ones, the oldest first, to make room.
+func (s *Store) grow(k *kept, n ident.Bytes, wake []Peer) []Peer {
+	for s.bytes+n > s.limit && len(s.ended) > 0 {
+		wake = s.drop(s.ended[0], wake)
+	}
+	k.bytes += n
+	s.bytes += n
+	s.running += n
+	return wake
+}
+
 // Append adds a part to a running answer, in chunks of at most ChunkMax bytes, and returns the peers
 // that now have something to read. Ended answers are dropped for it, the oldest first. The data is kept
 // and must not be changed afterwards. Errors: ErrNone, ErrFull; nothing was added then.
@@ -43,13 +71,8 @@
 	if s.running+need > s.limit {
 		return nil, ErrFull
 	}
-	for s.bytes+need > s.limit && len(s.ended) > 0 {
-		wake = s.drop(s.ended[0], wake)
-	}
+	wake = s.grow(k, need, s.take())
 	k.append(s.boot, p)
-	k.bytes += need
-	s.bytes += need
-	s.running += need
 	return s.wakeAll(k, wake), nil
 }
 
