--- /dev/null
+++ b/core/moves/codec.go
@@ -0,0 +1,112 @@
+package moves
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"hickoryvane.example/core/ident"
+)
+
+// report is the decoded value of one evidence fact.
+type report struct {
+	version ident.Version
+	class   ident.Class
+	// started is in Unix seconds.
+	started int64
+	newest  epoch
+	counts  map[place]*Counts
+}
+
+func sortedPlaces(m map[place]*Counts) []place {
+	out := make([]place, 0, len(m))
+	for p := range m {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.span.Start, b.span.Start), cmp.Compare(a.span.Len, b.span.Len))
+	})
+	return out
+}
+
+func appendText(b []byte, s string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(s)))
+	return append(b, s...)
+}
+
+// appendCounts writes the bins sparsely: their number, then the index and count of each that is not zero.
+func appendCounts(b []byte, c Counts) []byte {
+	b = binary.AppendUvarint(b, c.Requests)
+	b = binary.AppendUvarint(b, c.Failures)
+	var n uint64
+	for _, k := range c.Bins {
+		if k > 0 {
+			n++
+		}
+	}
+	b = binary.AppendUvarint(b, n)
+	for i, k := range c.Bins {
+		if k > 0 {
+			b = binary.AppendUvarint(b, uint64(i))
+			b = binary.AppendUvarint(b, k)
+		}
+	}
+	return b
+}
+
+// reader reads a value; after the first fault all results are zero and bad is true.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) number(limit uint64) uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > limit {
+		r.b, r.bad = nil, true
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) text() string {
+	n := r.number(uint64(len(r.b)))
+	if n > uint64(len(r.b)) {
+		r.b, r.bad = nil, true
+		return ""
+	}
+	s := string(r.b[:n])
+	r.b = r.b[n:]
+	return s
+}
+
+// countMax keeps sums of many counters from overflowing.
+const countMax = 1 << 40
+
+func (r *reader) counts() *Counts {
+	c := &Counts{Requests: r.number(countMax), Failures: r.number(countMax)}
+	for range r.number(binCount) {
+		i := r.number(binCount - 1)
+		c.Bins[i] = r.number(countMax)
+	}
+	r.bad = r.bad || c.Failures > c.Requests
+	return c
+}
+
+// decode returns the report in a value, or ErrEvidence.
+func decode(value []byte) (rep report, err error) {
+	r := &reader{b: value}
+	rep = report{version: ident.Version(r.text()), class: ident.Class(r.text()), counts: map[place]*Counts{}}
+	rep.started = int64(r.number(countMax))
+	rep.newest = epoch(r.number(countMax))
+	for len(r.b) > 0 && len(rep.counts) < routesMax*spansMax {
+		p := place{route: ident.Route(r.text())}
+		p.span = span{Start: epoch(r.number(countMax)), Len: int64(r.number(coarseLen))}
+		rep.counts[p] = r.counts()
+	}
+	if r.bad {
+		return report{}, ErrEvidence
+	}
+	return rep, nil
+}
--- /dev/null
+++ b/core/moves/verdict.go
@@ -0,0 +1,136 @@
+package moves
+
+import "math"
+
+// The test for badness is a cumulative sum of log likelihood ratios per cell, one step per span.
+// Given the events (failures or slow answers) of both versions in a span, the number on the new one
+// is binomial, whatever the common cause of events, so that an outage behind both versions does not
+// count against the new one. Under equal rates each ratio is a martingale with mean one; a sum
+// started at any span passes ln(1/a) with a probability of at most a.
+const (
+	// alarm is the sum at which a version is bad: a chance of exp(-14), 1 in 1.2 million, per start,
+	// cell and ratio; below 1 in 100 over 100 spans, 20 cells, 2 kinds of events and 3 ratios.
+	alarm = 14
+	// suspicion is the sum above which shares do not grow.
+	suspicion = 2
+	// quantile is the part of the old version's answers that counts as slow.
+	quantile = 0.1
+	// binsMin is the number of answers of the old version below which slowness is not tested.
+	binsMin = 30
+	// controlMin is the number of requests of the old version in a span below which the span is
+	// compared with the old version's rate over all time, with the margins below.
+	controlMin = 5
+	// controlPart is the part of the new version's requests that the old one must have in a span.
+	controlPart = 0.02
+	marginRatio = 2
+	marginAdd   = 0.02
+)
+
+// ratios are the odds ratios tested for. A rate that is less than about twice the old one drives no
+// sum upwards: that is the difference between versions which is accepted.
+var ratios = []float64{4, 12, 40}
+
+// events are the trials and events of both versions in one span.
+type events struct{ oldN, oldX, newN, newX float64 }
+
+// step returns the log likelihood ratio of one span for an odds ratio.
+func step(e events, theta, base float64) float64 {
+	if e.newN == 0 {
+		return 0
+	}
+	if e.oldN < max(controlMin, controlPart*e.newN) {
+		q := min(marginRatio*base+marginAdd, 0.9)
+		return binomial(e.newX, e.newN-e.newX, q, shift(q, theta))
+	}
+	p := e.newN / (e.newN + e.oldN)
+	return binomial(e.newX, e.oldX, p, shift(p, theta))
+}
+
+// shift applies an odds ratio to a probability.
+func shift(p, theta float64) float64 { return theta * p / (theta*p + 1 - p) }
+
+// binomial returns the log likelihood ratio of x events against y for probability q over p.
+func binomial(x, y, p, q float64) float64 {
+	return x*math.Log(q/p) + y*math.Log((1-q)/(1-p))
+}
+
+// sums returns the highest cumulative sum over the ratios after each span. A sum that reaches the
+// alarm stays there.
+func sums(all []events) []float64 {
+	var n, x float64
+	for _, e := range all {
+		n, x = n+e.oldN, x+e.oldX
+	}
+	base := (x + 1) / (n + 2)
+	out := make([]float64, len(all))
+	for _, theta := range ratios {
+		sum := 0.0
+		for i, e := range all {
+			if sum < alarm {
+				sum = max(0, sum+step(e, theta, base))
+			}
+			out[i] = max(out[i], sum)
+		}
+	}
+	return out
+}
+
+// score returns the last of the sums.
+func score(all []events) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	s := sums(all)
+	return s[len(s)-1]
+}
+
+// failures returns the failures of a cell by span.
+func (ev *Evidence) failures(k cell) (all []events) {
+	for _, s := range ev.spans(k) {
+		p := ev.cells[k][s]
+		all = append(all, events{
+			float64(p.old.Requests), float64(p.old.Failures),
+			float64(p.new.Requests), float64(p.new.Failures),
+		})
+	}
+	return all
+}
+
+// slowness returns the slow answers of a cell by span: those above the bin that bounds the slowest
+// tenth of the old version. There are none while the old version has too few answers.
+func (ev *Evidence) slowness(k cell) (all []events) {
+	t := ev.total(k)
+	good := t.old.above(0)
+	if good < binsMin {
+		return make([]events, len(ev.cells[k]))
+	}
+	bin := binCount - 1
+	for bin > 0 && float64(t.old.above(bin-1)) <= quantile*float64(good) {
+		bin--
+	}
+	for _, s := range ev.spans(k) {
+		p := ev.cells[k][s]
+		all = append(all, events{
+			float64(p.old.above(0)), float64(p.old.above(bin)),
+			float64(p.new.above(0)), float64(p.new.above(bin)),
+		})
+	}
+	return all
+}
+
+// badness returns the highest score over all cells and its cause. Slowness is compared within one
+// hardware class only, as classes differ in speed.
+func (ev *Evidence) badness() (worst float64, why Reason, at cell) {
+	for _, k := range ev.list() {
+		if s := score(ev.failures(k)); s > worst {
+			worst, why, at = s, ReasonFailures, k
+		}
+		if k.class == "" {
+			continue
+		}
+		if s := score(ev.slowness(k)); s > worst {
+			worst, why, at = s, ReasonSlow, k
+		}
+	}
+	return worst, why, at
+}
