--- /dev/null
+++ b/core/conf/guard.go
@@ -0,0 +1,135 @@
+package conf
+
+import (
+	"slices"
+
+	"hickoryvane.example/core/ident"
+)
+
+// InProgress returns the moves of cfg that run or may run: those whose end is not recorded and that are not
+// known to wait. A move of which nothing is known counts as running, which is the safe direction.
+func InProgress(cfg Config, known []MoveStatus) (running []MoveStatus) {
+	for _, m := range cfg.Moves {
+		if st := latest(m, known); st.State == Running {
+			running = append(running, st)
+		}
+	}
+	return running
+}
+
+// latest merges what several sources know of a move: an end prevails over running, running over waiting.
+func latest(m Move, known []MoveStatus) MoveStatus {
+	st := MoveStatus{Name: m.Name, Service: m.Service, From: m.From, To: m.To}
+	for _, k := range known {
+		same := k.Name == m.Name && k.Service == m.Service && k.From == m.From && k.To == m.To
+		if same && (st.State == "" || k.State.Ended() || st.State == Waiting) {
+			st = k
+		}
+	}
+	if st.State == "" {
+		st.State = Running
+	}
+	return st
+}
+
+// Guard returns the faults of replacing the configuration old by next while the given moves run. A running
+// move must stay declared with its versions, its targets and the current version of its service; its deadline
+// may change and it may be cancelled. Moves in other states need nothing.
+func Guard(old, next Config, moves []MoveStatus) []Problem {
+	r := newReport()
+	for _, m := range moves {
+		if m.State != Running {
+			continue
+		}
+		r.declared(old, next, m)
+		r.needs(old, next, m)
+		r.opposite(next, m)
+	}
+	return r.list()
+}
+
+// declared checks that a running move stays as it is.
+func (r *report) declared(old, next Config, m MoveStatus) {
+	key := at("moves", m.Name)
+	is, ok := findMove(next, m.Name)
+	if !ok {
+		r.add(key, "is removed while the move runs; set cancelled to take it back")
+		return
+	}
+	if is.Service != m.Service || is.From != m.From || is.To != m.To {
+		r.add(key, "changes service or versions while the move runs")
+	}
+	if was, ok := findMove(old, m.Name); ok && was.Cancelled && !is.Cancelled {
+		r.add(key+".cancelled", "is withdrawn while the move is being taken back")
+	}
+}
+
+// needs checks that service, versions and targets of a running move stay.
+func (r *report) needs(old, next Config, m MoveStatus) {
+	key := at("services", m.Service)
+	was, _ := findService(old, m.Service)
+	is, ok := findService(next, m.Service)
+	if !ok {
+		r.add(key, "is removed, but move %q runs on it", m.Name)
+		return
+	}
+	if was.Current != "" && is.Current != was.Current {
+		r.add(key+".current", "changes while move %q runs", m.Name)
+	}
+	if was.Kind != "" && is.Kind != was.Kind {
+		r.add(key+".kind", "changes while move %q runs", m.Name)
+	}
+	for _, v := range []ident.Version{m.From, m.To} {
+		if !slices.Contains(is.Versions, v) {
+			r.add(key+".versions", "version %q is removed, but move %q needs it", v, m.Name)
+		}
+		r.regionsOf(old, next, m, v)
+	}
+}
+
+// regionsOf checks that a version keeps a target in each region where it has one.
+func (r *report) regionsOf(old, next Config, m MoveStatus, v ident.Version) {
+	was, is := coverage(old, m.Service, v), coverage(next, m.Service, v)
+	for _, g := range old.Regions {
+		if was[g.Name] && !is[g.Name] {
+			r.add("targets", "the last target of service %q with version %q in region %q is removed, but move %q needs it",
+				m.Service, v, g.Name, m.Name)
+		}
+	}
+}
+
+// opposite refuses a move that would undo a running one.
+func (r *report) opposite(next Config, m MoveStatus) {
+	for _, o := range next.Moves {
+		if o.Service == m.Service && o.From == m.To && o.To == m.From && !o.Cancelled {
+			r.add(at("moves", o.Name), "is opposite to move %q, which runs; set cancelled there to take it back", m.Name)
+		}
+	}
+}
+
+// coverage returns the regions in which a target of the service runs the version.
+func coverage(cfg Config, s ident.Service, v ident.Version) map[ident.Region]bool {
+	found := map[ident.Region]bool{}
+	for _, g := range cfg.Regions {
+		found[g.Name] = slices.ContainsFunc(cfg.Targets, func(t Target) bool {
+			return t.Service == s && t.Version == v && slices.Contains(g.Centres, t.Centre)
+		})
+	}
+	return found
+}
+
+func findMove(cfg Config, name ident.Move) (m Move, ok bool) {
+	i := slices.IndexFunc(cfg.Moves, func(m Move) bool { return m.Name == name })
+	if i < 0 {
+		return m, false
+	}
+	return cfg.Moves[i], true
+}
+
+func findService(cfg Config, name ident.Service) (s Service, ok bool) {
+	i := slices.IndexFunc(cfg.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return s, false
+	}
+	return cfg.Services[i], true
+}
--- a/core/conf/index.go
+++ b/core/conf/index.go
@@ -94,7 +94,8 @@
 		}
 	}
 	slices.SortStableFunc(x.paths, func(a, b match) int { return specific(a.route, b.route) })
-	for _, m := range x.cfg.Moves {
+	byDeadline := func(a, b Move) int { return a.Deadline.Compare(b.Deadline) }
+	for _, m := range slices.SortedStableFunc(slices.Values(x.cfg.Moves), byDeadline) {
 		x.moves[m.Service] = append(x.moves[m.Service], m)
 	}
 }
@@ -147,7 +148,7 @@
 	return r, ok
 }
 
-// Moves returns the moves of a service in the order in which they run.
+// Moves returns the moves of a service in the order in which they run, which is that of their deadlines.
 func (x *Index) Moves(name ident.Service) []Move { return x.moves[name] }
 
 // Match returns the plain service and the route of a call; the most specific path wins.
--- a/core/conf/problem.go
+++ b/core/conf/problem.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 )
 
@@ -44,6 +45,8 @@
 type report struct {
 	places   map[string]place
 	problems []Problem
+	// broken holds the keys with faults of their own, which are not checked against others.
+	broken map[string]bool
 }
 
 func newReport() *report { return &report{places: map[string]place{}} }
@@ -94,5 +97,15 @@
 	return false
 }
 
+// refer notes a fault between declarations, unless the key has a fault of its own.
+func (r *report) refer(key, format string, args ...any) {
+	if !r.broken[key] {
+		r.add(key, format, args...)
+	}
+}
+
+// item returns the path of an element of the list at key.
+func item(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
+
 // at returns the path of the entry with the given name in the list at key.
 func at[N ~string](key string, name N) string { return key + "[" + string(name) + "]" }
