Router: core of calls, offers, claims, answers, peers and moves

Cause: the thin path needs the process that callers speak to. Ruled out: one goroutine per request with shared state; order of events could not be replayed. Change: entry.Core, package active for the moves of a daemon.

--- a/agent/node/answers.go
+++ b/agent/node/answers.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if o.first.IsZero() {
-		o.first = now
+		o.first, o.status = now, p.Status
 		c.queue.FirstToken(now, id)
 	}
 	if p.Tokens > 0 {
@@ -79,6 +79,7 @@
 			prints = append(prints, o.Print)
 		}
 	}
+	c.verdict.crash++
 	c.log(event.TargetCrashed, "target", c.decl.Name, "running", len(prints))
 	for _, f := range c.guard.Crashed(now, c.decl.Name, prints) {
 		c.publishGuard(now, f)
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/active"
 	"hickoryvane.example/core/answer"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -30,6 +31,11 @@
 	drainKeep = 10 * time.Second
 	// fullRetry is the time after which a refused offer may be sent again.
 	fullRetry = time.Second
+	// failStatus is the least HTTP status that counts as a failure of the target.
+	failStatus = 500
+	// usualPrompt is the prompt length up to which the time to the first byte is taken as it is;
+	// longer prompts are scaled to it.
+	usualPrompt = 512
 )
 
 // Core is the state machine of an agent. It is not safe for concurrent use.
@@ -93,6 +99,8 @@
 	// began is the time of the dispatch, first the time of the first part; zero before.
 	began time.Time
 	first time.Time
+	// status is the HTTP status of the answer; zero before its first part.
+	status int
 	// last is the time of the newest part.
 	last   time.Time
 	tokens ident.Tokens
@@ -141,6 +149,7 @@
 		offers:   make(map[ident.RequestID]*offer),
 		resuming: make(map[ident.RequestID][]attach),
 		up:       true,
+		verdict:  verdict{moves: active.New()},
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"hickoryvane.example/core/active"
 	"hickoryvane.example/core/answer"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -56,7 +57,7 @@
 			c.mergeGuard(now, f)
 		case facts.SortFence:
 			c.learnFence(f)
-		case facts.SortBad, facts.SortEnd:
+		case facts.SortBad, facts.SortEnd, facts.SortEvidence, active.SortRecord:
 			c.verdict.dirty = true
 		}
 	}
@@ -77,6 +78,7 @@
 	}
 	c.log(event.ConfigInForce, "generation", cfg.Generation)
 	c.decl, c.ok = c.force.Index().ByVM(c.self)
+	c.publish(now, c.verdict.moves.Configure(now, cfg))
 	c.verdict.dirty = true
 	c.report.due = true
 }
--- /dev/null
+++ b/router/entry/begin.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"time"
+
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/guard"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/moves"
+)
+
+// Begin takes in a call. Its answer arrives as Reply actions with the same id.
+func (c *Core) Begin(now time.Time, id CallID, r Request) {
+	k := &call{
+		Request: r, id: id, attempt: ident.NewRequestID(), phase: offering,
+		began: now, deadline: now.Add(r.Wait), open: make(map[ident.ProcessID]ident.TargetID),
+	}
+	if e := c.admit(now, k); e != nil {
+		c.reject(now, k, e)
+		return
+	}
+	if e := c.quota.Take(now, r.Account.Name, r.Prompt+r.Output); e != nil {
+		c.reject(now, k, e)
+		return
+	}
+	c.calls[id] = k
+	c.byReq[k.attempt] = k
+	c.retry.Request(now)
+	c.assign(k)
+	if k.keyed() {
+		k.key = ident.KeyedRequestID(r.Account.Name, r.Service.Name, r.Key)
+	}
+	if k.keyed() && !k.inStore() {
+		c.claimHomes(now, k)
+		return
+	}
+	c.spread(now, k)
+}
+
+// admit returns the reason why a call is not taken, or nil.
+func (c *Core) admit(now time.Time, k *call) *fault.Error {
+	switch {
+	case !c.drainAt.IsZero():
+		return fault.NotRunf(fault.Draining, "this router is stopping")
+	case c.guard.Check(now, k.Print) == guard.Blocked:
+		return fault.NotRunf(fault.Crashes, "this request crashed several targets and is blocked for a while")
+	case c.bounds.Requests > 0 && len(c.calls) >= c.bounds.Requests && !c.evict(now, k.Tier.Rank):
+		e := fault.NotRunf(fault.Shed, "too many requests wait at this router")
+		e.Retry = shedRetry
+		return e
+	}
+	return nil
+}
+
+// evict ends a waiting call of the lowest tier below rank, the latest deadline first.
+func (c *Core) evict(now time.Time, rank ident.Tier) bool {
+	var worst *call
+	for _, k := range c.calls {
+		if k.phase != offering || k.Tier.Rank <= rank {
+			continue
+		}
+		if worst == nil || k.Tier.Rank > worst.Tier.Rank ||
+			k.Tier.Rank == worst.Tier.Rank && k.deadline.After(worst.deadline) {
+			worst = k
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	e := fault.NotRunf(fault.Shed, "a request of a higher tier took the place")
+	e.Retry = shedRetry
+	c.fail(now, worst, e)
+	return true
+}
+
+// reject answers a call that was never taken.
+func (c *Core) reject(now time.Time, k *call, e *fault.Error) {
+	c.act(Reply{Call: k.id, Part: Part{Fault: e}})
+	c.measure(now, k, string(e.Reason))
+}
+
+// assign chooses the version of a call.
+func (c *Core) assign(k *call) {
+	k.version, k.trial = c.moves.Current(k.Service), false
+	m := c.moves.Running(k.Service.Name)
+	if m == nil {
+		return
+	}
+	mv := m.Move()
+	ch := c.choosers[mv.Name]
+	if ch == nil {
+		ch = moves.NewChooser(m, c.rnd)
+		c.choosers[mv.Name] = ch
+	}
+	k.version = ch.Assign(k.Account.Name, k.Session, k.Route.Name, k.Version)
+	k.trial = k.version == mv.To
+}
+
+// fallback gives a call whose version refuses it to the old version of the running move.
+func (c *Core) fallback(k *call) {
+	m := c.moves.Running(k.Service.Name)
+	if m == nil {
+		k.version, k.trial = c.moves.Current(k.Service), false
+		return
+	}
+	if k.version == m.Move().To {
+		k.version, k.trial = m.Move().From, false
+		k.tried = k.tried[:0]
+	}
+}
+
+// Left takes in that the caller closed its connection.
+func (c *Core) Left(now time.Time, id CallID) {
+	k := c.calls[id]
+	if k == nil {
+		return
+	}
+	c.release(now, k)
+	c.finish(now, k, string(fault.Left))
+}
--- /dev/null
+++ b/router/entry/call.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"time"
+
+	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/links"
+	"hickoryvane.example/core/pick"
+	"hickoryvane.example/core/wire"
+)
+
+// Request is a call as the HTTP side read it.
+type Request struct {
+	Account conf.Account
+	Service conf.Service
+	Route   conf.Route
+	Tier    conf.Tier
+	// Wait is the time until the first byte is due.
+	Wait   time.Duration
+	Method string
+	// Path is the path and query at the target.
+	Path   string
+	Type   string
+	Body   []byte
+	Prompt ident.Tokens
+	Output ident.Tokens
+	Print  ident.Print
+	Blocks []ident.Block
+	// Key is the Idempotency-Key; empty if none.
+	Key string
+	// Session and Version come from the caller's X-Session header; empty if none.
+	Session string
+	Version ident.Version
+}
+
+// phase of a call.
+type phase uint8
+
+const (
+	// claiming: the homes of a keyed request are asked whether it was sent before.
+	claiming phase = iota
+	// offering: offers are out; nothing was dispatched.
+	offering
+	// confirming: a grant was taken, and the claim that names its agent is being recorded.
+	confirming
+	// committed: the body was written to one agent.
+	committed
+	// attaching: an answer of an earlier send is being looked for.
+	attaching
+)
+
+// call is one request of a caller at this router.
+type call struct {
+	Request
+	id CallID
+	// attempt is the request id of the present dispatch; it changes only after "not run", or for idempotent calls.
+	attempt ident.RequestID
+	// key is the id of the claim of a keyed call.
+	key      ident.RequestID
+	phase    phase
+	began    time.Time
+	deadline time.Time
+	version  ident.Version
+	// trial is true when version is the new version of a running move.
+	trial bool
+	// open are the outstanding offers by agent.
+	open map[ident.ProcessID]ident.TargetID
+	// tried are targets that refused; they are asked again only after a pause.
+	tried []ident.TargetID
+	// next is the time of the next offers when none is out; zero otherwise.
+	next time.Time
+	// refusal is the most telling refusal so far.
+	refusal *fault.Error
+	lowered bool
+	// agent, boot and target are those of the taken grant or of the attached answer.
+	agent  ident.ProcessID
+	boot   ident.Boot
+	target ident.TargetID
+	ticket ident.Ticket
+	// remote is true when the target is in another region.
+	remote bool
+	reader *answer.Reader
+	// sent is the time of the body; first that of the first chunk; last that of the newest chunk.
+	sent  time.Time
+	first time.Time
+	last  time.Time
+	// lostUntil is the end of the time in which a lost agent is attached again; zero while it is connected.
+	lostUntil time.Time
+	// headSent is true after the head of an answer was given to the handler.
+	headSent bool
+	tokens   ident.Tokens
+	retries  int
+	// homes are the agents that hold the claim; confirms those that have not answered yet.
+	homes    []ident.ProcessID
+	confirms map[ident.ProcessID]bool
+	held     int
+	// waitUntil bounds claiming, confirming and attaching.
+	waitUntil time.Time
+	// replace is the attempt whose claim in the object API is replaced, because it never ran.
+	replace ident.RequestID
+	// peer is the connection on which the taken grant arrived.
+	peer links.ID
+}
+
+// keyed reports whether the call must not run again when it is sent again.
+func (c *call) keyed() bool { return c.Key != "" && !c.Route.Repeat }
+
+// inStore reports whether the claim of the call is kept in the object API.
+func (c *call) inStore() bool { return c.keyed() && c.Service.Kind == conf.Plain }
+
+func (c *call) pickRequest() pick.Request {
+	return pick.Request{
+		ID: c.attempt, Service: c.Service.Name, Version: c.version, Tier: c.Tier.Rank,
+		Prompt: c.Prompt, Output: c.Output, Bytes: ident.Bytes(len(c.Body)), Blocks: c.Blocks, Tried: c.tried,
+	}
+}
+
+func (c *call) offer(now time.Time) *wire.Offer {
+	return &wire.Offer{
+		ID: c.attempt, Account: c.Account.Name, Service: c.Service.Name, Version: c.version, Route: c.Route.Name,
+		Tier: c.Tier.Rank, Wait: c.deadline.Sub(now).Milliseconds(), Prompt: c.Prompt, Output: c.Output,
+		Print: c.Print, Blocks: c.Blocks, Keyed: c.keyed(), Trial: c.trial,
+	}
+}
+
+func (c *call) body() *wire.Body {
+	return &wire.Body{
+		ID: c.attempt, Ticket: c.ticket, Method: c.Method, Path: c.Path, Type: c.Type, Data: c.Body,
+		Credit: creditMax, Key: c.Key,
+	}
+}
+
+// remember keeps the refusal that tells the caller most: a lasting reason goes before a passing one.
+func (c *call) remember(e *fault.Error) {
+	if c.refusal == nil || weight(e.Reason) >= weight(c.refusal.Reason) {
+		c.refusal = e
+	}
+}
+
+func weight(r fault.Reason) int {
+	switch r {
+	case fault.Crashes:
+		return 3
+	case fault.Shed, fault.Deadline:
+		return 2
+	case fault.Bad, fault.Draining, fault.Target:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/router/entry/peers.go
@@ -0,0 +1,286 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/links"
+	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/pick"
+	"hickoryvane.example/core/wire"
+)
+
+// peersMax bounds the other routers of the region that a router dials; its gossip needs no more.
+const peersMax = 3
+
+// Opened takes in a new connection.
+func (c *Core) Opened(now time.Time, l links.ID, h wire.Hello, dialed string) {
+	old, again := c.byID[h.Process]
+	if again && c.peers[old].hello.Boot > h.Boot {
+		return // an old process that is about to end
+	}
+	c.peers[l] = &peer{hello: h}
+	c.byID[h.Process] = l
+	c.log(event.PeerUp, "peer", h.Process, "role", h.Role)
+	c.force.Ask(h.Process)
+	c.heard(now, l, dialed, false)
+	if h.Role != string(member.Agent) {
+		return
+	}
+	c.declare(now, h.Process)
+	c.picker.Restarted(now, c.peers[l].target)
+	c.reattach(now, h.Process)
+}
+
+// reattach asks a process that is connected again for the answers that it holds, and for claims.
+func (c *Core) reattach(now time.Time, id ident.ProcessID) {
+	for _, k := range c.calls {
+		if k.agent == id && (k.phase == committed || k.phase == attaching) {
+			k.lostUntil, k.last = time.Time{}, now
+			c.tell(id, k.reader.Attach(k.Account.Name, creditMax))
+		}
+		if k.phase == claiming && k.held == 0 && slices.Contains(k.homes, id) && !k.confirms[id] {
+			k.confirms[id] = true
+			c.tell(id, &wire.Claim{ID: k.key, Account: k.Account.Name, Attempt: k.attempt})
+		}
+	}
+}
+
+// Closed takes in the loss of a connection.
+func (c *Core) Closed(now time.Time, l links.ID) {
+	p := c.peers[l]
+	if p == nil {
+		return
+	}
+	delete(c.peers, l)
+	id := p.hello.Process
+	c.log(event.PeerDown, "peer", id)
+	if c.byID[id] != l {
+		return
+	}
+	delete(c.byID, id)
+	c.force.Unanswered(now, id)
+	if p.target != "" {
+		c.picker.Suspect(now, p.target, true)
+	}
+	for _, k := range c.calls {
+		c.lost(now, k, id)
+	}
+}
+
+// lost takes in that the connection to an agent is gone. Only a call whose body was written is in doubt.
+func (c *Core) lost(now time.Time, k *call, id ident.ProcessID) {
+	if target, out := k.open[id]; out {
+		delete(k.open, id)
+		k.tried = append(k.tried, target)
+		c.picker.Withdrawn(target, k.attempt)
+		if len(k.open) == 0 && k.phase == offering {
+			c.spread(now, k)
+		}
+	}
+	if k.confirms[id] {
+		delete(k.confirms, id)
+		c.proceed(now, k)
+	}
+	if k.agent == id && k.phase == committed {
+		k.lostUntil = now.Add(lostTime)
+	}
+}
+
+// Message takes in a message of a peer.
+func (c *Core) Message(now time.Time, l links.ID, m wire.Message) {
+	p := c.peers[l]
+	if p == nil {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Grant:
+		c.grant(now, l, m)
+	case *wire.Refuse:
+		c.refuse(now, l, m)
+	case *wire.Chunk:
+		c.chunk(now, l, m)
+	case *wire.End:
+		c.end(now, l, m)
+	case *wire.Claimed:
+		c.claimed(now, p.hello.Process, m)
+	case *wire.Load:
+		c.load(now, l, m)
+	case *wire.Cache:
+		if m.Target == p.target {
+			c.picker.Cache(m)
+		}
+	case *wire.Facts:
+		c.heard(now, l, "", false)
+		c.gossip(now, p.hello.Process, m)
+	case *wire.Leave:
+		c.heard(now, l, "", true)
+	}
+}
+
+// load takes in a load report; it is a sign of life as well.
+func (c *Core) load(now time.Time, l links.ID, m *wire.Load) {
+	p := c.peers[l]
+	if m.Target != p.target {
+		return
+	}
+	c.heard(now, l, "", m.Draining)
+	c.picker.Load(now, m)
+	c.picker.Suspect(now, p.target, m.Draining || c.member.State(p.hello.Process) != member.Live)
+}
+
+// heard notes a sign of life.
+func (c *Core) heard(now time.Time, l links.ID, addr string, leaving bool) {
+	h := c.peers[l].hello
+	e := member.Entry{VM: h.Process, Address: addr, Role: member.Role(h.Role), Centre: h.Centre}
+	c.changed(now, c.member.Heard(now, e, h.Boot, leaving))
+}
+
+// changed takes in new states of members.
+func (c *Core) changed(now time.Time, changes []member.Change) {
+	for _, ch := range changes {
+		l, ok := c.byID[ch.Member.VM]
+		if !ok || c.peers[l].target == "" {
+			continue
+		}
+		c.picker.Suspect(now, c.peers[l].target, ch.Member.State != member.Live)
+	}
+	if len(changes) > 0 {
+		c.quota.SetRouters(max(1, len(c.member.Live(member.Router, ""))))
+	}
+}
+
+// Listed takes in a version of the platform's list of VMs.
+func (c *Core) Listed(now time.Time, list []member.Entry) {
+	c.changed(now, c.member.List(now, list))
+	c.connect(now)
+}
+
+// connect chooses the processes that this router keeps connections to: a bounded number of agents per pool,
+// a few routers of its region, its counterparts in other regions, and those used a short time ago.
+func (c *Core) connect(now time.Time) {
+	want := make(map[string]bool)
+	add := func(id ident.ProcessID) {
+		for _, m := range c.member.Members() {
+			if m.VM == id && m.Address != "" && id != c.self && m.State != member.Gone {
+				want[m.Address] = true
+				c.member.Watch(now, id)
+			}
+		}
+	}
+	if x := c.force.Index(); x != nil {
+		for _, s := range x.Config().Services {
+			for _, id := range c.member.Subset(s.Name, c.poolAgents(s.Name), c.subset()) {
+				add(id)
+			}
+		}
+	}
+	for _, id := range c.nextRouters() {
+		add(id)
+	}
+	far, _ := c.member.Counterparts()
+	for _, id := range far {
+		add(id)
+	}
+	for id, at := range c.tasks.used {
+		if now.Sub(at) >= idleTime && !c.busy(id) {
+			delete(c.tasks.used, id)
+			continue
+		}
+		add(id)
+	}
+	c.want(want)
+}
+
+func (c *Core) want(want map[string]bool) {
+	if len(want) == len(c.tasks.want) {
+		same := true
+		for a := range want {
+			same = same && c.tasks.want[a]
+		}
+		if same {
+			return
+		}
+	}
+	c.tasks.want = want
+	addrs := make([]string, 0, len(want))
+	for a := range want {
+		addrs = append(addrs, a)
+	}
+	slices.Sort(addrs)
+	c.act(Want{Addresses: addrs})
+}
+
+// busy reports whether a call needs the connection to a process.
+func (c *Core) busy(id ident.ProcessID) bool {
+	for _, k := range c.calls {
+		if k.agent == id || slices.Contains(k.homes, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// keep asks for connections to processes outside the subset.
+func (c *Core) keep(now time.Time, ids []ident.ProcessID) {
+	for _, id := range ids {
+		c.tasks.used[id] = now
+		if _, ok := c.byID[id]; !ok {
+			c.connect(now)
+		}
+	}
+}
+
+// nextRouters returns the routers after this one in the order of names, which connects all of a region.
+func (c *Core) nextRouters() (out []ident.ProcessID) {
+	all := c.member.Live(member.Router, c.region)
+	i := slices.IndexFunc(all, func(m member.Member) bool { return m.VM == c.self })
+	for n := 1; n <= min(peersMax, len(all)-1); n++ {
+		out = append(out, all[(i+n+len(all))%len(all)].VM)
+	}
+	return out
+}
+
+func (c *Core) subset() int {
+	if c.bounds.Agents > 0 {
+		return c.bounds.Agents
+	}
+	return member.SubsetMax
+}
+
+// poolAgents returns the agents of a service's targets.
+func (c *Core) poolAgents(s ident.Service) []ident.ProcessID {
+	x := c.force.Index()
+	if x == nil {
+		return nil
+	}
+	pool := x.Pool(s)
+	out := make([]ident.ProcessID, len(pool))
+	for i, t := range pool {
+		out[i] = t.VM
+	}
+	return out
+}
+
+// declare gives the picker the declaration of a connected agent's target.
+func (c *Core) declare(now time.Time, id ident.ProcessID) {
+	x, l := c.force.Index(), c.byID[id]
+	p := c.peers[l]
+	if x == nil || p == nil {
+		return
+	}
+	t, ok := x.ByVM(id)
+	if p.target != "" && (!ok || t.Name != p.target) {
+		c.picker.Drop(p.target)
+		p.target = ""
+	}
+	if !ok {
+		return
+	}
+	region, _ := x.Region(t.Centre)
+	p.target = t.Name
+	c.picker.Put(now, pick.Target{ID: t.Name, Agent: id, Region: region, Service: t.Service, Version: t.Version})
+	c.picker.Suspect(now, t.Name, c.member.State(id) != member.Live)
+}
