Stand-in model engine

Cause: agent, router and load tool need an engine that batches, caches prefixes and fails on order before any of them can be tested. Ruled out: stopping a request when its connection drops (engines of this kind go on until they are told to cancel); storing answers (the text is a function of the prompt, so a stream can be resumed from any event without keeping it). Change: program standin with the command engine; packages engine, host (listener that can refuse connections for a time) and reply.

--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+const (
+	// blockTokens is the number of tokens in one block of the prefix cache.
+	blockTokens ident.Tokens = ident.BlockBytes / ident.TokenBytes
+	// eventsMax bounds the cache events kept for readers; a slower reader sees a gap.
+	eventsMax = 1024
+)
+
+// CacheEvent is one change of the prefix cache.
+type CacheEvent struct {
+	Seq     ident.Seq     `json:"seq"`
+	Added   []ident.Block `json:"added"`
+	Removed []ident.Block `json:"removed"`
+
+	at time.Time
+}
+
+// Contents is the whole prefix cache after event Seq.
+type Contents struct {
+	Seq    ident.Seq     `json:"seq"`
+	Blocks []ident.Block `json:"blocks"`
+}
+
+// prefix is a cache of prompt blocks that evicts the least recently used one.
+type prefix struct {
+	size   int
+	order  *list.List // of ident.Block; the front was used last
+	index  map[ident.Block]*list.Element
+	seq    ident.Seq
+	events []CacheEvent
+	gaps   float64
+	rnd    *rand.Rand
+}
+
+func newPrefix(size int, gaps float64, rnd *rand.Rand) *prefix {
+	return &prefix{size: size, order: list.New(), index: map[ident.Block]*list.Element{}, gaps: gaps, rnd: rnd}
+}
+
+// match returns the number of leading blocks that are cached and marks them as used.
+func (p *prefix) match(blocks []ident.Block) int {
+	n := 0
+	for n < len(blocks) && p.index[blocks[n]] != nil {
+		n++
+	}
+	p.touch(blocks[:n])
+	return n
+}
+
+// touch marks blocks as used; the first becomes the most recent, so that a chain is evicted from its end.
+func (p *prefix) touch(blocks []ident.Block) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		p.order.MoveToFront(p.index[blocks[i]])
+	}
+}
+
+// add caches the blocks of one prompt and publishes the change.
+func (p *prefix) add(blocks []ident.Block, at time.Time) {
+	blocks = blocks[:min(len(blocks), p.size)]
+	e := CacheEvent{Added: []ident.Block{}, Removed: []ident.Block{}, at: at}
+	for _, b := range blocks {
+		if p.index[b] == nil {
+			p.index[b] = p.order.PushFront(b)
+			e.Added = append(e.Added, b)
+		}
+	}
+	p.touch(blocks)
+	for p.order.Len() > p.size {
+		b := p.order.Remove(p.order.Back()).(ident.Block)
+		delete(p.index, b)
+		e.Removed = append(e.Removed, b)
+	}
+	if len(e.Added)+len(e.Removed) > 0 {
+		p.publish(e)
+	}
+}
+
+func (p *prefix) publish(e CacheEvent) {
+	p.seq++
+	e.Seq = p.seq
+	if p.rnd.Float64() < p.gaps {
+		return
+	}
+	if len(p.events) == eventsMax {
+		p.events = p.events[1:]
+	}
+	p.events = append(p.events, e)
+}
+
+// clear drops the contents and all unread events; the numbering goes on.
+func (p *prefix) clear() {
+	p.order.Init()
+	clear(p.index)
+	p.events = nil
+	p.seq++
+}
+
+// after returns the published events after seq that are older than the given time.
+func (p *prefix) after(seq ident.Seq, before time.Time) []CacheEvent {
+	out := []CacheEvent{}
+	for _, e := range p.events {
+		if e.Seq > seq && !e.at.After(before) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (p *prefix) all() Contents {
+	c := Contents{Seq: p.seq, Blocks: make([]ident.Block, 0, p.order.Len())}
+	for e := p.order.Front(); e != nil; e = e.Next() {
+		c.Blocks = append(c.Blocks, e.Value.(ident.Block))
+	}
+	return c
+}
--- /dev/null
+++ b/standin/engine/order.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/standin/reply"
+)
+
+// Order is an order of the control plane.
+type Order struct {
+	// Verb is "load", "unload" or "role".
+	Verb    string        `json:"verb"`
+	Version ident.Version `json:"version"`
+	// Value is the role, or the model or adapter to load.
+	Value  string      `json:"value"`
+	Fence  ident.Fence `json:"fence"`
+	Issuer string      `json:"issuer"`
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !reply.Read(w, r, &o) {
+		return
+	}
+	if code, detail := e.take(o); code != 0 {
+		reply.Error(w, code, detail)
+		return
+	}
+	if o.Verb == "load" {
+		t := time.NewTimer(e.o.loading)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-r.Context().Done(): // loading goes on without the caller; it is applied at once here
+		}
+	}
+	e.apply(o)
+	reply.JSON(w, http.StatusOK, o)
+}
+
+// take checks an order and records it if it is accepted; a code other than 0 is a refusal.
+func (e *Engine) take(o Order) (code int, detail string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case !slices.Contains([]string{"load", "unload", "role"}, o.Verb):
+		return http.StatusBadRequest, "unknown verb"
+	case len(e.o.issuers) > 0 && !slices.Contains(e.o.issuers, o.Issuer):
+		return http.StatusForbidden, "unknown issuer"
+	case e.o.fenced && o.Fence < e.fence:
+		return http.StatusConflict, "old fence"
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, o)
+	return 0, ""
+}
+
+// apply puts an order into force. KV of another version cannot be used, so that a change of version empties the cache.
+func (e *Engine) apply(o Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.version
+	switch {
+	case o.Verb == "role":
+		e.role = o.Value
+	case o.Verb == "load":
+		e.version = o.Version
+	case o.Version == e.version:
+		e.version = ""
+	}
+	if e.version != old {
+		e.prefix.clear()
+	}
+	e.report()
+}
+
+func (e *Engine) getOrders(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	out := append([]Order{}, e.orders...)
+	e.mu.Unlock()
+	reply.JSON(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/standin/host/host.go
@@ -0,0 +1,124 @@
+// Package host serves a stand-in on one address and simulates crashes of its process.
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// stopTimeout bounds the wait for running calls at a stop; it keeps demos and tests short.
+	stopTimeout = 2 * time.Second
+	// listenRetry is the pause between attempts to listen again after a crash.
+	listenRetry = 20 * time.Millisecond
+)
+
+// ErrExit means that a crash was asked to end the process.
+var ErrExit = errors.New("crashed as ordered")
+
+type crash struct {
+	down time.Duration
+	exit bool
+}
+
+// Host owns the listener of one stand-in.
+type Host struct {
+	ln      net.Listener
+	addr    string
+	crashes chan crash
+}
+
+// Listen binds addr (IP number and port; port 0 picks a free one).
+func Listen(addr string) (h *Host, err error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.WithMessage(err, "listen")
+	}
+	return &Host{ln: ln, addr: ln.Addr().String(), crashes: make(chan crash, 1)}, nil
+}
+
+// Addr returns the bound address.
+func (h *Host) Addr() string { return h.addr }
+
+// Crash closes all connections and refuses new ones for the given time; with exit, Serve returns ErrExit.
+// It may be called from a handler and does not wait. A crash that is already under way absorbs another.
+func (h *Host) Crash(down time.Duration, exit bool) {
+	select {
+	case h.crashes <- crash{down, exit}:
+	default:
+	}
+}
+
+// Serve answers calls with handler until ctx ends. It returns nil after a stop and ErrExit after a final crash.
+func (h *Host) Serve(ctx context.Context, handler http.Handler) (err error) {
+	defer func() { err = errors.WithMessagef(err, "serve %s", h.addr) }()
+	for {
+		c, err := h.serveOnce(ctx, handler)
+		switch {
+		case err != nil:
+			return err
+		case ctx.Err() != nil:
+			return nil
+		case c.exit:
+			return ErrExit
+		case !sleep(ctx, c.down):
+			return nil
+		}
+		if err = h.relisten(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *Host) serveOnce(ctx context.Context, handler http.Handler) (c crash, err error) {
+	base, cancel := context.WithCancel(ctx)
+	defer cancel()
+	srv := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 10 * time.Second,
+		BaseContext:       func(net.Listener) context.Context { return base },
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(h.ln) }()
+	select {
+	case err = <-ended:
+		return c, err
+	case c = <-h.crashes:
+		_ = srv.Close()
+	case <-ctx.Done():
+		stop, release := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer release()
+		if srv.Shutdown(stop) != nil {
+			_ = srv.Close()
+		}
+	}
+	<-ended
+	return c, nil
+}
+
+// relisten binds the same address again; another socket may hold it for a moment.
+func (h *Host) relisten(ctx context.Context) (err error) {
+	for {
+		if h.ln, err = net.Listen("tcp", h.addr); err == nil {
+			return nil
+		}
+		if !sleep(ctx, listenRetry) {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
