Object API adapter, read-back after lost answers, and its stand-in

Cause: configuration, moves, leases and claims need conditional writes whose outcome is known even when the answer is lost. Change: store.HTTP with typed errors, paged lists and watches of bounded length; store.Write and store.Settle; package store/memory; stand-in objapi on top of it with limits, outage, delay and lost answers. Conclusion: a late first write is found by the next read, and a conflict with one's own write is not reported as another writer's.

--- /dev/null
+++ b/core/store/settle.go
@@ -0,0 +1,82 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// settleBase is the first pause between read-backs; it doubles up to settleCap.
+	settleBase = 50 * time.Millisecond
+	settleCap  = 2 * time.Second
+)
+
+// Write creates o when o.Rev is empty and updates it otherwise. A lost answer is resolved by Settle.
+func Write(ctx context.Context, s Store, o Object, same func(Object) bool) (out Object, err error) {
+	out, err = put(ctx, s, o)
+	if errors.Is(err, ErrUnsure) {
+		return Settle(ctx, s, o, same)
+	}
+	return out, err
+}
+
+// Settle resolves a write of o that ended with ErrUnsure. It reads the object back and returns it when
+// same reports that it is what the write would have left. It repeats the write only after it has read
+// that the object is still as it was before, and under the condition that it stays so; a first write
+// that arrives late is therefore found by the next read and never overwritten.
+//
+// It returns ErrExists, ErrConflict or ErrNotFound, with the object found, when another writer came
+// first, and ErrUnsure when ctx ended before the API could be read.
+func Settle(ctx context.Context, s Store, o Object, same func(Object) bool) (out Object, err error) {
+	defer func() { err = errors.WithMessagef(err, "settle %s/%s", o.Sort, o.Name) }()
+	for pause := settleBase; ; pause = min(2*pause, settleCap) {
+		out, err = s.Get(ctx, o.Sort, o.Name)
+		switch {
+		case err == nil && same(out):
+			return out, nil
+		case err == nil && o.Rev == "":
+			return out, ErrExists
+		case err == nil && out.Rev != o.Rev:
+			return out, ErrConflict
+		case err == nil, errors.Is(err, ErrNotFound) && o.Rev == "":
+			if out, err = put(ctx, s, o); err == nil || !again(err) {
+				return out, err
+			}
+		case errors.Is(err, ErrNotFound):
+			return out, err
+		}
+		if !sleep(ctx, pause) {
+			return out, errors.Wrap(ErrUnsure, ctx.Err().Error())
+		}
+	}
+}
+
+// again reports whether the object must be read once more: the conflict may be with our own first write.
+func again(err error) bool {
+	for _, e := range []error{ErrUnsure, ErrUnavailable, ErrExists, ErrConflict} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+func put(ctx context.Context, s Store, o Object) (Object, error) {
+	if o.Rev == "" {
+		return s.Create(ctx, o)
+	}
+	return s.Update(ctx, o)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/core/store/settle_test.go
@@ -0,0 +1,88 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/store/memory"
+)
+
+// late is a store whose first update is not answered and takes effect only after the next read.
+type late struct {
+	*memory.Store
+	held    *store.Object
+	updates int
+}
+
+func (l *late) Update(ctx context.Context, o store.Object) (store.Object, error) {
+	if l.updates++; l.updates == 1 {
+		l.held = &o
+		return store.Object{}, store.ErrUnsure
+	}
+	return l.Store.Update(ctx, o)
+}
+
+func (l *late) Get(ctx context.Context, sort, name string) (store.Object, error) {
+	o, err := l.Store.Get(ctx, sort, name)
+	if held := l.held; held != nil {
+		l.held = nil
+		_, _ = l.Store.Update(ctx, *held) // its outcome is what the test reads back
+	}
+	return o, err
+}
+
+func create(g *WithT, s store.Store, value string) store.Object {
+	o, err := s.Create(context.Background(), store.Object{Sort: "lease", Name: "l", Value: []byte(value)})
+	g.Expect(err).NotTo(HaveOccurred())
+	return o
+}
+
+func is(value string) func(store.Object) bool {
+	return func(o store.Object) bool { return string(o.Value) == value }
+}
+
+// Guards against a late first write that is missed by the read-back and then written once more.
+func TestSettleFindsAWriteThatArrivesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &late{Store: memory.NewMemory()}
+		o := create(g, s, "old")
+		o.Value = []byte("new")
+		got, err := store.Write(t.Context(), s, o, is("new"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.Rev).To(Equal(store.Rev("2")), "only one write took effect")
+		g.Expect(s.updates).To(Equal(2), "the second was refused by its condition")
+	})
+}
+
+// Guards against a lost answer that is taken for a success when another writer came first.
+func TestSettleNamesTheOtherWriter(t *testing.T) {
+	g := NewWithT(t)
+	s := memory.NewMemory()
+	o := create(g, s, "theirs")
+	mine := store.Object{Sort: "lease", Name: "l", Value: []byte("mine")}
+	got, err := store.Settle(t.Context(), s, mine, is("mine"))
+	g.Expect(err).To(MatchError(store.ErrExists))
+	g.Expect(got).To(Equal(o))
+	mine.Rev = "0"
+	_, err = store.Settle(t.Context(), s, mine, is("mine"))
+	g.Expect(err).To(MatchError(store.ErrConflict))
+}
+
+// Guards against an unknown outcome that is reported as a known one because the API is down.
+func TestSettleStaysUnsureDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := memory.NewMemory()
+		s.Outage(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := store.Settle(ctx, s, store.Object{Sort: "lease", Name: "l"}, is(""))
+		g.Expect(err).To(MatchError(store.ErrUnsure))
+	})
+}
--- a/standin/command.go
+++ b/standin/command.go
@@ -21,6 +21,7 @@
 	build func(*flag.FlagSet) starter
 }{
 	{"engine", "model engine with continuous batching and a prefix cache", engineVerb},
+	{"objects", "object API with versions, conditional updates and watches", objectsVerb},
 }
 
 // starter creates the handler of a stand-in on its host. The channel reports the end of its goroutine; it may be nil.
