Stand-ins for the plain service and the VM list, and the VM list adapter

Cause: tests of at-most-once need a service that counts its runs, and membership needs a list that lags. Ruled out: failing the whole list because of one bad entry (it would hide all others); taking an unknown state for live.

--- /dev/null
+++ b/core/vmlist/vmlist.go
@@ -0,0 +1,125 @@
+// Package vmlist reads the platform's list of live and leaving VMs. The list lags behind reality.
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/ident"
+)
+
+const (
+	// listTimeout bounds one call.
+	listTimeout = 2 * time.Second
+	// listMax bounds the answer in bytes; a longer one is refused. It leaves 4 kB for each of 1,000 VMs.
+	listMax = 4 << 20
+)
+
+// ErrUnavailable means that the list cannot be read; what was read before stays valid.
+var ErrUnavailable = errors.New("VM list is not available")
+
+// State is the platform's view of a VM.
+type State string
+
+// States.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	// Name is the process id of the process on the VM.
+	Name ident.ProcessID `json:"vm"`
+	// Address is the IP number and port of that process.
+	Address string           `json:"address"`
+	Role    string           `json:"role"`
+	Centre  ident.DataCentre `json:"centre"`
+	State   State            `json:"state"`
+}
+
+// Source is a list of VMs.
+type Source interface {
+	// List returns all VMs that the platform names, or an error that wraps ErrUnavailable.
+	List(ctx context.Context) ([]VM, error)
+}
+
+// HTTP is a Source that reads the list over HTTP.
+type HTTP struct {
+	base    *sling.Sling
+	client  *http.Client
+	timeout time.Duration
+}
+
+// Option sets one property of an HTTP source.
+type Option func(*HTTP)
+
+// Timeout sets the bound of one call.
+func Timeout(d time.Duration) Option { return func(h *HTTP) { h.timeout = d } }
+
+// NewHTTP returns the source at addr (IP number and port).
+func NewHTTP(addr string, opts ...Option) *HTTP {
+	h := &HTTP{
+		base:    sling.New().Base("http://" + addr).Get("/vms"),
+		client:  &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}},
+		timeout: listTimeout,
+	}
+	for _, f := range opts {
+		f(h)
+	}
+	return h
+}
+
+// List implements Source.
+func (h *HTTP) List(ctx context.Context) (vms []VM, err error) {
+	defer func() { err = errors.WithMessage(err, "list VMs") }()
+	ctx, cancel := context.WithTimeout(ctx, h.timeout)
+	defer cancel()
+	req, err := h.base.New().Request()
+	if err != nil {
+		return nil, err
+	}
+	res, err := h.client.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, listMax+1))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	case len(b) > listMax:
+		return nil, errors.Wrapf(ErrUnavailable, "answer is longer than %d bytes", listMax)
+	}
+	return parse(b)
+}
+
+// parse reads a list. One bad entry must not hide the others: an entry without a name or an IP address
+// is dropped, because nothing can be sent to it, and an unknown state counts as leaving, because a VM
+// that gets no new work does no harm.
+func parse(b []byte) (vms []VM, err error) {
+	var all []VM
+	if err = json.Unmarshal(b, &all); err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	for _, v := range all {
+		if _, err := netip.ParseAddrPort(v.Address); err != nil || v.Name == "" {
+			continue
+		}
+		if v.State != Live {
+			v.State = Leaving
+		}
+		vms = append(vms, v)
+	}
+	return vms, nil
+}
--- a/standin/command.go
+++ b/standin/command.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/netip"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/pkg/errors"
@@ -22,6 +23,8 @@
 }{
 	{"engine", "model engine with continuous batching and a prefix cache", engineVerb},
 	{"objects", "object API with versions, conditional updates and watches", objectsVerb},
+	{"plain", "plain service that counts its runs", plainVerb},
+	{"vms", "lagging list of VMs", vmsVerb},
 }
 
 // starter creates the handler of a stand-in on its host. The channel reports the end of its goroutine; it may be nil.
@@ -51,6 +54,9 @@
 // serve runs one stand-in until ctx ends.
 func serve(ctx context.Context, name, listen string, seed uint64, start starter) (err error) {
 	defer func() { err = errors.WithMessage(err, name) }()
+	if _, err = netip.ParseAddrPort(listen); err != nil {
+		return errors.Wrap(errUsage, err.Error())
+	}
 	h, err := host.Listen(listen)
 	if err != nil {
 		return err
