Router and agent programs: driver, HTTP side, answer tokens, command lines

Cause: the cores need sockets, goroutines and a command line. Ruled out: one mutex around the core; one goroutine with an inbox keeps the order of events replayable. Change: entry.Router, node driver, package launch for command lines.

--- a/agent/cmd_serve.go
+++ b/agent/cmd_serve.go
@@ -11,6 +11,7 @@
 	"hickoryvane.example/agent/target"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/launch"
 	"hickoryvane.example/core/store"
 )
 
@@ -23,7 +24,7 @@
 		Name: "serve", Usage: "agent serve [FLAGS]", ShortHelp: "serve one target until SIGTERM", Flags: fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			cfg, problems := conf.ReadSettings[conf.Agent](*file)
-			if err := list(stderr, problems); err != nil {
+			if err := launch.Problems(stderr, problems); err != nil {
 				return err
 			}
 			least, err := log.ParseLevel(*level)
--- a/agent/main.go
+++ b/agent/main.go
@@ -6,11 +6,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"hickoryvane.example/core/launch"
 )
 
 func main() {
-	// A second signal ends the process at once.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(launch.Run(ctx, "agent", help, commands, os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/core/launch/launch.go
@@ -0,0 +1,88 @@
+// Package launch runs the command line of a program: a table of commands, help, and exit codes.
+package launch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/conf"
+)
+
+// Exit codes of all programs.
+const (
+	// OK is success.
+	OK = 0
+	// Fail is a failure while running, or a missed outcome.
+	Fail = 1
+	// Wrong is a wrong command line, setting or declaration.
+	Wrong = 2
+)
+
+// ErrWrong means that settings or declarations have faults, which were listed.
+var ErrWrong = errors.New("wrong settings")
+
+// Command makes one command of a program.
+type Command func(stdout, stderr io.Writer) *ff.Command
+
+// Run executes one command line and returns the exit code. Errors are printed here, once.
+func Run(ctx context.Context, name, help string, commands []Command, args []string, stdout, stderr io.Writer) int {
+	root := &ff.Command{Name: name, Usage: name + " COMMAND [FLAGS]", ShortHelp: help}
+	for _, c := range commands {
+		root.Subcommands = append(root.Subcommands, c(stdout, stderr))
+	}
+	if err := root.Parse(args); err != nil {
+		fmt.Fprintln(stderr, ffhelp.Command(root))
+		if errors.Is(err, ff.ErrHelp) {
+			return OK
+		}
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return Wrong
+	}
+	err := root.Run(ctx)
+	switch {
+	case err == nil:
+		return OK
+	case errors.Is(err, ff.ErrNoExec):
+		fmt.Fprintln(stderr, ffhelp.Command(root))
+		return Wrong
+	}
+	fmt.Fprintf(stderr, "%s: %v\n", name, err)
+	if errors.Is(err, ErrWrong) {
+		return Wrong
+	}
+	return Fail
+}
+
+// Problems prints the faults of files and returns ErrWrong if there are any.
+func Problems(stderr io.Writer, problems []conf.Problem) error {
+	for _, p := range problems {
+		fmt.Fprintln(stderr, p)
+	}
+	if len(problems) > 0 {
+		return errors.WithMessagef(ErrWrong, "%d faults", len(problems))
+	}
+	return nil
+}
+
+// Version returns the command that prints the version of a program.
+func Version(name string) Command {
+	return func(stdout, _ io.Writer) *ff.Command {
+		return &ff.Command{
+			Name: "version", Usage: name + " version", ShortHelp: "print the version",
+			Exec: func(context.Context, []string) error {
+				version := "unknown"
+				if info, ok := debug.ReadBuildInfo(); ok {
+					version = info.Main.Version + " " + info.GoVersion
+				}
+				_, err := fmt.Fprintln(stdout, name, version)
+				return err
+			},
+		}
+	}
+}
--- a/router/entry/claims.go
+++ b/router/entry/claims.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"hickoryvane.example/core/answer"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/member"
 	"hickoryvane.example/core/wire"
 )
 
@@ -76,6 +79,11 @@
 func (c *Core) confirm(now time.Time, k *call) {
 	k.phase, k.waitUntil = confirming, now.Add(confirmTime)
 	if k.inStore() {
+		c.limit.SetLimitAt(now, c.claimRate())
+		if !c.limit.AllowN(now, 1) {
+			c.expire(now, k)
+			return
+		}
 		c.act(Create{Call: k.id, ID: k.key, Claim: c.claimOf(now, k), Replace: k.replace})
 		return
 	}
@@ -86,6 +94,16 @@
 	return Claim{Attempt: k.attempt, Account: k.Account.Name, Agent: k.agent, Boot: k.boot, At: now.Unix()}
 }
 
+// claimRate is this router's part of the rate of claims in the object API.
+func (c *Core) claimRate() rate.Limit {
+	x := c.force.Index()
+	if x == nil {
+		return 0
+	}
+	routers := max(1, len(c.member.Live(member.Router, "")))
+	return rate.Limit(float64(x.Config().Limits.Claims) / float64(routers))
+}
+
 // ClaimResult is the outcome of a Create.
 type ClaimResult uint8
 
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"hickoryvane.example/core/active"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -41,6 +43,8 @@
 	demandTime = quota.Round
 	// idleTime is the time for which a connection outside the subset is kept after its last use.
 	idleTime = 30 * time.Second
+	// claimBurst is the number of claims in the object API that may be made at once.
+	claimBurst = 10
 	// silentTime is the time without any chunk after which a dispatched request counts as lost.
 	silentTime = 15 * time.Minute
 )
@@ -73,9 +77,11 @@
 	choosers map[ident.Move]*moves.Chooser
 	enders   map[ident.Move]*moves.Ender
 	tasks    tasks
-	drainAt  time.Time
-	acts     []Action
-	choices  []pick.Choice
+	// limit bounds the claims in the object API.
+	limit   *rate.Limiter
+	drainAt time.Time
+	acts    []Action
+	choices []pick.Choice
 }
 
 // tasks holds the times of recurring work.
@@ -156,6 +162,7 @@
 		calls:    make(map[CallID]*call),
 		byReq:    make(map[ident.RequestID]*call),
 		claims:   make(map[ident.RequestID]map[CallID]*call),
+		limit:    rate.NewLimiter(0, claimBurst),
 		choosers: make(map[ident.Move]*moves.Chooser),
 		enders:   make(map[ident.Move]*moves.Ender),
 		tasks:    tasks{want: make(map[string]bool), used: make(map[ident.ProcessID]time.Time)},
--- /dev/null
+++ b/router/entry/http.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/chat"
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/ring"
+)
+
+const (
+	// readTimeout bounds the reading of a body.
+	readTimeout = 30 * time.Second
+	// waitMax bounds the deadline that a caller may ask for.
+	waitMax = 10 * time.Minute
+	// servicePrefix precedes the name of a plain service in a path.
+	servicePrefix = "/services/"
+	// keyMax bounds an Idempotency-Key and a session, in bytes.
+	keyMax = 256
+)
+
+// Headers of the protocol with callers.
+const (
+	headerKey     = "Idempotency-Key"
+	headerTier    = "X-Tier"
+	headerWait    = "X-Deadline"
+	headerSession = "X-Session"
+	headerAnswer  = "X-Answer"
+	headerRequest = "X-Request-Id"
+)
+
+// handler serves callers. ctx ends with the process.
+func (r *Router) handler(ctx context.Context) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/answers/{token}", func(w http.ResponseWriter, req *http.Request) { r.resume(ctx, w, req) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, req *http.Request) { r.serve(ctx, w, req) })
+	return mux
+}
+
+// serve takes one call of a caller from its first byte to the end of its answer.
+func (r *Router) serve(ctx context.Context, w http.ResponseWriter, req *http.Request) {
+	x := r.index.Load()
+	acc, e := authenticate(x, req)
+	if e != nil {
+		fault.Write(w, e, "")
+		return
+	}
+	limit := int64(r.cfg.Bounds.Body)
+	if r.held.Add(limit) > int64(r.cfg.Bounds.Memory) {
+		r.held.Add(-limit)
+		e = fault.NotRunf(fault.Shed, "this router holds too many requests")
+		e.Retry = shedRetry
+		fault.Write(w, e, "")
+		return
+	}
+	defer func() { r.held.Add(-limit) }()
+	body, e := readBody(w, req, limit)
+	if e != nil {
+		fault.Write(w, e, "")
+		return
+	}
+	r.held.Add(int64(len(body)) - limit)
+	limit = int64(len(body))
+	call, e := readCall(x, acc, req, body)
+	if e != nil {
+		fault.Write(w, e, "")
+		return
+	}
+	r.run(ctx, w, req, call, func(now time.Time, c *Core, id CallID) { c.Begin(now, id, call) })
+}
+
+// authenticate finds the account of a call.
+func authenticate(x *conf.Index, req *http.Request) (acc conf.Account, e *fault.Error) {
+	if x == nil {
+		e = fault.NotRunf(fault.Config, "no configuration is in force yet")
+		e.Retry = shedRetry
+		return acc, e
+	}
+	key, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		acc, ok = x.ByKey(ident.HashKey(key))
+	}
+	if !ok {
+		return acc, fault.NotRunf(fault.Auth, "the key is missing or unknown")
+	}
+	return acc, nil
+}
+
+func readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, *fault.Error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout)) // not supported in some tests
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		e := fault.NotRunf(fault.Invalid, "the body is larger than %d bytes", limit)
+		e.Code = http.StatusRequestEntityTooLarge
+		return nil, e
+	case err != nil:
+		e := fault.NotRunf(fault.Invalid, "the body could not be read")
+		e.Code = http.StatusRequestTimeout
+		return nil, e
+	}
+	return body, nil
+}
+
+// readCall finds the service and the route of a call, and what the scheduler needs to know of it.
+func readCall(x *conf.Index, acc conf.Account, req *http.Request, body []byte) (c Request, e *fault.Error) {
+	c = Request{
+		Account: acc, Method: req.Method, Path: req.URL.RequestURI(), Type: req.Header.Get("Content-Type"),
+		Body: body, Key: req.Header.Get(headerKey),
+	}
+	if len(c.Key) > keyMax || len(req.Header.Get(headerSession)) > keyMax {
+		return c, fault.NotRunf(fault.Invalid, "%s or %s is longer than %d bytes", headerKey, headerSession, keyMax)
+	}
+	if e = c.find(x, req, body); e != nil {
+		return c, e
+	}
+	c.Print = ident.PrintOf(c.Service.Name, body)
+	version, session, ok := strings.Cut(req.Header.Get(headerSession), ".")
+	if c.Session = session; ok {
+		c.Version = ident.Version(version)
+	} else {
+		c.Session = version
+	}
+	return c, c.rank(x, req)
+}
+
+// find sets service, route and lengths.
+func (c *Request) find(x *conf.Index, req *http.Request, body []byte) (e *fault.Error) {
+	if x.IsModel(req.Method, req.URL.Path) {
+		return c.findModel(x, req, body)
+	}
+	var ok bool
+	if rest, plain := strings.CutPrefix(req.URL.Path, servicePrefix); plain {
+		name, path, _ := strings.Cut(rest, "/")
+		if c.Service, ok = x.Service(ident.Service(name)); ok {
+			c.Route, ok = x.Route(c.Service.Name, req.Method, "/"+path, "")
+			c.Path = strings.TrimPrefix(c.Path, servicePrefix+name)
+		}
+	} else {
+		c.Service, c.Route, ok = x.Match(req.Method, req.URL.Path)
+	}
+	if !ok {
+		return fault.NotRunf(fault.Route, "no service has a route %s %s", req.Method, req.URL.Path)
+	}
+	c.Prompt, c.Output = ident.Estimate(len(body)), 1
+	return nil
+}
+
+func (c *Request) findModel(x *conf.Index, req *http.Request, body []byte) *fault.Error {
+	m, err := chat.Parse(body)
+	if err != nil {
+		return fault.NotRunf(fault.Invalid, "%s", err)
+	}
+	svc, ok := x.ByModel(m.Model)
+	if !ok {
+		return fault.NotRunf(fault.Route, "no service has the model %q", m.Model)
+	}
+	if c.Route, ok = x.Route(svc.Name, req.Method, req.URL.Path, m.Model); !ok {
+		return fault.NotRunf(fault.Route, "service %s has no route %s %s", svc.Name, req.Method, req.URL.Path)
+	}
+	prompt := m.Prompt()
+	c.Service, c.Prompt, c.Output, c.Blocks = svc, ident.Estimate(len(prompt)), m.Output(), ident.Blocks(prompt)
+	return nil
+}
+
+// rank sets tier and deadline.
+func (c *Request) rank(x *conf.Index, req *http.Request) *fault.Error {
+	name := c.Account.Tier
+	if c.Route.Tier != "" {
+		name = c.Route.Tier
+	}
+	if h := req.Header.Get(headerTier); h != "" {
+		name = h
+	}
+	allowed := name == c.Account.Tier || name == c.Route.Tier
+	for _, t := range c.Account.Tiers {
+		allowed = allowed || t == name
+	}
+	tier, ok := x.Tier(name)
+	if !ok || !allowed {
+		return fault.NotRunf(fault.Invalid, "the account may not use tier %q", name)
+	}
+	c.Tier, c.Wait = tier, tier.Wait.Duration()
+	if h := req.Header.Get(headerWait); h != "" {
+		ms, err := strconv.ParseInt(h, 10, 64)
+		if err != nil || ms < 1 || ms > waitMax.Milliseconds() {
+			return fault.NotRunf(fault.Invalid, "%s is not between 1 and %d ms", headerWait, waitMax.Milliseconds())
+		}
+		c.Wait = time.Duration(ms) * time.Millisecond
+	}
+	return nil
+}
+
+// resume serves a kept answer from the event after Last-Event-ID.
+func (r *Router) resume(ctx context.Context, w http.ResponseWriter, req *http.Request) {
+	acc, e := authenticate(r.index.Load(), req)
+	if e != nil {
+		fault.Write(w, e, "")
+		return
+	}
+	tok, err := openToken([]byte(r.cfg.Secret), req.PathValue("token"))
+	if err != nil || tok.Account != acc.Name {
+		fault.Write(w, fault.NotRunf(fault.Route, "no such answer"), "")
+		return
+	}
+	var after uint64
+	if h := req.Header.Get("Last-Event-ID"); h != "" {
+		if after, err = strconv.ParseUint(h, 10, 64); err != nil {
+			fault.Write(w, fault.NotRunf(fault.Invalid, "Last-Event-ID is not a number"), "")
+			return
+		}
+	}
+	call := Request{Account: acc, Service: conf.Service{Name: tok.Service}, Wait: lostTime}
+	r.run(ctx, w, req, call, func(now time.Time, c *Core, id CallID) {
+		c.Resume(now, id, call, tok.Request, tok.Agent, tok.Boot, ident.Seq(after))
+	})
+}
+
+// run begins a call and passes its answer on until it ends or the caller leaves.
+func (r *Router) run(ctx context.Context, w http.ResponseWriter, req *http.Request, call Request, begin func(time.Time, *Core, CallID)) {
+	id := CallID(r.lastCall.Add(1))
+	parts := ring.New[Part](partsMax)
+	err := r.inbox.Put(ctx, func(now time.Time, c *Core) {
+		r.handlers[id] = parts
+		begin(now, c, id)
+	})
+	if err != nil {
+		fault.Write(w, fault.NotRunf(fault.Draining, "this router is stopping"), "")
+		return
+	}
+	out := &writer{w: w, secret: []byte(r.cfg.Secret), session: call.Session}
+	for !out.done {
+		select {
+		case <-ctx.Done():
+			out.cut()
+		case <-req.Context().Done():
+			out.done = true
+		case <-parts.Ready():
+			n := out.drain(parts)
+			if n > 0 && !out.done {
+				_ = r.inbox.Put(ctx, func(_ time.Time, c *Core) { c.Wrote(id, n) }) // fails only when the process ends
+			}
+		}
+	}
+	if !out.ended {
+		_ = r.inbox.Put(ctx, func(now time.Time, c *Core) {
+			delete(r.handlers, id)
+			c.Left(now, id)
+		})
+	}
+	if out.abort {
+		panic(http.ErrAbortHandler) // the way net/http offers to break a connection, so that a cut answer is seen as cut
+	}
+}
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -134,6 +134,9 @@
 // heard notes a sign of life.
 func (c *Core) heard(now time.Time, l links.ID, addr string, leaving bool) {
 	h := c.peers[l].hello
+	if h.Role != string(member.Router) && h.Role != string(member.Agent) {
+		return // an operator's command
+	}
 	e := member.Entry{VM: h.Process, Address: addr, Role: member.Role(h.Role), Centre: h.Centre}
 	c.changed(now, c.member.Heard(now, e, h.Boot, leaving))
 }
--- a/router/main.go
+++ b/router/main.go
@@ -1,4 +1,17 @@
-// Command router is a program of hickoryvane.
+// Command router runs on an entry VM: it reads calls of callers, offers them to agents and passes answers on.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"hickoryvane.example/core/launch"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(launch.Run(ctx, "router", help, commands, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/router/vms.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"context"
+
+	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/vmlist"
+)
+
+// vms gives the platform's list of VMs to the router in its own terms.
+type vms struct{ list vmlist.Source }
+
+// List implements entry.Lister.
+func (v vms) List(ctx context.Context) ([]member.Entry, error) {
+	list, err := v.list.List(ctx)
+	out := make([]member.Entry, 0, len(list))
+	for _, m := range list {
+		out = append(out, member.Entry{
+			VM: m.Name, Address: m.Address, Role: member.Role(m.Role), Centre: m.Centre,
+			Leaving: m.State == vmlist.Leaving,
+		})
+	}
+	return out, err
+}
