Metrics with bounded label sets

Cause: operators read goodput, shedding and latency by tier, account and service; callers choose names, and accounts times services times tiers is too many series. Ruled out: one label set per combination in the configuration (48,600 at the size in two years); exemplars (memory for each set, read by nobody); the SDK's own limit alone (it merges all labels, so that the tier is lost as well). Change: package meter: four histograms, six counters, label sets built once, at most 1,000 of tier, account and service; further ones keep their tier and are "other" otherwise.

--- /dev/null
+++ b/core/meter/instrument.go
@@ -0,0 +1,60 @@
+package meter
+
+import (
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Bucket bounds. The limits of 0.67 s to the first token and 36 ms between tokens are bounds, so that
+// the share of requests within them can be read exactly.
+var (
+	waitBounds   = []float64{.005, .01, .025, .05, .1, .25, .5, .67, 1, 2.5, 5, 10, 30, 60}
+	gapBounds    = []float64{.005, .01, .015, .02, .025, .03, .036, .05, .075, .1, .25, .5, 1, 5}
+	lengthBounds = []float64{64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384, 32768, 65536, 131072}
+)
+
+func (m *Meter) makeInstruments() (err error) {
+	in := m.provider.Meter("hickoryvane")
+	for _, h := range []struct {
+		to         *metric.Float64Histogram
+		name, text string
+		bounds     []float64
+	}{
+		{&m.queueing, "hickoryvane.queueing", "time from receipt to dispatch", waitBounds},
+		{&m.first, "hickoryvane.first.token", "time from receipt to the first token", waitBounds},
+		{&m.gap, "hickoryvane.token.gap", "time between two tokens", gapBounds},
+	} {
+		*h.to, err = in.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.text),
+			metric.WithExplicitBucketBoundaries(h.bounds...))
+		if err != nil {
+			return errors.WithMessage(err, h.name)
+		}
+	}
+	m.length, err = in.Int64Histogram("hickoryvane.length", metric.WithUnit("{token}"),
+		metric.WithDescription("prompt and output tokens of a request"),
+		metric.WithExplicitBucketBoundaries(lengthBounds...))
+	if err != nil {
+		return errors.WithMessage(err, "hickoryvane.length")
+	}
+	return m.makeCounters(in)
+}
+
+func (m *Meter) makeCounters(in metric.Meter) (err error) {
+	for _, c := range []struct {
+		to               *metric.Int64Counter
+		name, unit, text string
+	}{
+		{&m.goodput, "hickoryvane.goodput", "{request}", "requests answered whole and in time"},
+		{&m.shed, "hickoryvane.shed", "{request}", "requests shed"},
+		{&m.wasted, "hickoryvane.wasted.prefill", "{token}", "prompt tokens processed for nothing"},
+		{&m.link, "hickoryvane.link", "By", "bytes sent over the region link"},
+		{&m.refused, "hickoryvane.refused", "{request}", "requests refused"},
+		{&m.quota, "hickoryvane.quota.refused", "{request}", "requests over the limit of their account"},
+	} {
+		*c.to, err = in.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text))
+		if err != nil {
+			return errors.WithMessage(err, c.name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/meter/meter.go
@@ -0,0 +1,138 @@
+// Package meter records what a process measures, with OpenTelemetry instruments whose label sets are
+// bounded, and serves it to Prometheus.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/exemplar"
+	"go.opentelemetry.io/otel/sdk/resource"
+
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+)
+
+// Meter holds the instruments of one process. All methods are safe for concurrent use.
+type Meter struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+
+	queueing, first, gap metric.Float64Histogram
+	length               metric.Int64Histogram
+	goodput, shed        metric.Int64Counter
+	wasted, link         metric.Int64Counter
+	refused, quota       metric.Int64Counter
+
+	names    names
+	requests *sets[labels]
+	tiers    *sets[ident.Tier]
+	sheds    *sets[shedding]
+	reasons  *sets[fault.Reason]
+	accounts *sets[ident.AccountID]
+}
+
+type options struct {
+	process ident.ProcessID
+	sets    int
+}
+
+// Option sets one property of a Meter.
+type Option func(*options)
+
+// Process sets the id under which the process reports.
+func Process(id ident.ProcessID) Option { return func(o *options) { o.process = id } }
+
+// Sets sets the largest number of label sets of tier, account and service.
+func Sets(n int) Option { return func(o *options) { o.sets = n } }
+
+// New returns a meter that knows no accounts and services yet; see Configure.
+func New(opts ...Option) (m *Meter, err error) {
+	defer func() { err = errors.WithMessage(err, "create meter") }()
+	o := options{sets: setsMax}
+	for _, f := range opts {
+		f(&o)
+	}
+	reg := prometheus.NewRegistry()
+	reader, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	m = &Meter{
+		provider: sdk.NewMeterProvider(
+			sdk.WithReader(reader),
+			// Exemplars would cost memory for each label set, and nothing reads them.
+			sdk.WithExemplarFilter(exemplar.AlwaysOffFilter),
+			sdk.WithResource(resource.NewSchemaless(attribute.String("service.instance.id", string(o.process)))),
+			// The bounds of label.go are smaller, so that the SDK never merges sets by its own rule.
+			sdk.WithCardinalityLimit(2*max(o.sets, setsMax, shedMax)),
+		),
+		handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}),
+	}
+	m.makeSets(o.sets)
+	return m, m.makeInstruments()
+}
+
+// Handler serves /metrics.
+func (m *Meter) Handler() http.Handler { return m.handler }
+
+// Close releases the instruments.
+func (m *Meter) Close(ctx context.Context) error {
+	return errors.WithMessage(m.provider.Shutdown(ctx), "close meter")
+}
+
+// Queueing records the time from receipt to dispatch.
+func (m *Meter) Queueing(t ident.Tier, a ident.AccountID, s ident.Service, d time.Duration) {
+	m.queueing.Record(context.Background(), d.Seconds(), m.labels(t, a, s).record...)
+}
+
+// FirstToken records the time from receipt to the first token.
+func (m *Meter) FirstToken(t ident.Tier, a ident.AccountID, s ident.Service, d time.Duration) {
+	m.first.Record(context.Background(), d.Seconds(), m.labels(t, a, s).record...)
+}
+
+// TokenGap records the time between two tokens.
+func (m *Meter) TokenGap(t ident.Tier, a ident.AccountID, s ident.Service, d time.Duration) {
+	m.gap.Record(context.Background(), d.Seconds(), m.labels(t, a, s).record...)
+}
+
+// Length records the prompt and output tokens of a request.
+func (m *Meter) Length(t ident.Tier, a ident.AccountID, s ident.Service, n ident.Tokens) {
+	m.length.Record(context.Background(), int64(n), m.labels(t, a, s).record...)
+}
+
+// Goodput counts a request that was answered whole and in time.
+func (m *Meter) Goodput(t ident.Tier) {
+	m.goodput.Add(context.Background(), 1, m.tiers.get(boundTier(t)).add...)
+}
+
+// Shed counts a request that was shed.
+func (m *Meter) Shed(t ident.Tier, r fault.Reason) {
+	m.shed.Add(context.Background(), 1, m.sheds.get(shedding{boundTier(t), r}).add...)
+}
+
+// Wasted counts prompt tokens that were processed for nothing.
+func (m *Meter) Wasted(n ident.Tokens) { m.wasted.Add(context.Background(), int64(n)) }
+
+// Link counts bytes sent over the region link for an account.
+func (m *Meter) Link(a ident.AccountID, n ident.Bytes) {
+	m.link.Add(context.Background(), int64(n), m.accounts.get(m.names.account(a)).add...)
+}
+
+// Refused counts a refused request.
+func (m *Meter) Refused(r fault.Reason) {
+	m.refused.Add(context.Background(), 1, m.reasons.get(r).add...)
+}
+
+// Quota counts a request of an account that was over its own limit.
+func (m *Meter) Quota(a ident.AccountID) {
+	m.quota.Add(context.Background(), 1, m.accounts.get(m.names.account(a)).add...)
+}
