--- a/standin/objapi/objapi_test.go
+++ b/standin/objapi/objapi_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -161,6 +162,26 @@
 	g.Expect(stats(a)).To(MatchJSON(`{"create":{"lease":1},"get":{"lease":1}}`))
 }
 
+// Guards against two effects of one write when the first arrives after its caller gave up on it.
+func TestSlowWriteTakesEffectOnce(t *testing.T) {
+	g, ctx := NewWithT(t), t.Context()
+	a := objapi.New()
+	srv, again := httptest.NewServer(a), httptest.NewServer(a)
+	defer again.Close()
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	a.Set(objapi.Faults{Delay: 300})
+	mine := object("", "mine")
+	_, err := store.NewHTTP(addr, store.Timeout(50*time.Millisecond)).Create(ctx, mine)
+	g.Expect(err).To(MatchError(store.ErrUnsure))
+	a.Set(objapi.Faults{})
+	s := store.NewHTTP(strings.TrimPrefix(again.URL, "http://"))
+	got, err := store.Settle(ctx, s, mine, func(o store.Object) bool { return string(o.Value) == "mine" })
+	g.Expect(err).NotTo(HaveOccurred())
+	srv.Close() // waits for the slow write
+	g.Expect(s.Get(ctx, "lease", "moves")).To(Equal(got))
+	g.Expect(got.Rev).To(Equal(store.Rev("1")))
+}
+
 // Guards against a stand-in without the platform's limits.
 func TestLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
