--- a/core/store/http.go
+++ b/core/store/http.go
@@ -39,6 +39,8 @@
 	watch  time.Duration
 }
 
+var _ Store = (*HTTP)(nil)
+
 // Option sets one property of an HTTP store.
 type Option func(*HTTP)
 
--- a/core/store/memory/memory.go
+++ b/core/store/memory/memory.go
@@ -39,6 +39,8 @@
 	lose    int
 }
 
+var _ store.Store = (*Store)(nil)
+
 // NewMemory returns an empty store.
 func NewMemory() *Store {
 	return &Store{objects: map[key]store.Object{}, changed: make(chan struct{})}
--- a/core/store/settle.go
+++ b/core/store/settle.go
@@ -48,7 +48,7 @@
 			return out, err
 		}
 		if !sleep(ctx, pause) {
-			return out, errors.Wrap(ErrUnsure, ctx.Err().Error())
+			return out, errors.Wrapf(ErrUnsure, "%v, after: %v", ctx.Err(), err)
 		}
 	}
 }
--- a/standin/engine/fault_test.go
+++ b/standin/engine/fault_test.go
@@ -123,3 +123,18 @@
 		g.Expect(load(g, e).Left).To(Equal(ident.Tokens(0)))
 	})
 }
+
+// Guards against a slow engine that is slow for some of its work only.
+func TestSlowStretchesAllWork(t *testing.T) {
+	took := func(f engine.Faults) (d time.Duration) {
+		run(t, func(_ *WithT, e *engine.Engine) {
+			e.Set(f)
+			start := time.Now()
+			ask(e, "a", strings.Repeat("q", 40000), 20)
+			d = time.Since(start)
+		})
+		return d
+	}
+	g := NewWithT(t)
+	g.Expect(took(engine.Faults{Slow: 3})).To(BeNumerically("~", 3*took(engine.Faults{}), time.Millisecond))
+}
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -68,6 +68,7 @@
 		case !sleep(ctx, c.down):
 			return nil
 		}
+		h.absorb()
 		if err = h.relisten(ctx); err != nil {
 			return err
 		}
@@ -100,6 +101,14 @@
 	return c, nil
 }
 
+// absorb drops a crash that was ordered while the host was down, by a call from before.
+func (h *Host) absorb() {
+	select {
+	case <-h.crashes:
+	default:
+	}
+}
+
 // relisten binds the same address again; another socket may hold it for a moment.
 func (h *Host) relisten(ctx context.Context) (err error) {
 	for {
