Picking: sampled estimates with affinity, region price and trust

Cause: the picker returned the first two targets of a pool. Ruled out: a scan of the pool (cost grows with it); cache sets shared by all pools (the same prompt is cached apart per version); holders of a block without bound (a system prompt is held by all); comparing outcomes with the current speed (a lasting slowness would look normal). Change: lists of usable targets per pool and region, four random members plus up to three holders of the longest prefix plus one of the other region, own offers counted until a report covers them, prefix knowledge that a gap discards, link budget and price, trust that bad outcomes reduce and good ones restore step by step, Lower.

--- /dev/null
+++ b/core/pick/choose.go
@@ -0,0 +1,134 @@
+package pick
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// candidatesMax bounds the targets compared per request.
+const candidatesMax = 2*samples + holdersMax
+
+// round is one choice; it lives on the stack.
+type round struct {
+	p     *Picker
+	now   time.Time
+	r     *Request
+	found [candidatesMax]score
+	n     int
+}
+
+// Pick appends up to OffersMax targets for the request to dst, the best first. It does not allocate when
+// dst has room.
+func (p *Picker) Pick(now time.Time, r Request, dst []Choice) []Choice {
+	pl := p.pools[poolKey{r.Service, r.Version}]
+	if pl == nil {
+		return dst
+	}
+	c := round{p: p, now: now, r: &r}
+	far := len(pl.far) > 0 && p.link.open(now, crossing(&r))
+	c.sample(pl.own, samples)
+	for _, t := range pl.longest(r.Blocks) {
+		if t != nil && t.slot >= 0 && (far || !t.remote) && c.n > 0 {
+			c.consider(t, true)
+		}
+	}
+	switch {
+	case far && c.n > 0:
+		c.sample(pl.far, farSamples)
+	case far:
+		c.sample(pl.far, samples)
+	}
+	return c.best(dst)
+}
+
+// sample considers up to n random members of a list. When none of them is admitted, it takes the first
+// admissible one after a random position, so that a request finds a slow target if there is no other.
+func (c *round) sample(list []*target, n int) {
+	if len(list) == 0 {
+		return
+	}
+	before, start := c.n, c.p.rnd.IntN(len(list))
+	if len(list) <= n {
+		for i := range list {
+			c.consider(list[(start+i)%len(list)], true)
+		}
+	}
+	for tries := 2 * n; len(list) > n && tries > 0 && c.n-before < n; tries-- {
+		c.consider(list[c.p.rnd.IntN(len(list))], true)
+	}
+	for i := 0; i < len(list) && c.n == before; i++ {
+		c.consider(list[(start+i)%len(list)], false)
+	}
+}
+
+// consider adds a target unless it is excluded, was considered before, or, when gated, its trust does
+// not admit it this time.
+func (c *round) consider(t *target, gated bool) {
+	if c.n >= candidatesMax || c.now.Before(t.until) || slices.Contains(c.r.Tried, t.ID) {
+		return
+	}
+	for i := range c.n {
+		if c.found[i].target == t {
+			return
+		}
+	}
+	if gated && t.trust < 1 && c.p.rnd.Float64() >= t.trust {
+		return
+	}
+	c.found[c.n] = c.p.estimate(t, c.r)
+	c.n++
+}
+
+// best appends the candidates with the lowest estimates.
+func (c *round) best(dst []Choice) []Choice {
+	first, second := -1, -1
+	for i := range c.n {
+		switch {
+		case first < 0 || c.found[i].time < c.found[first].time:
+			first, second = i, first
+		case second < 0 || c.found[i].time < c.found[second].time:
+			second = i
+		}
+	}
+	for _, i := range [OffersMax]int{first, second} {
+		if i >= 0 {
+			dst = append(dst, c.found[i].choice())
+		}
+	}
+	return dst
+}
+
+func (s *score) choice() Choice {
+	t := s.target
+	return Choice{
+		Target: t.ID, Agent: t.Agent, Estimate: s.time, Cached: s.cached, Floor: t.floor, Remote: t.remote,
+	}
+}
+
+// Lower appends all usable targets of the request's pool whose lowest waiting tier is lower than the
+// request's, the lowest first and the own region first among equals. The request is offered to them
+// before it is shed.
+func (p *Picker) Lower(now time.Time, r Request, dst []Choice) []Choice {
+	pl := p.pools[poolKey{r.Service, r.Version}]
+	if pl == nil {
+		return dst
+	}
+	n := len(dst)
+	dst = p.lower(pl.own, &r, dst)
+	if p.link.open(now, crossing(&r)) {
+		dst = p.lower(pl.far, &r, dst)
+	}
+	slices.SortStableFunc(dst[n:], func(a, b Choice) int { return cmp.Compare(b.Floor, a.Floor) })
+	return dst
+}
+
+func (p *Picker) lower(list []*target, r *Request, dst []Choice) []Choice {
+	for _, t := range list {
+		if t.floor > r.Tier && !slices.Contains(r.Tried, t.ID) {
+			s := p.estimate(t, r)
+			dst = append(dst, s.choice())
+		}
+	}
+	return dst
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -9,22 +9,61 @@
 	"hickoryvane.example/core/wire"
 )
 
+const (
+	// OffersMax is the number of targets chosen per request.
+	OffersMax = 2
+	// samples is the number of random members compared per request; with it the cost of a choice does
+	// not depend on the number of targets.
+	samples = 4
+	// farSamples is the number of random members of the other region, while the own one has any.
+	farSamples = 1
+	// Lag is the time before a report's receipt within which an offer may not be counted in it: one
+	// round trip and the agent's own delay.
+	Lag = 20 * time.Millisecond
+)
+
 // Picker holds what one router knows of its targets. It is not safe for concurrent use.
 type Picker struct {
 	rnd     *rand.Rand
 	region  ident.Region
+	lag     time.Duration
+	blocks  int
+	price   time.Duration
+	link    link
 	targets map[ident.TargetID]*target
-	list    []*target
+	pools   map[poolKey]*pool
 }
 
-type target struct{ Target }
-
 // Option changes a limit of a Picker.
 type Option func(*Picker)
 
+// WithLag sets the time before a report within which offers are not taken as counted in it.
+func WithLag(d time.Duration) Option { return func(p *Picker) { p.lag = d } }
+
+// WithBlocks sets the largest number of cached blocks remembered per target.
+func WithBlocks(n int) Option { return func(p *Picker) { p.blocks = n } }
+
+// WithPrice sets the time that a mebibyte over the region link is worth.
+func WithPrice(perMiB time.Duration) Option { return func(p *Picker) { p.price = perMiB } }
+
+// WithLink sets the request traffic that this router may send over the region link, in bytes per second,
+// and the bytes that it may send at once.
+func WithLink(rate, burst ident.Bytes) Option {
+	return func(p *Picker) { p.link.rate, p.link.burst, p.link.level = rate, burst, float64(burst) }
+}
+
 // New returns a picker without targets for a router in the given region.
 func New(rnd *rand.Rand, region ident.Region, opts ...Option) *Picker {
-	p := &Picker{rnd: rnd, region: region, targets: map[ident.TargetID]*target{}}
+	p := &Picker{
+		rnd:     rnd,
+		region:  region,
+		lag:     Lag,
+		blocks:  BlocksMax,
+		price:   Price,
+		link:    newLink(),
+		targets: map[ident.TargetID]*target{},
+		pools:   map[poolKey]*pool{},
+	}
 	for _, o := range opts {
 		o(p)
 	}
@@ -33,51 +72,108 @@
 
 // Put adds a target or changes its declaration. A target that was known keeps what was learnt of it.
 func (p *Picker) Put(_ time.Time, t Target) {
-	n := &target{Target: t}
-	p.targets[t.ID] = n
-	p.list = append(p.list, n)
+	old := p.targets[t.ID]
+	if old == nil {
+		old = &target{trust: 1, cache: newCache(p.blocks), floor: noFloor}
+		p.targets[t.ID] = old
+	} else {
+		p.leave(old)
+	}
+	old.Target = t
+	p.join(old)
 }
 
 // Drop removes a target.
-func (p *Picker) Drop(id ident.TargetID) { delete(p.targets, id) }
+func (p *Picker) Drop(id ident.TargetID) {
+	if t := p.targets[id]; t != nil {
+		p.leave(t)
+		delete(p.targets, id)
+	}
+}
 
 // Suspect excludes a target while its agent is suspected, lost or leaving, and admits it again gently.
-func (p *Picker) Suspect(_ time.Time, _ ident.TargetID, _ bool) {}
+func (p *Picker) Suspect(_ time.Time, id ident.TargetID, suspected bool) {
+	if t := p.targets[id]; t != nil {
+		t.suspected = suspected
+		p.place(t)
+	}
+}
 
 // Refused excludes a target for the given time after its agent refused an offer.
-func (p *Picker) Refused(_ time.Time, _ ident.TargetID, _ time.Duration) {}
+func (p *Picker) Refused(now time.Time, id ident.TargetID, d time.Duration) {
+	if t := p.targets[id]; t != nil && d > 0 {
+		t.until = now.Add(d)
+	}
+}
+
+// Restarted forgets the reports of a target whose agent started anew, so that numbers may start at 1.
+func (p *Picker) Restarted(_ time.Time, id ident.TargetID) {
+	t := p.targets[id]
+	if t == nil {
+		return
+	}
+	t.report, t.running, t.held, t.window, t.sent = 0, 0, 0, 0, t.sent[:0]
+	t.waiting, t.floor = t.waiting[:0], noFloor
+	t.trust = min(t.trust, trustAgain)
+	t.pool.forget(t)
+	t.cache.reset()
+	t.cache.seq = 0
+}
 
 // Load takes in a load report. Reports with an old sequence number are ignored.
-func (p *Picker) Load(_ time.Time, _ *wire.Load) {}
+func (p *Picker) Load(now time.Time, l *wire.Load) {
+	t := p.targets[l.Target]
+	if t == nil || l.Seq <= t.report {
+		return
+	}
+	t.load(now.Add(-p.lag), l)
+	if l.Version != "" && l.Version != t.Version {
+		p.leave(t)
+		t.Version = l.Version
+		p.join(t)
+	}
+	t.pool.learn(l)
+	p.place(t)
+}
 
 // Cache takes in a report about a prefix cache. After a gap nothing is trusted until a reset.
-func (p *Picker) Cache(_ *wire.Cache) {}
-
-// Restarted forgets the reports of a target whose agent started anew, so that numbers may start at 1.
-func (p *Picker) Restarted(_ time.Time, _ ident.TargetID) {}
+func (p *Picker) Cache(c *wire.Cache) {
+	t := p.targets[c.Target]
+	if t == nil || c.Seq <= t.cache.seq {
+		return
+	}
+	gap := c.Seq != t.cache.seq+1
+	t.cache.seq = c.Seq
+	if c.Reset || gap {
+		t.pool.forget(t)
+		t.cache.reset()
+		t.cache.trusted = c.Reset
+	}
+	if t.cache.trusted {
+		t.pool.apply(t, c)
+	}
+}
 
 // Sent records an offer to a target.
-func (p *Picker) Sent(_ time.Time, _ ident.TargetID, _ *Request) {}
+func (p *Picker) Sent(now time.Time, id ident.TargetID, r *Request) {
+	if t := p.targets[id]; t != nil {
+		t.add(send{id: r.ID, at: now, tier: r.Tier, tokens: r.Prompt + r.Output})
+	}
+}
 
 // Withdrawn records that an offer was taken back or refused.
-func (p *Picker) Withdrawn(_ ident.TargetID, _ ident.RequestID) {}
+func (p *Picker) Withdrawn(id ident.TargetID, r ident.RequestID) {
+	if t := p.targets[id]; t != nil {
+		t.remove(r)
+	}
+}
 
 // Crossed charges bytes to the budget of the region link.
-func (p *Picker) Crossed(_ time.Time, _ ident.Bytes) {}
+func (p *Picker) Crossed(now time.Time, n ident.Bytes) { p.link.charge(now, n) }
 
 // Done learns from the end of a request.
-func (p *Picker) Done(_ time.Time, _ ident.TargetID, _ Outcome) {}
-
-// Pick appends up to two targets for the request to dst, the best first.
-func (p *Picker) Pick(_ time.Time, r Request, dst []Choice) []Choice {
-	for _, t := range p.list {
-		if t.Service == r.Service && t.Version == r.Version && len(dst) < 2 {
-			dst = append(dst, Choice{Target: t.ID, Agent: t.Agent})
-		}
+func (p *Picker) Done(_ time.Time, id ident.TargetID, o Outcome) {
+	if t := p.targets[id]; t != nil {
+		t.done(o)
 	}
-	return dst
 }
-
-// Lower appends all targets of the request's pool whose lowest waiting tier is lower than the request's,
-// the lowest first. The request is offered to them before it is shed.
-func (p *Picker) Lower(_ time.Time, _ Request, dst []Choice) []Choice { return dst }
--- a/core/pick/types.go
+++ b/core/pick/types.go
@@ -40,6 +40,8 @@
 	Estimate time.Duration
 	// Cached is the number of prompt tokens expected in the prefix cache.
 	Cached ident.Tokens
+	// Floor is the lowest tier that waited there by the last report; 255 when nothing waited.
+	Floor ident.Tier
 	// Remote is true when the target is in another region; the bytes are to be reported with Crossed.
 	Remote bool
 }
