Queue and picking: steady window, margin on the expected wait, order of Lower

The window swung between the gap target and three quarters of it, and after each reduction nothing was granted for up to 2 s; offers waited for their whole deadline at two slow targets; offers to all agents at once before shedding counted as waiting work everywhere.

--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -107,8 +107,8 @@
 }
 
 // Lower appends all usable targets of the request's pool whose lowest waiting tier is lower than the
-// request's, the lowest first and the own region first among equals. The request is offered to them
-// before it is shed.
+// request's, the best estimate first. The request is offered to them, OffersMax at a time, before it is
+// shed; an offer to all at once would count as waiting work everywhere.
 func (p *Picker) Lower(now time.Time, r Request, dst []Choice) []Choice {
 	pl := p.pools[poolKey{r.Service, r.Version}]
 	if pl == nil {
@@ -119,7 +119,7 @@
 	if p.link.open(now, crossing(&r)) {
 		dst = p.lower(pl.far, &r, dst)
 	}
-	slices.SortStableFunc(dst[n:], func(a, b Choice) int { return cmp.Compare(b.Floor, a.Floor) })
+	slices.SortStableFunc(dst[n:], func(a, b Choice) int { return cmp.Compare(a.Estimate, b.Estimate) })
 	return dst
 }
 
--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -6,6 +6,11 @@
 	"hickoryvane.example/core/ident"
 )
 
+// waitMargin is the multiple of the expected wait within which a new offer has to meet its deadline. Waits
+// scatter widely: if exponentially, one of seven exceeds twice the mean. An offer that is refused at once can
+// still be made elsewhere, one that lapses cannot.
+const waitMargin = 2
+
 // feasible reports whether a request that starts at the given time meets its deadline.
 func (q *Queue) feasible(start time.Time, it *Item) bool {
 	return !start.Add(q.speed.prefillTime(it.Prompt - it.Cached)).After(it.Deadline)
--- a/core/queue/window.go
+++ b/core/queue/window.go
@@ -25,6 +25,10 @@
 	stallFactor = 4
 	// growSettle is the time after a growth before the next step, in which its effect shows in the rate.
 	growSettle = 2 * evalTime
+	// growMargin is the part of the gap target above which the window does not grow. Without it the
+	// window swings between the target and three quarters of it, and after each reduction nothing is
+	// granted, not even a high tier, until a quarter of the running requests has ended.
+	growMargin = 0.9
 	// rateNoise is the part of the earlier throughput below which a growth counts as useless. With 1 and
 	// without growSettle, noise made useful steps look useless: recovery after slowness took 56 s
 	// instead of 20 s in the model engine of the tests.
@@ -92,7 +96,7 @@
 	switch {
 	case w.slow():
 		w.shrink(now, len(q.run))
-	case bound && w.firsts+int(w.gapTokens+w.ended) > 0 && !now.Before(w.hold):
+	case bound && w.easy() && !now.Before(w.hold):
 		w.grow(now, q.held/ident.Tokens(max(len(q.run), 1)))
 	}
 	w.reset(now)
@@ -122,6 +126,12 @@
 	return w.gapTime > time.Duration(w.gapTokens)*w.gapTarget || 2*w.late > w.firsts
 }
 
+// easy reports whether there is evidence that the engine is well within its targets.
+func (w *window) easy() bool {
+	gap := time.Duration(growMargin * float64(w.gapTarget))
+	return w.late == 0 && w.gapTime <= time.Duration(w.gapTokens)*gap && w.firsts+int(w.gapTokens+w.ended) > 0
+}
+
 // shrink reduces the window by a quarter. While the engine still holds more than the window, a further
 // reduction would have no effect and only delay the recovery.
 func (w *window) shrink(now time.Time, running int) {
