--- /dev/null
+++ b/core/conf/apply.go
@@ -0,0 +1,254 @@
+package conf
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/store"
+)
+
+const (
+	// ApplyTime bounds the calls of the object API of one apply, with retries. It leaves 2 s of the 7 s in
+	// which a configuration must be in force everywhere for the push.
+	ApplyTime = 5 * time.Second
+	// retryFirst and retryLast bound the wait before a call is repeated; it doubles with each try.
+	retryFirst = 100 * time.Millisecond
+	retryLast  = time.Second
+)
+
+// Op is a call of the object API.
+type Op uint8
+
+// Calls. End means that the sequence is over.
+const (
+	Read Op = iota + 1
+	Create
+	Update
+	End
+)
+
+// Step is the call that an Apply asks for next.
+type Step struct {
+	Op Op
+	// Object names what to read, or holds what to write.
+	Object store.Object
+	// Wait is the time to wait before the call.
+	Wait time.Duration
+}
+
+// Result is the kind of end of an Apply.
+type Result string
+
+// Results.
+const (
+	// Applied means that the configuration is accepted.
+	Applied Result = "accepted"
+	// Unchanged means that the accepted configuration is the same already; nothing was written.
+	Unchanged Result = "unchanged"
+	// Conflict means that another configuration was accepted meanwhile; this one is not.
+	Conflict Result = "conflict"
+	// Refused means that the configuration has faults or would harm a running move; nothing was written.
+	Refused Result = "refused"
+	// Unavailable means that the object API did not answer in time; nothing was written.
+	Unavailable Result = "unavailable"
+	// Unsure means that a write may have taken effect, or may still do so, and could not be read back in time.
+	Unsure Result = "unknown"
+	// Broken means that the stored object cannot be read as a configuration, or that it cannot be written.
+	Broken Result = "broken"
+)
+
+// Outcome is the end of an Apply.
+type Outcome struct {
+	Result Result
+	// Config is the accepted configuration for Applied and Unchanged, the other one for Conflict.
+	Config Config
+	// Changes names what the apply changes; for Conflict, what the other configuration changed.
+	Changes  []Change
+	Problems []Problem
+	Err      error
+}
+
+// Apply is the sequence that makes a configuration the accepted one: read, compare, conditional update, and
+// read back before any second write. It is a state machine: the caller makes the calls and reports answers.
+type Apply struct {
+	next  Config
+	known []MoveStatus
+	// expect is the generation that the operator has seen; nil accepts any.
+	expect *ident.Generation
+	limit  time.Time
+	step   Step
+	// base is the object found by the first read and old its content; the write depends on its version.
+	base  store.Object
+	old   Config
+	based bool
+	// sent is true once a write may have taken effect.
+	sent  bool
+	tries int
+	out   Outcome
+}
+
+// ApplyOption changes an Apply at construction.
+type ApplyOption func(*Apply)
+
+// Expect makes the apply a conflict when another generation than g is accepted.
+func Expect(g ident.Generation) ApplyOption { return func(a *Apply) { a.expect = &g } }
+
+// Known tells the apply the states of moves; a move of which nothing is known counts as running.
+func Known(moves []MoveStatus) ApplyOption { return func(a *Apply) { a.known = moves } }
+
+// NewApply returns the sequence for a configuration; attempt must be unique among all applies.
+func NewApply(now time.Time, next Config, attempt string, opts ...ApplyOption) *Apply {
+	a := &Apply{next: next, limit: now.Add(ApplyTime)}
+	a.next.Attempt = attempt
+	for _, o := range opts {
+		o(a)
+	}
+	a.read()
+	if problems := Check(next); len(problems) > 0 {
+		a.end(Outcome{Result: Refused, Problems: problems})
+	}
+	return a
+}
+
+// Attempt returns the id of this attempt.
+func (a *Apply) Attempt() string { return a.next.Attempt }
+
+// Step returns the call to make next.
+func (a *Apply) Step() Step { return a.step }
+
+// Outcome returns the end; it is valid when Step asks for End.
+func (a *Apply) Outcome() Outcome { return a.out }
+
+// Answer takes the answer to the last step at the time now.
+func (a *Apply) Answer(now time.Time, o store.Object, err error) {
+	switch {
+	case a.step.Op == End:
+	case a.step.Op == Read:
+		a.answered(now, o, err)
+	case err == nil:
+		a.end(Outcome{Result: Applied, Config: a.next, Changes: Diff(a.old, a.next)})
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrExists), errors.Is(err, store.ErrNotFound):
+		a.again(now, nil)
+	default:
+		// Only ErrUnavailable promises that the write had no effect.
+		a.sent = a.sent || !errors.Is(err, store.ErrUnavailable)
+		a.again(now, err)
+	}
+}
+
+// answered handles the answer to a read.
+func (a *Apply) answered(now time.Time, o store.Object, err error) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		a.again(now, err)
+		return
+	}
+	var cfg Config
+	if err == nil {
+		if cfg, err = Decode(o.Value); err != nil {
+			a.end(Outcome{Result: Broken, Err: err})
+			return
+		}
+	}
+	switch {
+	case !a.based:
+		a.base, a.old, a.based = o, cfg, true
+		a.compare(now)
+	case o.Rev == a.base.Rev:
+		a.write()
+	default:
+		a.resolve(cfg)
+	}
+}
+
+// compare decides whether the configuration may replace the accepted one.
+func (a *Apply) compare(now time.Time) {
+	changes := Diff(a.old, a.next)
+	problems := append(Guard(a.old, a.next, InProgress(a.old, a.known)), a.passed(now)...)
+	if a.old.Generation > 0 && a.old.Deployment != a.next.Deployment {
+		problems = append(problems, Problem{Key: "deployment", Text: "the object API belongs to deployment " + a.old.Deployment})
+	}
+	switch {
+	case a.old.Generation > 0 && len(changes) == 0:
+		a.end(Outcome{Result: Unchanged, Config: a.old})
+	case a.expect != nil && *a.expect != a.old.Generation:
+		a.end(Outcome{Result: Conflict, Config: a.old, Changes: Diff(a.next, a.old)})
+	case len(problems) > 0:
+		a.end(Outcome{Result: Refused, Problems: problems})
+	default:
+		a.next.Generation = a.old.Generation + 1
+		a.next.Past = past(a.old)
+		a.write()
+	}
+}
+
+// passed returns a problem for each new move whose deadline has passed: it would be taken back at once.
+func (a *Apply) passed(now time.Time) (problems []Problem) {
+	for _, m := range a.next.Moves {
+		if _, known := findMove(a.old, m.Name); !known && !m.Deadline.After(now) {
+			problems = append(problems, Problem{Key: at("moves", m.Name) + ".deadline", Text: "has passed already"})
+		}
+	}
+	return problems
+}
+
+// past returns the attempts before the one that follows cfg.
+func past(cfg Config) []string {
+	if cfg.Generation == 0 {
+		return nil
+	}
+	list := append([]string{cfg.Attempt}, cfg.Past...)
+	return list[:min(len(list), PastMax)]
+}
+
+// resolve decides from a changed object whether this attempt or another one was accepted. This attempt
+// cannot take effect later, because the version on which its write depends is gone.
+func (a *Apply) resolve(cfg Config) {
+	mine := a.next
+	back := slices.Index(cfg.Past, mine.Attempt)
+	switch {
+	case cfg.Attempt == mine.Attempt, back >= 0:
+		a.end(Outcome{Result: Applied, Config: mine, Changes: Diff(a.old, mine)})
+	case a.sent && cfg.Generation > mine.Generation+PastMax:
+		a.end(Outcome{Result: Unsure, Config: cfg})
+	default:
+		a.end(Outcome{Result: Conflict, Config: cfg, Changes: Diff(a.old, cfg)})
+	}
+}
+
+func (a *Apply) write() {
+	value, err := Encode(a.next)
+	if err != nil {
+		a.end(Outcome{Result: Broken, Err: err})
+		return
+	}
+	a.step = Step{Op: Update, Object: store.Object{Sort: ConfigSort, Name: ConfigName, Rev: a.base.Rev, Value: value}}
+	if a.old.Generation == 0 && a.base.Rev == "" {
+		a.step.Op = Create
+	}
+}
+
+func (a *Apply) read() {
+	a.step = Step{Op: Read, Object: store.Object{Sort: ConfigSort, Name: ConfigName}}
+}
+
+// again reads after a failed call, unless the time is up.
+func (a *Apply) again(now time.Time, err error) {
+	wait := min(retryFirst<<min(a.tries, 8), retryLast)
+	a.tries++
+	switch {
+	case !now.Add(wait).After(a.limit):
+		a.read()
+		a.step.Wait = wait
+	case a.sent:
+		a.end(Outcome{Result: Unsure, Err: err})
+	default:
+		a.end(Outcome{Result: Unavailable, Err: err})
+	}
+}
+
+func (a *Apply) end(out Outcome) {
+	a.out, a.step = out, Step{Op: End}
+}
