--- a/core/conf/apply.go
+++ b/core/conf/apply.go
@@ -166,7 +166,7 @@
 // compare decides whether the configuration may replace the accepted one.
 func (a *Apply) compare(now time.Time) {
 	changes := Diff(a.old, a.next)
-	problems := append(Guard(a.old, a.next, InProgress(a.old, a.known)), a.passed(now)...)
+	problems := append(Guard(a.old, a.next, InProgress(a.old, a.known)), a.begins(now)...)
 	if a.old.Generation > 0 && a.old.Deployment != a.next.Deployment {
 		problems = append(problems, Problem{Key: "deployment", Text: "the object API belongs to deployment " + a.old.Deployment})
 	}
@@ -184,14 +184,22 @@
 	}
 }
 
-// passed returns a problem for each new move whose deadline has passed: it would be taken back at once.
-func (a *Apply) passed(now time.Time) (problems []Problem) {
+// begins returns a problem for each new move that would end at once: its deadline has passed, or a move of
+// its name is recorded as ended.
+func (a *Apply) begins(now time.Time) []Problem {
+	r := newReport()
 	for _, m := range a.next.Moves {
-		if _, known := findMove(a.old, m.Name); !known && !m.Deadline.After(now) {
-			problems = append(problems, Problem{Key: at("moves", m.Name) + ".deadline", Text: "has passed already"})
+		if _, known := findMove(a.old, m.Name); known {
+			continue
+		}
+		if !m.Deadline.After(now) {
+			r.add(at("moves", m.Name)+".deadline", "has passed already")
+		}
+		if slices.ContainsFunc(a.known, func(k MoveStatus) bool { return k.Name == m.Name && k.State.Ended() }) {
+			r.add(at("moves", m.Name)+".name", "is the name of a move that has ended; use a new name")
 		}
 	}
-	return problems
+	return r.list()
 }
 
 // past returns the attempts before the one that follows cfg.
--- a/core/conf/apply_test.go
+++ b/core/conf/apply_test.go
@@ -172,7 +172,9 @@
 	next = clone(t, cfg)
 	next.Moves = nil
 	ended := conf.MoveStatus{Name: "up", Service: "llm", From: "v1", To: "v2", State: conf.TakenBack}
-	g.Expect(drive(s, conf.NewApply(start, next, "four", conf.Known([]conf.MoveStatus{ended}))).Result).To(Equal(conf.Applied))
+	known := conf.Known([]conf.MoveStatus{ended})
+	g.Expect(drive(s, conf.NewApply(start, next, "four", known)).Result).To(Equal(conf.Applied))
+	g.Expect(refused(drive(s, conf.NewApply(start, cfg, "five", known)))).To(ConsistOf(ContainSubstring("moves[up].name: is the name of a move that has ended")))
 }
 
 // Guards against a process that serves while it cannot know the configuration, or never serves.
--- a/core/conf/guard.go
+++ b/core/conf/guard.go
@@ -9,27 +9,37 @@
 // InProgress returns the moves of cfg that run or may run: those whose end is not recorded and that are not
 // known to wait. A move of which nothing is known counts as running, which is the safe direction.
 func InProgress(cfg Config, known []MoveStatus) (running []MoveStatus) {
+	known = Gather(known)
 	for _, m := range cfg.Moves {
-		if st := latest(m, known); st.State == Running {
+		st := MoveStatus{Name: m.Name, Service: m.Service, From: m.From, To: m.To, State: Running}
+		if i := slices.IndexFunc(known, st.same); i >= 0 {
+			st = known[i]
+		}
+		if st.State == Running {
 			running = append(running, st)
 		}
 	}
 	return running
 }
 
-// latest merges what several sources know of a move: an end prevails over running, running over waiting.
-func latest(m Move, known []MoveStatus) MoveStatus {
-	st := MoveStatus{Name: m.Name, Service: m.Service, From: m.From, To: m.To}
+// Gather merges what several sources say of moves into one status each, in the order of their first mention:
+// an end prevails over running, and running over waiting.
+func Gather(known []MoveStatus) (list []MoveStatus) {
 	for _, k := range known {
-		same := k.Name == m.Name && k.Service == m.Service && k.From == m.From && k.To == m.To
-		if same && (st.State == "" || k.State.Ended() || st.State == Waiting) {
-			st = k
+		i := slices.IndexFunc(list, k.same)
+		switch {
+		case i < 0:
+			list = append(list, k)
+		case !list[i].State.Ended() && (k.State.Ended() || list[i].State == Waiting):
+			list[i] = k
 		}
 	}
-	if st.State == "" {
-		st.State = Running
-	}
-	return st
+	return list
+}
+
+// same reports whether both statuses are of one move. A name may be used again for another move later.
+func (m MoveStatus) same(o MoveStatus) bool {
+	return m.Name == o.Name && m.Service == o.Service && m.From == o.From && m.To == o.To
 }
 
 // Guard returns the faults of replacing the configuration old by next while the given moves run. A running
--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -76,7 +76,7 @@
 	// Store is the address of the object API.
 	Store string `json:"store" need:"yes" form:"address"`
 	// Processes are admin addresses, some of each region.
-	Processes []string `json:"processes" need:"yes" limit:"1..1024" form:"address"`
+	Processes []string `json:"processes" need:"yes" limit:"1..256" form:"address"`
 }
 
 // Standin holds the settings of one stand-in of the platform, for tests and the demo.
--- /dev/null
+++ b/hickoryvane/cmd_check.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"hickoryvane.example/core/conf"
+)
+
+func checkVerb(t *tool, _ *ff.FlagSet) func(context.Context, []string) error {
+	return func(_ context.Context, args []string) (err error) {
+		dir, err := only(args, "folder")
+		if err != nil {
+			return err
+		}
+		cfg, problems := conf.Load(dir)
+		if len(problems) > 0 {
+			return faults(problems)
+		}
+		fmt.Fprintf(t.out, "%s: no faults; %d accounts, %d tiers, %d services, %d targets, %d moves\n", cfg.Deployment,
+			len(cfg.Accounts), len(cfg.Tiers), len(cfg.Services), len(cfg.Targets), len(cfg.Moves))
+		return nil
+	}
+}
--- /dev/null
+++ b/hickoryvane/cmd_moves.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/store"
+)
+
+func movesVerb(t *tool, fs *ff.FlagSet) func(context.Context, []string) error {
+	t.addSettings(fs)
+	return func(ctx context.Context, args []string) (err error) {
+		if err = none(args); err != nil {
+			return err
+		}
+		set, err := t.operator()
+		if err != nil {
+			return err
+		}
+		records, serr := recorded(ctx, t.open(set.Store))
+		if serr != nil {
+			fmt.Fprintln(t.out, "records of ended moves are unknown:", serr)
+		}
+		reports := askAll(ctx, set.Processes)
+		t.printMoves(records, stated(reports))
+		if serr != nil && len(answered(reports)) == 0 {
+			return errSilent
+		}
+		return nil
+	}
+}
+
+// recorded returns the moves that the object API records.
+func recorded(ctx context.Context, s store.Store) (list []conf.MoveStatus, err error) {
+	objects, _, err := s.List(ctx, conf.MoveSort)
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range objects {
+		m, err := conf.DecodeMove(o.Value)
+		if err != nil {
+			return list, err
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+// stated returns the moves of all processes that answered.
+func stated(reports []report) (list []conf.MoveStatus) {
+	for _, s := range answered(reports) {
+		list = append(list, s.Moves...)
+	}
+	return list
+}
+
+func (t *tool) printMoves(records, moves []conf.MoveStatus) {
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MOVE\tSERVICE\tFROM\tTO\tSTATE\tSHARE\tRECORDED\tBEGAN\tENDED\tREASON")
+	// The records come first, so that a recorded end prevails over what processes state.
+	for _, m := range conf.Gather(append(slices.Clone(records), moves...)) {
+		known := slices.ContainsFunc(records, func(r conf.MoveStatus) bool { return r.Name == m.Name && r.State == m.State })
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f%%\t%t\t%s\t%s\t%s\n", m.Name, m.Service, m.From, m.To, m.State,
+			100*m.Share, known, stamp(m.Began), stamp(m.Ended), m.Reason)
+	}
+	_ = w.Flush() // the output is a terminal or a pipe whose reader may be gone
+}
--- /dev/null
+++ b/hickoryvane/fleet.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/conf"
+)
+
+// askTime bounds one question to a process, which answers from memory.
+const askTime = 2 * time.Second
+
+// report is the answer of one process.
+type report struct {
+	addr   string
+	status conf.Status
+	err    error
+}
+
+// askAll returns the status of each process, in the order of the addresses.
+func askAll(ctx context.Context, addrs []string) []report {
+	return each(ctx, addrs, func(ctx context.Context, addr string) report {
+		s, err := ask(ctx, addr)
+		return report{addr: addr, status: s, err: err}
+	})
+}
+
+// answered returns the statuses of the processes that answered.
+func answered(reports []report) (list []conf.Status) {
+	for _, r := range reports {
+		if r.err == nil {
+			list = append(list, r.status)
+		}
+	}
+	return list
+}
+
+// ask returns the status of the process at an admin address.
+func ask(ctx context.Context, addr string) (s conf.Status, err error) {
+	defer func() { err = errors.WithMessagef(err, "ask %s", addr) }()
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	req, err := sling.New().Base("http://" + addr).Get(conf.StatusPath).Request()
+	if err != nil {
+		return s, err
+	}
+	resp, err := sling.New().Do(req.WithContext(ctx), &s, nil)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.New(resp.Status)
+	}
+	return s, err
+}
+
+// each calls f for all addresses at once and returns the results in their order. The settings bound the
+// number of addresses.
+func each[T any](ctx context.Context, addrs []string, f func(context.Context, string) T) []T {
+	ended := make(chan struct{})
+	list := make([]T, len(addrs))
+	for i, addr := range addrs {
+		go func() {
+			list[i] = f(ctx, addr)
+			ended <- struct{}{}
+		}()
+	}
+	for range addrs {
+		<-ended
+	}
+	return list
+}
