Apply after a lost object; tests for faults that none caught

Cause: if the object of the configuration is lost or set back, apply starts again at generation 1, and every process ignores it as older. Ruled out: letting processes accept a lower generation from the object API; a configuration must never revert. Change: apply takes the highest generation in force, read from /status, as a floor. A check reads the struct tags once per type. Tests for move pairs, positions of replaced entries, unreadable files, the bound on metric labels and port 0.

--- a/core/conf/apply.go
+++ b/core/conf/apply.go
@@ -78,8 +78,10 @@
 	known []MoveStatus
 	// expect is the generation that the operator has seen; nil accepts any.
 	expect *ident.Generation
-	limit  time.Time
-	step   Step
+	// floor is the highest generation in force in a process, as far as known.
+	floor ident.Generation
+	limit time.Time
+	step  Step
 	// base is the object found by the first read and old its content; the write depends on its version.
 	base  store.Object
 	old   Config
@@ -99,6 +101,10 @@
 // Known tells the apply the states of moves; a move of which nothing is known counts as running.
 func Known(moves []MoveStatus) ApplyOption { return func(a *Apply) { a.known = moves } }
 
+// Floor gives the apply the highest generation that a process has in force. If the object was lost or set
+// back, the next generation must still be higher than it, or all processes would ignore the configuration.
+func Floor(g ident.Generation) ApplyOption { return func(a *Apply) { a.floor = g } }
+
 // NewApply returns the sequence for a configuration; attempt must be unique among all applies.
 func NewApply(now time.Time, next Config, attempt string, opts ...ApplyOption) *Apply {
 	a := &Apply{next: next, limit: now.Add(ApplyTime)}
@@ -171,14 +177,14 @@
 		problems = append(problems, Problem{Key: "deployment", Text: "the object API belongs to deployment " + a.old.Deployment})
 	}
 	switch {
-	case a.old.Generation > 0 && len(changes) == 0:
+	case a.old.Generation > 0 && a.old.Generation >= a.floor && len(changes) == 0:
 		a.end(Outcome{Result: Unchanged, Config: a.old})
 	case a.expect != nil && *a.expect != a.old.Generation:
 		a.end(Outcome{Result: Conflict, Config: a.old, Changes: Diff(a.next, a.old)})
 	case len(problems) > 0:
 		a.end(Outcome{Result: Refused, Problems: problems})
 	default:
-		a.next.Generation = a.old.Generation + 1
+		a.next.Generation = max(a.old.Generation, a.floor) + 1
 		a.next.Past = past(a.old)
 		a.write()
 	}
--- a/core/conf/apply_test.go
+++ b/core/conf/apply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/store"
 )
 
@@ -152,6 +154,22 @@
 	}
 }
 
+// Guards against an apply that no process takes, after the object was lost or set back.
+func TestApplyAfterALostObject(t *testing.T) {
+	g := NewWithT(t)
+	s := &objects{}
+	cfg := valid(t)
+	for want := ident.Generation(8); want < 10; want++ {
+		out := drive(s, conf.NewApply(start, cfg, fmt.Sprint(want), conf.Floor(want-1)))
+		g.Expect(out.Result).To(Equal(conf.Applied))
+		g.Expect(out.Config.Generation).To(Equal(want))
+		cfg.Limits.Loads++
+	}
+	cfg.Limits.Loads--
+	g.Expect(drive(s, conf.NewApply(start, cfg, "again", conf.Floor(9))).Result).To(Equal(conf.Unchanged))
+	g.Expect(drive(s, conf.NewApply(start, cfg, "higher", conf.Floor(20))).Config.Generation).To(BeEquivalentTo(21))
+}
+
 // Guards against an apply that harms a running move, or a deadline that has passed when it is accepted.
 func TestApplyRefuses(t *testing.T) {
 	g := NewWithT(t)
@@ -210,6 +228,10 @@
 	f.Tick(start.Add(conf.SettleTime))
 	g.Expect(f.Ready()).To(BeTrue(), "silent peers do not hold up a start for ever")
 	f = conf.NewForce("demo")
+	g.Expect(f.FromPeer(start, "p1", cfg)).To(Equal(conf.Accepted))
+	f.Tick(start.Add(time.Hour))
+	g.Expect(f.Ready()).To(BeFalse(), "the object API may hold a newer configuration")
+	f = conf.NewForce("demo")
 	f.StoreEmpty()
 	f.StoreOut(start)
 	f.Tick(start.Add(time.Hour))
--- a/core/conf/decode.go
+++ b/core/conf/decode.go
@@ -82,8 +82,8 @@
 	if key == "" && d.later {
 		return
 	}
-	for i := range v.NumField() {
-		if f := describe(v.Type().Field(i)); f.Need && !seen[f.Key] {
+	for _, f := range d.keys(v.Type()) {
+		if f.Need && !seen[f.Key] {
 			d.add(join(key, f.Key), "is missing")
 		}
 	}
@@ -98,8 +98,7 @@
 		return
 	}
 	seen[name] = true
-	for i := range v.NumField() {
-		f := describe(v.Type().Field(i))
+	for i, f := range d.keys(v.Type()) {
 		if f.Key != name {
 			continue
 		}
--- a/core/conf/guard_test.go
+++ b/core/conf/guard_test.go
@@ -49,6 +49,9 @@
 			runs := waits
 			runs.State = conf.Running
 			g.Expect(conf.InProgress(old, []conf.MoveStatus{waits, runs, waits})).To(HaveLen(1))
+			ended := waits
+			ended.State = conf.Done
+			g.Expect(conf.InProgress(old, []conf.MoveStatus{runs, ended, runs})).To(BeEmpty())
 		})
 	}
 }
--- a/core/conf/limits.go
+++ b/core/conf/limits.go
@@ -50,8 +50,7 @@
 
 // fields checks the values of a struct against its tags.
 func (r *report) fields(v reflect.Value, key string) {
-	for i := range v.NumField() {
-		f := describe(v.Type().Field(i))
+	for i, f := range r.keys(v.Type()) {
 		path := join(key, f.Key)
 		if f.Set != "" || r.has(path) {
 			continue
--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -86,8 +86,7 @@
 
 // given checks the values of the top-level keys that a file holds, also of entries that a later file replaces.
 func (r *report) given(v reflect.Value) {
-	for i := range v.NumField() {
-		f := describe(v.Type().Field(i))
+	for i, f := range r.keys(v.Type()) {
 		if _, ok := r.places[f.Key]; ok && f.Set == "" && !r.has(f.Key) {
 			r.field(v.Field(i), f, f.Key)
 		}
@@ -96,8 +95,7 @@
 
 // totals checks that the needed top-level keys are in some file, and the lengths of the merged lists.
 func (r *report) totals(v reflect.Value) {
-	for i := range v.NumField() {
-		f := describe(v.Type().Field(i))
+	for i, f := range r.keys(v.Type()) {
 		low, high, ok := f.limits()
 		switch {
 		case r.has(f.Key):
@@ -111,15 +109,14 @@
 
 // overlay merges the part read from one file, and its positions and faults, into the whole.
 func overlay(whole, part reflect.Value, all, one *report) {
-	for i := range whole.NumField() {
+	for i, f := range all.keys(whole.Type()) {
 		v := part.Field(i)
 		if !isEntries(v.Type()) {
 			whole.Field(i).Set(v)
 			continue
 		}
-		key := describe(whole.Type().Field(i)).Key
 		for j := range v.Len() {
-			replace(whole.Field(i), v.Index(j), key, all)
+			replace(whole.Field(i), v.Index(j), f.Key, all)
 		}
 	}
 	for key, p := range one.places {
--- a/core/conf/load_test.go
+++ b/core/conf/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -117,6 +118,9 @@
 		{"opposite moves", `{"moves": [` + move("a", "v1", "v2", day) + "," + move("b", "v2", "v1", day) + `]}`, `moves[b]: is opposite to move "a"`},
 		{"overlapping moves", `{"moves": [` + move("a", "v1", "v2", day) + "," + move("b", "v1", "v3", day) + `]}`, `moves[b].from: overlaps move "a"`},
 		{"deadline order", `{"moves": [` + move("a", "v1", "v2", day) + "," + move("b", "v2", "v3", day) + `]}`, `moves[b].deadline: must be after the deadline of move "a"`},
+		{"deadline order, declared later", `{"moves": [` + move("a", "v2", "v3", day) + "," + move("b", "v1", "v2", day) + `]}`, `moves[b].deadline: must be before the deadline of move "a"`},
+		{"same end", `{"moves": [` + move("a", "v1", "v3", day) + "," + move("b", "v2", "v3", day) + `]}`, `moves[b].to: overlaps move "a"`},
+		{"place of a replaced entry", `{"accounts": [{"name": "north", "keys": ["KEY"], "rate": 5, "tier": "low", "tiers": ["low"]}]}`, "b.json:1: accounts[north].burst: must be"},
 		{"move from nowhere", `{"moves": [` + move("a", "v2", "v3", day) + `]}`, `moves[a].from: version "v2" is not the current one`},
 		{"move to itself", `{"moves": [` + move("a", "v1", "v1", day) + `]}`, "moves[a].to: is the same version"},
 	} {
@@ -148,6 +152,15 @@
 		`b.json:3: accounts[s].tiers[1]: tier "y" is not declared`,
 		"b.json:4: limits.claims: is 0; must be 1 to 1000",
 	}))
+	_, problems = conf.Merge([]conf.File{file("a.json", "{"), file("b.json", `{"accounts": [{"name": "s", "keys": ["KEY"], "tier": "x", "tiers": ["x"]}]}`)})
+	NewWithT(t).Expect(problems).To(HaveLen(1), "what the broken file declares is unknown")
+	cfg := valid(t)
+	for i := range 999 {
+		a := cfg.Accounts[0]
+		a.Name, a.Keys = ident.AccountID("a"+strconv.Itoa(i)), []string{ident.HashKey(strconv.Itoa(i))}
+		cfg.Accounts = append(cfg.Accounts, a)
+	}
+	NewWithT(t).Expect(lines(conf.Check(cfg))).To(Equal([]string{"accounts: 1002 accounts and services together; at most 1000 are allowed"}))
 }
 
 // Guards against names in addresses, weak secrets and settings without defaults.
@@ -160,13 +173,14 @@
 	g.Expect(r.Bounds).To(Equal(conf.RouterBounds{Requests: 4096, Body: 2 << 20, Memory: 64 << 20, Agents: 3}))
 
 	_, problems = conf.ParseSettings[conf.Router]("r.json", []byte(head+`"listen": "localhost:80", "store": "10.0.0.9",
-		"secret": "short", "peers": ["peer:1"], "bounds": {"agents": 0}, "target": "10.0.0.1:1"}`))
+		"secret": "short", "peers": ["peer:1", "10.0.0.1:0"], "bounds": {"agents": 0}, "target": "10.0.0.1:1"}`))
 	g.Expect(lines(problems)).To(Equal([]string{
 		`r.json:1: listen: "localhost:80" must be an IP number with a port, such as 10.0.0.1:8080`,
 		`r.json:1: store: "10.0.0.9" must be an IP number with a port, such as 10.0.0.1:8080`,
 		"r.json:2: target: is not a known key",
 		"r.json:2: secret: has 5 characters; must have 16 to 256",
 		`r.json:2: peers[0]: "peer:1" must be an IP number with a port, such as 10.0.0.1:8080`,
+		`r.json:2: peers[1]: "10.0.0.1:0" must be an IP number with a port, such as 10.0.0.1:8080`,
 		"r.json:2: bounds.agents: is 0; must be 1 to 64",
 	}))
 	_, problems = conf.ReadSettings[conf.Agent](filepath.Join(t.TempDir(), "none.json"))
--- a/core/conf/problem.go
+++ b/core/conf/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -47,9 +48,25 @@
 	problems []Problem
 	// broken holds the keys with faults of their own, which are not checked against others.
 	broken map[string]bool
+	// types holds the fields of struct types, because parsing tags for every entry takes most of a check.
+	types map[reflect.Type][]Field
 }
 
-func newReport() *report { return &report{places: map[string]place{}} }
+func newReport() *report {
+	return &report{places: map[string]place{}, types: map[reflect.Type][]Field{}}
+}
+
+// keys returns the keys of a struct type in the order of its fields.
+func (r *report) keys(t reflect.Type) []Field {
+	list, ok := r.types[t]
+	if !ok {
+		for i := range t.NumField() {
+			list = append(list, describe(t.Field(i)))
+		}
+		r.types[t] = list
+	}
+	return list
+}
 
 // add notes a fault at key, or at the closest enclosing key whose position is known.
 func (r *report) add(key, format string, args ...any) {
--- a/hickoryvane/cmd_apply.go
+++ b/hickoryvane/cmd_apply.go
@@ -44,7 +44,8 @@
 func (t *tool) apply(ctx context.Context, set conf.Operator, cfg conf.Config, expect int) (err error) {
 	defer func() { err = errors.WithMessage(err, "apply") }()
 	s := t.open(set.Store)
-	opts := []conf.ApplyOption{conf.Known(t.known(ctx, s, set.Processes))}
+	statuses := answered(askAll(ctx, set.Processes))
+	opts := []conf.ApplyOption{conf.Known(t.known(ctx, s, statuses)), conf.Floor(highest(statuses))}
 	if expect >= 0 {
 		opts = append(opts, conf.Expect(ident.Generation(expect)))
 	}
@@ -61,12 +62,20 @@
 }
 
 // known returns what the object API and the processes say of moves. What is missing counts as running.
-func (t *tool) known(ctx context.Context, s store.Store, addrs []string) []conf.MoveStatus {
+func (t *tool) known(ctx context.Context, s store.Store, statuses []conf.Status) []conf.MoveStatus {
 	records, err := recorded(ctx, s)
 	if err != nil {
 		fmt.Fprintln(t.err, "records of ended moves are unknown; each declared move counts as running:", err)
 	}
-	return append(records, stated(askAll(ctx, addrs))...)
+	return append(records, stated(statuses)...)
+}
+
+// highest returns the highest generation that a process has in force.
+func highest(statuses []conf.Status) (g ident.Generation) {
+	for _, s := range statuses {
+		g = max(g, s.Generation)
+	}
+	return g
 }
 
 // verdict returns the error of an apply that was not accepted.
--- a/hickoryvane/cmd_moves.go
+++ b/hickoryvane/cmd_moves.go
@@ -26,9 +26,9 @@
 		if serr != nil {
 			fmt.Fprintln(t.out, "records of ended moves are unknown:", serr)
 		}
-		reports := askAll(ctx, set.Processes)
-		t.printMoves(records, stated(reports))
-		if serr != nil && len(answered(reports)) == 0 {
+		statuses := answered(askAll(ctx, set.Processes))
+		t.printMoves(records, stated(statuses))
+		if serr != nil && len(statuses) == 0 {
 			return errSilent
 		}
 		return nil
@@ -51,9 +51,9 @@
 	return list, nil
 }
 
-// stated returns the moves of all processes that answered.
-func stated(reports []report) (list []conf.MoveStatus) {
-	for _, s := range answered(reports) {
+// stated returns the moves that processes know.
+func stated(statuses []conf.Status) (list []conf.MoveStatus) {
+	for _, s := range statuses {
 		list = append(list, s.Moves...)
 	}
 	return list
