Guard: the serving version changes only by a move

Cause: the processes follow only declared moves that were done. Removing such a move without a new current version would bring the old version back at all targets within seconds. Also, the record of a move is a moves.End without the versions, so that its end was not found and the move counted as running for ever; and an end that a process has only decided counted as final. Ruled out: following the records of removed moves in the processes; the configuration alone would no longer say what serves. Change: Guard compares the version that serves before and after; States and Gather merge records with the statuses of processes; only a recorded end ends a move. Conclusion: apply and the machines of moves agree on when a move has ended.

--- a/core/conf/apply.go
+++ b/core/conf/apply.go
@@ -98,7 +98,7 @@
 // Expect makes the apply a conflict when another generation than g is accepted.
 func Expect(g ident.Generation) ApplyOption { return func(a *Apply) { a.expect = &g } }
 
-// Known tells the apply the states of moves; a move of which nothing is known counts as running.
+// Known tells the apply the states of moves; see States.
 func Known(moves []MoveStatus) ApplyOption { return func(a *Apply) { a.known = moves } }
 
 // Floor gives the apply the highest generation that a process has in force. If the object was lost or set
@@ -172,7 +172,7 @@
 // compare decides whether the configuration may replace the accepted one.
 func (a *Apply) compare(now time.Time) {
 	changes := Diff(a.old, a.next)
-	problems := append(Guard(a.old, a.next, InProgress(a.old, a.known)), a.begins(now)...)
+	problems := append(Guard(a.old, a.next, States(a.old, a.known)), a.begins(now)...)
 	if a.old.Generation > 0 && a.old.Deployment != a.next.Deployment {
 		problems = append(problems, Problem{Key: "deployment", Text: "the object API belongs to deployment " + a.old.Deployment})
 	}
--- a/core/conf/apply_test.go
+++ b/core/conf/apply_test.go
@@ -189,7 +189,7 @@
 	g.Expect(refused(drive(s, conf.NewApply(start, next, "three")))).To(ContainElement("services: is missing"))
 	next = clone(t, cfg)
 	next.Moves = nil
-	ended := conf.MoveStatus{Name: "up", Service: "llm", From: "v1", To: "v2", State: conf.TakenBack}
+	ended := conf.MoveStatus{Name: "up", Service: "llm", From: "v1", To: "v2", State: conf.TakenBack, Recorded: true}
 	known := conf.Known([]conf.MoveStatus{ended})
 	g.Expect(drive(s, conf.NewApply(start, next, "four", known)).Result).To(Equal(conf.Applied))
 	g.Expect(refused(drive(s, conf.NewApply(start, cfg, "five", known)))).To(ConsistOf(ContainSubstring("moves[up].name: is the name of a move that has ended")))
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// serves reports whether a target of the service runs the version.
-func serves(cfg Config, s ident.Service, v ident.Version) bool {
+// runs reports whether a target of the service runs the version.
+func runs(cfg Config, s ident.Service, v ident.Version) bool {
 	return slices.ContainsFunc(cfg.Targets, func(t Target) bool { return t.Service == s && t.Version == v })
 }
--- a/core/conf/encode.go
+++ b/core/conf/encode.go
@@ -29,9 +29,3 @@
 	defer func() { err = errors.WithMessage(err, "decode configuration") }()
 	return cfg, json.Unmarshal(b, &cfg)
 }
-
-// DecodeMove reads the value of an object that records a move.
-func DecodeMove(b []byte) (m MoveStatus, err error) {
-	defer func() { err = errors.WithMessage(err, "decode record of a move") }()
-	return m, json.Unmarshal(b, &m)
-}
--- a/core/conf/guard.go
+++ b/core/conf/guard.go
@@ -6,47 +6,15 @@
 	"hickoryvane.example/core/ident"
 )
 
-// InProgress returns the moves of cfg that run or may run: those whose end is not recorded and that are not
-// known to wait. A move of which nothing is known counts as running, which is the safe direction.
-func InProgress(cfg Config, known []MoveStatus) (running []MoveStatus) {
-	known = Gather(known)
-	for _, m := range cfg.Moves {
-		st := MoveStatus{Name: m.Name, Service: m.Service, From: m.From, To: m.To, State: Running}
-		if i := slices.IndexFunc(known, st.same); i >= 0 {
-			st = known[i]
-		}
-		if st.State == Running {
-			running = append(running, st)
-		}
-	}
-	return running
-}
-
-// Gather merges what several sources say of moves into one status each, in the order of their first mention:
-// an end prevails over running, and running over waiting.
-func Gather(known []MoveStatus) (list []MoveStatus) {
-	for _, k := range known {
-		i := slices.IndexFunc(list, k.same)
-		switch {
-		case i < 0:
-			list = append(list, k)
-		case !list[i].State.Ended() && (k.State.Ended() || list[i].State == Waiting):
-			list[i] = k
-		}
-	}
-	return list
-}
-
-// same reports whether both statuses are of one move. A name may be used again for another move later.
-func (m MoveStatus) same(o MoveStatus) bool {
-	return m.Name == o.Name && m.Service == o.Service && m.From == o.From && m.To == o.To
-}
-
-// Guard returns the faults of replacing the configuration old by next while the given moves run. A running
-// move must stay declared with its versions, its targets and the current version of its service; its deadline
-// may change and it may be cancelled. Moves in other states need nothing.
+// Guard returns the faults of replacing the configuration old by next while moves are in the given states. A
+// running move must stay declared with its versions, its targets and the current version of its service; its
+// deadline may change and it may be cancelled. The version that serves must not change without a move; so a
+// move that was done may be removed only together with a new current version.
 func Guard(old, next Config, moves []MoveStatus) []Problem {
 	r := newReport()
+	for _, s := range old.Services {
+		r.serving(old, next, s, moves)
+	}
 	for _, m := range moves {
 		if m.State != Running {
 			continue
@@ -58,6 +26,32 @@
 	return r.list()
 }
 
+// serving checks that a service goes on with the version that serves now. Its running move, if any, has
+// checks of its own.
+func (r *report) serving(old, next Config, s Service, moves []MoveStatus) {
+	running := func(m MoveStatus) bool { return m.Service == s.Name && m.State == Running }
+	now, ok := findService(next, s.Name)
+	if !ok || slices.ContainsFunc(moves, running) {
+		return
+	}
+	if was, is := serves(old, s, moves), serves(next, now, moves); was != is {
+		r.add(at("services", s.Name)+".current", "version %q serves and would be replaced by %q at once; set current to %q, or declare a move", was, is, was)
+	}
+}
+
+// serves returns the version that serves a service: the current one, followed by the declared moves that are
+// recorded as done, in the order of their ends.
+func serves(cfg Config, s Service, moves []MoveStatus) ident.Version {
+	v := s.Current
+	for _, m := range slices.SortedStableFunc(slices.Values(moves), func(a, b MoveStatus) int { return a.Ended.Compare(b.Ended) }) {
+		d, ok := findMove(cfg, m.Name)
+		if ok && m.State == Done && m.Recorded && d.Service == s.Name && m.Service == s.Name && d.From == v {
+			v = d.To
+		}
+	}
+	return v
+}
+
 // declared checks that a running move stays as it is.
 func (r *report) declared(old, next Config, m MoveStatus) {
 	key := at("moves", m.Name)
--- a/core/conf/guard_test.go
+++ b/core/conf/guard_test.go
@@ -38,24 +38,53 @@
 			g := NewWithT(t)
 			next := clone(t, old)
 			c.change(&next)
-			got := lines(conf.Guard(old, next, conf.InProgress(old, nil)))
+			got := lines(conf.Guard(old, next, conf.States(old, nil)))
 			if c.want == "" {
 				g.Expect(got).To(BeEmpty())
 			} else {
 				g.Expect(got).To(ContainElement(ContainSubstring(c.want)))
 			}
-			waits := conf.MoveStatus{Name: "up", Service: "llm", From: "v1", To: "v2", State: conf.Waiting}
-			g.Expect(conf.Guard(old, next, conf.InProgress(old, []conf.MoveStatus{waits}))).To(BeEmpty())
-			runs := waits
-			runs.State = conf.Running
-			g.Expect(conf.InProgress(old, []conf.MoveStatus{waits, runs, waits})).To(HaveLen(1))
-			ended := waits
-			ended.State = conf.Done
-			g.Expect(conf.InProgress(old, []conf.MoveStatus{runs, ended, runs})).To(BeEmpty())
 		})
 	}
 }
 
+// Guards against a decision that is taken for a recorded end, and against a waiting move that blocks a change.
+func TestStates(t *testing.T) {
+	g := NewWithT(t)
+	cfg := valid(t, `{"moves": [`+move("up", "v1", "v2", day)+`]}`)
+	status := func(s conf.MoveState, recorded bool) conf.MoveStatus {
+		return conf.MoveStatus{Name: "up", Service: "llm", State: s, Recorded: recorded}
+	}
+	waits, runs := status(conf.Waiting, false), status(conf.Running, false)
+	decided, ended := status(conf.TakenBack, false), status(conf.Done, true)
+	for want, known := range map[conf.MoveState][][]conf.MoveStatus{
+		conf.Waiting: {{waits}},
+		conf.Running: {nil, {waits, runs, waits}, {runs, decided}},
+		conf.Done:    {{ended, runs}, {decided, ended, waits}},
+	} {
+		for _, k := range known {
+			g.Expect(conf.States(cfg, k)[0].State).To(Equal(want), "%v", k)
+		}
+	}
+	ended.From = "v1"
+	runs.Share = 0.5
+	g.Expect(conf.Gather([]conf.MoveStatus{ended, runs})).To(ConsistOf(And(HaveField("State", conf.Done), HaveField("Share", 0.5))))
+}
+
+// Guards against a removal of a move that was done, which would bring the old version back at once.
+func TestGuardKeepsTheServingVersion(t *testing.T) {
+	g := NewWithT(t)
+	old := valid(t, `{"moves": [`+move("up", "v1", "v2", day)+`]}`)
+	done := []conf.MoveStatus{{Name: "up", Service: "llm", State: conf.Done, Recorded: true}}
+	next := clone(t, old)
+	next.Moves = nil
+	g.Expect(lines(conf.Guard(old, next, done))).To(ConsistOf(ContainSubstring(`services[llm].current: version "v2" serves and would be replaced by "v1" at once`)))
+	next.Services[0].Current = "v2"
+	g.Expect(conf.Guard(old, next, done)).To(BeEmpty())
+	next.Services[0].Current = "v3"
+	g.Expect(conf.Guard(old, next, done)).To(HaveLen(1))
+}
+
 func clone(t testing.TB, cfg conf.Config) conf.Config {
 	t.Helper()
 	g := NewWithT(t)
--- a/core/conf/services.go
+++ b/core/conf/services.go
@@ -11,7 +11,7 @@
 	for _, s := range cfg.Services {
 		key := at("services", s.Name)
 		r.version(s, key+".current", s.Current)
-		if s.Current != "" && slices.Contains(s.Versions, s.Current) && !serves(cfg, s.Name, s.Current) {
+		if s.Current != "" && slices.Contains(s.Versions, s.Current) && !runs(cfg, s.Name, s.Current) {
 			r.refer(key+".current", "no target runs version %q", s.Current)
 		}
 		r.models(s, key, models)
@@ -105,7 +105,7 @@
 		version ident.Version
 	}{{key + ".from", m.From}, {key + ".to", m.To}} {
 		r.version(s, e.key, e.version)
-		if slices.Contains(s.Versions, e.version) && !serves(cfg, s.Name, e.version) {
+		if slices.Contains(s.Versions, e.version) && !runs(cfg, s.Name, e.version) {
 			r.refer(e.key, "no target runs version %q; remove the move if it has ended", e.version)
 		}
 	}
--- a/core/conf/status.go
+++ b/core/conf/status.go
@@ -6,13 +6,11 @@
 	"hickoryvane.example/core/ident"
 )
 
-// Names under which a configuration and the ends of moves are kept in the object API and spread as facts.
+// Names under which a configuration is kept in the object API and spread as a fact, and a status is served.
 const (
 	// ConfigSort and ConfigName name the object of the configuration; as a fact, both are sort and key.
 	ConfigSort = "config"
 	ConfigName = "config"
-	// MoveSort is the kind of the objects that record moves; the value is the JSON of a MoveStatus.
-	MoveSort = "move"
 	// StatusPath is the HTTP path of Status on the admin address of a process.
 	StatusPath = "/status"
 )
@@ -43,7 +41,8 @@
 	Moves      []MoveStatus     `json:"moves"`
 }
 
-// MoveStatus is the state of a move as one process knows it, or as it is recorded in the object API.
+// MoveStatus is the state of a move as one process knows it, or as read from its record. A record does not hold
+// From, To, Share and Began.
 type MoveStatus struct {
 	Name    ident.Move    `json:"name"`
 	Service ident.Service `json:"service"`
@@ -57,4 +56,6 @@
 	// Began and Ended are zero as long as the move has not begun or ended.
 	Began time.Time `json:"began,omitzero"`
 	Ended time.Time `json:"ended,omitzero"`
+	// Recorded is true when the end was read from the object API. An end that is only decided may change.
+	Recorded bool `json:"recorded,omitempty"`
 }
--- a/hickoryvane/cmd_moves.go
+++ b/hickoryvane/cmd_moves.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/store"
 )
 
@@ -37,16 +38,18 @@
 
 // recorded returns the moves that the object API records.
 func recorded(ctx context.Context, s store.Store) (list []conf.MoveStatus, err error) {
-	objects, _, err := s.List(ctx, conf.MoveSort)
+	objects, _, err := s.List(ctx, moves.Sort)
 	if err != nil {
 		return nil, err
 	}
 	for _, o := range objects {
-		m, err := conf.DecodeMove(o.Value)
+		e, err := moves.DecodeEnd(o.Value)
 		if err != nil {
 			return list, err
 		}
-		list = append(list, m)
+		list = append(list, conf.MoveStatus{
+			Name: e.Move, Service: e.Service, State: conf.MoveState(e.State), Reason: string(e.Reason), Ended: e.At, Recorded: true,
+		})
 	}
 	return list, nil
 }
@@ -59,14 +62,13 @@
 	return list
 }
 
-func (t *tool) printMoves(records, moves []conf.MoveStatus) {
+func (t *tool) printMoves(records, states []conf.MoveStatus) {
 	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "MOVE\tSERVICE\tFROM\tTO\tSTATE\tSHARE\tRECORDED\tBEGAN\tENDED\tREASON")
 	// The records come first, so that a recorded end prevails over what processes state.
-	for _, m := range conf.Gather(append(slices.Clone(records), moves...)) {
-		known := slices.ContainsFunc(records, func(r conf.MoveStatus) bool { return r.Name == m.Name && r.State == m.State })
+	for _, m := range conf.Gather(append(slices.Clone(records), states...)) {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f%%\t%t\t%s\t%s\t%s\n", m.Name, m.Service, m.From, m.To, m.State,
-			100*m.Share, known, stamp(m.Began), stamp(m.Ended), m.Reason)
+			100*m.Share, m.Recorded, stamp(m.Began), stamp(m.Ended), m.Reason)
 	}
 	_ = w.Flush() // the output is a terminal or a pipe whose reader may be gone
 }
--- a/hickoryvane/tool_test.go
+++ b/hickoryvane/tool_test.go
@@ -17,6 +17,7 @@
 
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/store/memory"
 	"hickoryvane.example/core/wire"
@@ -143,16 +144,14 @@
 func TestMoves(t *testing.T) {
 	up := conf.MoveStatus{Name: "up", Service: "llm", From: "v1", To: "v2", State: conf.Running, Share: 0.25}
 	b := newBed(t, &process{moves: []conf.MoveStatus{up}})
-	moves := filepath.Join(b.dir, "moves.json")
-	b.write(moves, `{"moves": [{"name": "up", "service": "llm", "from": "v1", "to": "v2", "deadline": "2099-01-01T00:00:00Z"}]}`)
+	file := filepath.Join(b.dir, "moves.json")
+	b.write(file, `{"moves": [{"name": "up", "service": "llm", "from": "v1", "to": "v2", "deadline": "2099-01-01T00:00:00Z"}]}`)
 	b.apply(0)
 	b.Expect(b.run(0, "moves", "-s", b.set)).To(MatchRegexp(`up +llm +v1 +v2 +running +25% +false`))
-	b.write(moves, `{}`)
+	b.write(file, `{}`)
 	b.Expect(b.apply(2)).To(ContainSubstring("moves[up]: is removed while the move runs"))
-	up.State, up.Reason = conf.TakenBack, "failures"
-	value, err := json.Marshal(up)
-	b.Expect(err).NotTo(HaveOccurred())
-	_, err = b.store.Create(b.ctx, store.Object{Sort: conf.MoveSort, Name: "up", Value: value})
+	end := moves.End{Move: "up", Service: "llm", State: moves.Back, Reason: moves.ReasonFailures}
+	_, err := b.store.Create(b.ctx, store.Object{Sort: moves.Sort, Name: "up", Value: end.Encode()})
 	b.Expect(err).NotTo(HaveOccurred())
 	b.Expect(b.run(0, "moves", "-s", b.set)).To(MatchRegexp(`up +llm +v1 +v2 +taken back +25% +true +- +- +failures`))
 	b.apply(0)
