--- a/core/facts/digest.go
+++ b/core/facts/digest.go
@@ -39,7 +39,12 @@
 	for i, h := range m.digest {
 		msg.Marks = append(msg.Marks, wire.Mark{Boot: ident.Boot(i), Count: h})
 	}
-	for _, p := range slices.Concat(m.choose(1), peers.Far) {
+	var size ident.Bytes
+	for _, k := range msg.Marks {
+		size += markSize(k)
+	}
+	for _, p := range slices.Concat(m.chosen[:min(1, len(m.chosen))], peers.Far) {
+		m.left -= size
 		out = append(out, Send{To: p, Facts: msg})
 	}
 	return out
@@ -101,12 +106,7 @@
 		}
 	}
 	for i := range by {
-		slices.SortFunc(by[i], func(a, b slot) int {
-			if lessSlot(a, b) {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(by[i], compareSlots)
 	}
 	return by
 }
--- a/core/facts/facts.go
+++ b/core/facts/facts.go
@@ -45,14 +45,16 @@
 	digest [buckets]uint64
 	// hot lists slots that may still be pushed, and changed those not yet returned by Changed.
 	hot, changed []slot
-	// asked holds when a value was last asked for.
-	asked map[slot]time.Time
+	// asked holds the values that were asked for and did not arrive yet.
+	asked map[slot]*request
+	// beats holds the slots of ranked sorts.
+	beats map[slot]bool
 	// round counts calls of Tick; phase spreads the digests of different processes.
 	round, phase int
 	// left and served are the bytes left of the push and serve budgets in this round.
 	left, served ident.Bytes
-	// near is the last list of peers of the own region, for urgent facts.
-	near []ident.ProcessID
+	// near are the peers of the own region, and chosen those of the running round.
+	near, chosen []ident.ProcessID
 	// count is the last version number given to an own fact.
 	count uint64
 }
@@ -62,7 +64,7 @@
 	m := &Machine{
 		self: self, boot: boot, rnd: rnd, rules: defaultRules(),
 		push: DefaultPush, serve: DefaultServe, countMax: DefaultFacts, sizeMax: DefaultBytes,
-		held: map[slot]*entry{}, asked: map[slot]time.Time{}, phase: rnd.IntN(repairRounds),
+		held: map[slot]*entry{}, asked: map[slot]*request{}, beats: map[slot]bool{}, phase: rnd.IntN(repairRounds),
 	}
 	for _, o := range opts {
 		o(m)
@@ -108,12 +110,7 @@
 			slots = append(slots, s)
 		}
 	}
-	slices.SortFunc(slots, func(a, b slot) int {
-		if lessSlot(a, b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(slots, compareSlots)
 	out := make([]wire.Fact, len(slots))
 	for i, s := range slots {
 		out[i] = m.held[s].fact
--- /dev/null
+++ b/core/facts/facts_test.go
@@ -0,0 +1,220 @@
+package facts_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"hickoryvane.example/core/facts"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/wire"
+)
+
+func machine(opts ...facts.Option) *facts.Machine {
+	opts = append([]facts.Option{facts.WithRank(facts.SortConfig, rank)}, opts...)
+	return facts.New("vm-1000", 1, rand.New(rand.NewPCG(1, 1)), opts...)
+}
+
+func drawFacts(t *rapid.T) []wire.Fact {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) wire.Fact {
+		if rapid.Bool().Draw(t, "config") {
+			m := machine()
+			m.Set(start, facts.SortConfig, "", config(rapid.Uint64Range(1, 5).Draw(t, "gen"), rapid.IntRange(8, 10).Draw(t, "size")))
+			return m.All(facts.SortConfig)[0]
+		}
+		return wire.Fact{
+			Sort: "evidence", Key: strconv.Itoa(rapid.IntRange(0, 2).Draw(t, "key")), Origin: name(rapid.IntRange(0, 2).Draw(t, "origin")),
+			Boot: ident.Boot(rapid.IntRange(1, 3).Draw(t, "boot")), Count: uint64(rapid.IntRange(1, 3).Draw(t, "count")),
+			Age: int64(rapid.IntRange(0, 1000).Draw(t, "age")), Value: rapid.SliceOfN(rapid.Byte(), 0, 2).Draw(t, "value"),
+		}
+	}), 0, 12).Draw(t, "facts")
+}
+
+func all(m *facts.Machine) []wire.Fact {
+	out := append(m.All("evidence"), m.All(facts.SortConfig)...)
+	for i := range out {
+		out[i].Age = 0
+	}
+	return out
+}
+
+// mergeLaws checks that order, grouping and repetition of merges do not matter.
+func mergeLaws(merge func(*facts.Machine, []wire.Fact)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		fs := drawFacts(t)
+		a, b := machine(), machine()
+		merge(a, fs)
+		perm := rapid.Permutation(fs).Draw(t, "order")
+		cut := rapid.IntRange(0, len(perm)).Draw(t, "cut")
+		for _, part := range [][]wire.Fact{perm[cut:], perm[:cut], perm} {
+			merge(b, part)
+		}
+		NewWithT(t).Expect(all(b)).To(Equal(all(a)))
+	}
+}
+
+// Guards against a merge that depends on the order or number of deliveries.
+func TestMergeLaws(t *testing.T) {
+	rapid.Check(t, mergeLaws(func(m *facts.Machine, fs []wire.Fact) { m.Merge(start, fs) }))
+	last := uint64(10)
+	g := NewWithT(t)
+	g.Expect(catches(t, mergeLaws(func(m *facts.Machine, fs []wire.Fact) {
+		for _, f := range fs { // planted fault: what arrives last wins
+			if f.Sort != facts.SortConfig {
+				last++
+				f.Count = last
+			}
+			m.Merge(start, []wire.Fact{f})
+		}
+	}))).To(BeTrue())
+}
+
+// converges runs random faults, then a quiet time, and checks that no process went back to an older
+// configuration and that all hold the newest facts in the end.
+func converges(plant func(*network)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		w := newNetwork(6, rapid.Uint64Range(1, 1<<30).Draw(t, "seed"))
+		w.loss, w.duplicate = 0.2, 0.2
+		if plant != nil {
+			plant(w)
+		}
+		seen := make([]uint64, len(w.all))
+		gen, wrote := uint64(0), 0
+		one := rapid.IntRange(0, len(w.all)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"config": func(t *rapid.T) {
+				gen++
+				w.all[one.Draw(t, "at")].Set(w.now, facts.SortConfig, "", config(gen, rapid.SampledFrom([]int{8, 5000}).Draw(t, "size")))
+			},
+			"set": func(t *rapid.T) {
+				wrote++
+				w.all[one.Draw(t, "at")].Set(w.now, "evidence", "k", []byte(strconv.Itoa(wrote)))
+			},
+			"pause":  func(t *rapid.T) { w.down[one.Draw(t, "vm")] = true },
+			"resume": func(t *rapid.T) { w.down[one.Draw(t, "vm")] = false },
+			"restart": func(t *rapid.T) {
+				i := one.Draw(t, "vm")
+				seen[i] = 0
+				w.restart(i)
+			},
+			"run": func(t *rapid.T) {
+				w.run(time.Duration(rapid.IntRange(100, 2000).Draw(t, "ms"))*time.Millisecond, nil)
+			},
+			"": func(t *rapid.T) {
+				for i, m := range w.all {
+					f, _ := m.Get(facts.SortConfig, "")
+					if f.Count < seen[i] {
+						t.Fatalf("%s went back from %d to %d", name(i), seen[i], f.Count)
+					}
+					seen[i] = f.Count
+				}
+			},
+		})
+		w.loss, w.down = 0, make([]bool, len(w.all))
+		w.run(60*time.Second, nil)
+		for _, m := range w.all {
+			NewWithT(t).Expect(all(m)).To(Equal(all(w.all[0])))
+		}
+	}
+}
+
+// Guards against facts that some process never gets, and against a configuration that reverts,
+// after loss, duplication, pauses and restarts.
+func TestGossipConverges(t *testing.T) {
+	rapid.Check(t, converges(nil))
+}
+
+// Guards against a test of convergence that cannot fail.
+func TestGossipFaultsAreCaught(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(catches(t, converges(func(w *network) { // planted fault: no repair
+		w.drop = func(m *wire.Facts) bool { return m.Digest }
+	}))).To(BeTrue())
+	g.Expect(catches(t, converges(func(w *network) { // planted fault: the configuration is ordered per origin
+		w.opts = []facts.Option{facts.WithRule(facts.SortConfig, facts.Rule{})}
+		for i := range w.all {
+			w.restart(i)
+		}
+	}))).To(BeTrue())
+}
+
+// Guards against facts of dead processes that stay, and against their return from a slower peer.
+func TestExpiry(t *testing.T) {
+	g := NewWithT(t)
+	m := machine(facts.WithRule("short", facts.Rule{Life: 2 * time.Second}))
+	m.Set(start, "short", "k", []byte("v"))
+	old := m.All("short")[0]
+	for i := range 21 {
+		m.Tick(start.Add(time.Duration(i)*facts.Round), facts.Peers{})
+	}
+	g.Expect(m.All("short")).To(BeEmpty())
+	old.Age = 2000
+	g.Expect(m.Merge(start, []wire.Fact{old})).To(BeEmpty())
+}
+
+// Guards against memory that grows with the facts received, and against the loss of a pinned fact.
+func TestBoundedMemory(t *testing.T) {
+	g := NewWithT(t)
+	m := machine(facts.WithLimit(10, 4096))
+	m.Set(start, facts.SortConfig, "", config(1, 1000))
+	for i := range 100 {
+		m.Set(start.Add(time.Duration(i)), "evidence", strconv.Itoa(i), make([]byte, 100))
+		n, size := m.Len()
+		g.Expect(n).To(BeNumerically("<=", 10))
+		g.Expect(size).To(BeNumerically("<=", 4096))
+	}
+	_, ok := m.Get(facts.SortConfig, "")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(m.Set(start, "evidence", "large", make([]byte, facts.ValueMax+1))).To(BeFalse())
+}
+
+// Guards against a configuration that a peer offers under a generation that is not its own.
+func TestForgedRankIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	m := machine()
+	m.Set(start, facts.SortConfig, "", config(3, 8))
+	f := m.All(facts.SortConfig)[0]
+	f.Count, f.Origin = 9, "vm-1001"
+	g.Expect(m.Merge(start, []wire.Fact{f})).To(BeEmpty())
+	g.Expect(m.Set(start, facts.SortConfig, "", config(2, 8))).To(BeFalse())
+}
+
+// Guards against own facts that peers ignore because the clock was set back before a restart.
+func TestClockSetBackAcrossRestart(t *testing.T) {
+	g := NewWithT(t)
+	m := machine()
+	m.Merge(start, []wire.Fact{{Sort: "evidence", Key: "k", Origin: "vm-1000", Boot: 7, Count: 9}})
+	m.Set(start, "evidence", "k", []byte("new"))
+	f, _ := m.Get("evidence", "k")
+	g.Expect(string(f.Value)).To(Equal("new"))
+}
+
+// Guards against a round that exceeds its peers or its bytes, and against a large value that is
+// pushed instead of announced.
+func TestRoundIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := machine(facts.WithBudget(2000, facts.DefaultServe))
+	for i := range 100 {
+		m.Set(start, "evidence", strconv.Itoa(i), make([]byte, 100))
+	}
+	m.Set(start, facts.SortConfig, "", config(1, 100_000))
+	var near []ident.ProcessID
+	for i := range 50 {
+		near = append(near, name(i))
+	}
+	for i := range 9 {
+		to, total := map[ident.ProcessID]bool{}, 0
+		for _, s := range m.Tick(start.Add(time.Duration(i)*facts.Round), facts.Peers{Near: near}) {
+			b, err := wire.Encode(s.Facts)
+			g.Expect(err).NotTo(HaveOccurred())
+			total += len(b)
+			to[s.To] = true
+		}
+		g.Expect(len(to)).To(BeNumerically("<=", facts.Fan))
+		g.Expect(total).To(BeNumerically("<=", 2000))
+	}
+}
--- a/core/facts/gossip.go
+++ b/core/facts/gossip.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,24 +17,50 @@
 	m.left, m.served, m.near = m.push, m.serve, peers.Near
 	if m.round%repairRounds == 0 {
 		m.expire(now)
-		m.forgetAsked(now)
 	}
-	var out []Send
+	m.chosen = m.choose(Fan)
+	out := m.askAgain(nil, now)
+	if m.round%repairRounds == m.phase {
+		out = m.repair(out, peers)
+	}
 	m.cool()
-	var pushed []slot
-	for _, p := range m.choose(Fan) {
-		out, pushed = m.pushTo(out, pushed, now, p)
+	sent := len(m.hot)
+	spare := m.left
+	for i, p := range m.chosen {
+		// Each peer has an equal part of the budget, as the first would otherwise use all of it.
+		m.left = spare / ident.Bytes(len(m.chosen)-i)
+		spare -= m.left
+		var n int
+		out, n = m.pushTo(out, now, p)
+		sent, spare = min(sent, n), spare+m.left
 	}
+	m.left = spare
 	if !peers.Backup {
 		out = m.pushFar(out, now, peers)
 	}
-	for _, s := range pushed {
-		if e := m.held[s]; e != nil {
-			e.hot--
+	for _, s := range m.hot[:sent] {
+		m.held[s].hot--
+	}
+	return m.beat(out, peers)
+}
+
+// beat announces the permanent values to one peer, and every beatFar rounds over the link. It finds
+// processes that all pushes missed sooner than the digest does.
+func (m *Machine) beat(out []Send, peers Peers) []Send {
+	msg := &wire.Facts{}
+	for _, s := range slices.SortedFunc(maps.Keys(m.beats), compareSlots) {
+		if e := m.held[s]; e != nil && markSize(e.mark()) <= m.left {
+			m.left -= markSize(e.mark())
+			msg.Marks = append(msg.Marks, e.mark())
 		}
 	}
-	if m.round%repairRounds == m.phase {
-		out = m.repair(out, peers)
+	for _, p := range m.chosen[:min(1, len(m.chosen))] {
+		out = send(out, p, msg)
+	}
+	if m.round%beatFar == 0 {
+		for _, p := range peers.Far {
+			out = send(out, p, msg)
+		}
 	}
 	return out
 }
@@ -61,23 +88,16 @@
 	return out
 }
 
-// pushTo sends the hot facts that p is not known to have, as far as the budget reaches. Facts that
-// found no room stay hot for a later round.
-func (m *Machine) pushTo(out []Send, pushed []slot, now time.Time, p ident.ProcessID) ([]Send, []slot) {
+// pushTo sends the hot facts that p is not known to have. It returns how many of them the budget
+// reached; the others stay hot for a later round.
+func (m *Machine) pushTo(out []Send, now time.Time, p ident.ProcessID) ([]Send, int) {
 	msg := &wire.Facts{}
-	for _, s := range m.hot {
-		e := m.held[s]
-		if e == nil || e.knows(p) {
-			continue
-		}
-		if !m.add(msg, e, now) {
-			break
-		}
-		if !slices.Contains(pushed, s) {
-			pushed = append(pushed, s)
+	for i, s := range m.hot {
+		if e := m.held[s]; !e.knows(p) && !m.add(msg, e, now) {
+			return send(out, p, msg), i
 		}
 	}
-	return send(out, p, msg), pushed
+	return send(out, p, msg), len(m.hot)
 }
 
 // pushFar sends facts of the own region over the link: small ones once, with a loss left to the
@@ -163,7 +183,7 @@
 	}
 	switch c := compare(r.Rank != nil, held.Boot, held.Count, k.Boot, k.Count); {
 	case c < 0:
-		m.ask(msg, now, s, held)
+		m.ask(msg, now, from, s, held)
 	case c > 0:
 		m.give(msg, now, from, e)
 	case e != nil:
@@ -171,19 +191,47 @@
 	}
 }
 
+// request is a value that was asked for.
+type request struct {
+	at   time.Time
+	held wire.Mark
+	// from is the peer that announced the value last.
+	from  ident.ProcessID
+	tries int
+}
+
 // ask requests a newer version, unless a request for it is pending.
-func (m *Machine) ask(msg *wire.Facts, now time.Time, s slot, held wire.Mark) {
-	if at, ok := m.asked[s]; ok && now.Sub(at) < askWait {
+func (m *Machine) ask(msg *wire.Facts, now time.Time, from ident.ProcessID, s slot, held wire.Mark) {
+	if q, ok := m.asked[s]; ok && now.Sub(q.at) < askWait {
+		q.from = from
 		return
 	}
 	if markSize(held) > m.left || len(m.asked) >= m.countMax {
 		return
 	}
 	m.left -= markSize(held)
-	m.asked[s] = now
+	m.asked[s] = &request{at: now, held: held, from: from, tries: 1}
 	msg.Marks = append(msg.Marks, held)
 }
 
+// askAgain repeats requests that had no answer, at the peer that announced the value last.
+func (m *Machine) askAgain(out []Send, now time.Time) []Send {
+	for _, s := range slices.SortedFunc(maps.Keys(m.asked), compareSlots) {
+		q := m.asked[s]
+		if now.Sub(q.at) < askWait {
+			continue
+		}
+		if q.tries >= askTries || markSize(q.held) > m.left {
+			delete(m.asked, s)
+			continue
+		}
+		q.at, q.tries = now, q.tries+1
+		m.left -= markSize(q.held)
+		out = append(out, Send{To: q.from, Facts: &wire.Facts{Marks: []wire.Mark{q.held}}})
+	}
+	return out
+}
+
 // give sends a fact that the peer asked for, within the serve budget.
 func (m *Machine) give(msg *wire.Facts, now time.Time, from ident.ProcessID, e *entry) {
 	if size(e.fact) > m.served {
@@ -194,15 +242,7 @@
 	msg.Facts = append(msg.Facts, e.aged(now))
 }
 
-func (m *Machine) forgetAsked(now time.Time) {
-	for s, at := range m.asked {
-		if now.Sub(at) >= askWait {
-			delete(m.asked, s)
-		}
-	}
-}
-
-// urgent pushes the urgent ones among new facts on at once.
+// urgent pushes the urgent ones among new facts on at once, to the peers of the running round.
 func (m *Machine) urgent(now time.Time, changed []wire.Fact) (out []Send) {
 	msg := &wire.Facts{}
 	for _, f := range changed {
@@ -214,7 +254,7 @@
 	if len(msg.Facts)+len(msg.Marks) == 0 {
 		return nil
 	}
-	for _, p := range m.choose(Fan) {
+	for _, p := range m.chosen {
 		out = append(out, Send{To: p, Facts: msg})
 	}
 	return out
@@ -224,7 +264,7 @@
 func (m *Machine) Push(now time.Time) []Send {
 	var fs []wire.Fact
 	for _, s := range m.hot {
-		if e := m.held[s]; e != nil && e.fact.Origin == m.self && e.hot == hotRounds {
+		if e := m.held[s]; e != nil && e.fact.Origin == m.self && e.hot >= hotRounds {
 			fs = append(fs, e.fact)
 		}
 	}
--- a/core/facts/rule.go
+++ b/core/facts/rule.go
@@ -71,8 +71,13 @@
 	// hotRounds is the number of rounds for which a new fact is pushed. Four rounds to three peers
 	// miss a process with a probability of about exp(-12), or exp(-9.6) at 20% loss.
 	hotRounds = 4
-	// askWait is the time after which a value is asked for again, elsewhere.
-	askWait = 2 * Round
+	// beatFar is the number of rounds between two announcements of permanent values over the link.
+	beatFar = 4
+	// askTries bounds the requests for one value; a later announcement starts anew.
+	askTries = 8
+	// askWait is the time after which a value is asked for again. Two rounds left the slowest of 200
+	// processes without a configuration for more than 7 s at 20% loss.
+	askWait = Round
 	// largeMin is the value size from which a fact is announced by its mark instead of pushed.
 	largeMin ident.Bytes = 512
 	// knownMax bounds the peers remembered per fact as having it.
@@ -97,9 +102,9 @@
 // WithRule sets the rule of a sort.
 func WithRule(sort string, r Rule) Option { return func(m *Machine) { m.rules[sort] = r } }
 
-// WithRank makes a sort ranked and permanent, as SortConfig must be.
+// WithRank makes a sort ranked, urgent and permanent, as SortConfig must be.
 func WithRank(sort string, rank Rank) Option {
-	return WithRule(sort, Rule{Rank: rank, Pinned: true})
+	return WithRule(sort, Rule{Rank: rank, Urgent: true, Pinned: true})
 }
 
 // WithBudget sets the bytes per round for pushes and for values that peers asked for.
--- a/core/facts/table.go
+++ b/core/facts/table.go
@@ -110,6 +110,9 @@
 		return false
 	}
 	e := &entry{fact: f, at: now.Add(-time.Duration(f.Age) * time.Millisecond), hot: hotRounds, far: true}
+	if r.Rank != nil {
+		m.beats[s] = true
+	}
 	if from != "" {
 		e.know(from)
 	}
@@ -180,7 +183,7 @@
 		if s == keep || m.rule(s.sort).Pinned {
 			continue
 		}
-		if !ok || e.at.Before(at) || e.at.Equal(at) && lessSlot(s, found) {
+		if !ok || e.at.Before(at) || e.at.Equal(at) && compareSlots(s, found) < 0 {
 			found, at, ok = s, e.at, true
 		}
 	}
@@ -196,8 +199,8 @@
 	}
 }
 
-func lessSlot(a, b slot) bool {
-	return cmp.Or(cmp.Compare(a.sort, b.sort), cmp.Compare(a.key, b.key), cmp.Compare(a.origin, b.origin)) < 0
+func compareSlots(a, b slot) int {
+	return cmp.Or(cmp.Compare(a.sort, b.sort), cmp.Compare(a.key, b.key), cmp.Compare(a.origin, b.origin))
 }
 
 // aged returns the fact of e with its age at now.
