Membership: tests, and subsets that cover the pool

Cause: independent rendezvous subsets leave agents without any router, (1-12/N)^R of them: 2.6% of 20 agents with 4 routers of their region. Ruled out: windows over a ring, which move most connections when a router goes. Change: each agent is assigned to one live router of its region, which takes it first. Conclusion: all 40 agents of the test fleet are covered at 12 connections a router.

--- a/core/member/choose.go
+++ b/core/member/choose.go
@@ -72,27 +72,41 @@
 	return far, i > 0
 }
 
-// Subset returns the agents of a pool that this process connects to: at most n, those of its own
-// region first. pool lists the agents of the service; those that are not live are left out.
+// Subset returns the agents of a pool that this router connects to: at most n, those of its own
+// region first. pool lists the agents of the service; those that are not live are left out. Within
+// the region come first the agents that this router has to cover: each agent is assigned to one live
+// router, so that none is left without a connection while no router is assigned more than n.
+// Independent choices would leave (1-n/N)^R of N agents without any of R routers.
 func (m *Machine) Subset(service ident.Service, pool []ident.ProcessID, n int) []ident.ProcessID {
 	own := m.regions[m.self.Centre]
-	var near, far []Member
+	routers := m.Live(Router, own)
+	var cover, near, far []Member
 	for _, id := range pool {
 		r := m.all[id]
 		if r == nil || r.state != Live {
 			continue
 		}
-		if p := m.member(r); p.Region == own {
-			near = append(near, p)
-		} else {
+		switch p := m.member(r); {
+		case p.Region != own:
 			far = append(far, p)
+		case m.covers(routers, id):
+			cover = append(cover, p)
+		default:
+			near = append(near, p)
 		}
 	}
 	key := "subset\x00" + string(m.self.VM) + "\x00" + string(service)
-	out := top(key, near, n)
+	out := top(key, cover, n)
+	out = append(out, top(key, near, n-len(out))...)
 	return ids(append(out, top(key, far, n-len(out))...))
 }
 
+// covers reports whether this router is the one assigned to an agent.
+func (m *Machine) covers(routers []Member, agent ident.ProcessID) bool {
+	first := top("cover\x00"+string(agent), routers, 1)
+	return len(first) > 0 && first[0].VM == m.self.VM
+}
+
 // Homes returns the agents that hold the claim of a keyed request, the first two by rendezvous hash
 // over the live agents of pool.
 func (m *Machine) Homes(id ident.RequestID, pool []ident.ProcessID) []ident.ProcessID {
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,177 @@
+package member_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/member"
+)
+
+var (
+	start   = time.Unix(1_800_000_000, 0)
+	regions = member.Regions{"west-a": "west", "west-b": "west", "east-a": "east"}
+)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func vm(role member.Role, centre ident.DataCentre, i int) member.Entry {
+	return member.Entry{VM: ident.ProcessID(string(role) + "-" + string(centre) + "-" + strconv.Itoa(i)), Role: role, Centre: centre}
+}
+
+func fleet() (list []member.Entry) {
+	for i := range 4 {
+		list = append(list, vm(member.Router, "west-a", i), vm(member.Router, "east-a", i))
+	}
+	for i := range 20 {
+		list = append(list, vm(member.Agent, "west-b", i), vm(member.Agent, "east-a", i))
+	}
+	return list
+}
+
+func pool(list []member.Entry) (ids []ident.ProcessID) {
+	for _, e := range list {
+		if e.Role == member.Agent {
+			ids = append(ids, e.VM)
+		}
+	}
+	return ids
+}
+
+// Guards against a dead process that still gets work: suspected after 3 s, gone after 10 s, and gone
+// at once when suspected and no longer listed. A message brings it back.
+func TestSilence(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	m := member.New(list[0], regions)
+	m.List(at(0), list)
+	p := list[len(list)-1]
+	m.Watch(at(0), p.VM)
+	for _, c := range []struct {
+		s    float64
+		want member.State
+	}{{2.9, member.Live}, {3, member.Suspected}, {9.9, member.Suspected}, {10, member.Gone}} {
+		m.Tick(at(c.s))
+		g.Expect(m.State(p.VM)).To(Equal(c.want), "after %v s", c.s)
+	}
+	m.Heard(at(11), p, 1, false)
+	g.Expect(m.State(p.VM)).To(Equal(member.Live))
+	m.Tick(at(14.5))
+	changes := m.List(at(14.6), list[:len(list)-1])
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(m.State(p.VM)).To(Equal(member.Gone))
+}
+
+// Guards against processes being given up only because no connection to them is wanted.
+func TestUnwatchedMembersAreAsListed(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	m := member.New(list[0], regions)
+	m.List(at(0), list)
+	p := list[5].VM
+	m.Watch(at(0), p)
+	m.Unwatch(at(2), p)
+	g.Expect(m.Tick(at(60))).To(BeEmpty())
+	g.Expect(m.State(p)).To(Equal(member.Live))
+	fresh := vm(member.Agent, "west-b", 99) // known from messages before the list names it
+	m.Heard(at(60), fresh, 1, false)
+	g.Expect(m.State(fresh.VM)).To(Equal(member.Live))
+	m.Tick(at(63))
+	g.Expect(m.State(fresh.VM)).To(Equal(member.Gone))
+}
+
+// Guards against new work for a leaving target when one source is behind, and against a replaced
+// process that stays out because its predecessor left.
+func TestLeavingWins(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	m := member.New(list[0], regions)
+	m.List(at(0), list)
+	p := list[len(list)-1]
+	m.Heard(at(1), p, 5, true)
+	g.Expect(m.State(p.VM)).To(Equal(member.Leaving))
+	m.List(at(2), list)
+	m.Heard(at(2), p, 5, false)
+	m.Heard(at(2), p, 4, false)
+	g.Expect(m.State(p.VM)).To(Equal(member.Leaving))
+	m.Heard(at(3), p, 6, false)
+	g.Expect(m.State(p.VM)).To(Equal(member.Live))
+	list[len(list)-1].Leaving = true
+	m.List(at(4), list)
+	m.Heard(at(4), p, 6, false)
+	g.Expect(m.State(p.VM)).To(Equal(member.Leaving))
+	g.Expect(m.Homes("r", []ident.ProcessID{p.VM})).To(BeEmpty())
+}
+
+// Guards against processes that choose differently from the same members.
+func TestChoicesAgree(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	a, b := member.New(list[0], regions), member.New(list[3], regions)
+	a.List(at(0), list)
+	b.List(at(0), list)
+	for _, r := range []ident.Region{"west", "east"} {
+		g.Expect(a.Watchers(r)).To(HaveLen(member.WatcherCount))
+		g.Expect(a.Watchers(r)).To(Equal(b.Watchers(r)))
+		g.Expect(a.Link(r)).To(Equal(b.Link(r)))
+	}
+	g.Expect(a.Homes("r1", pool(list))).To(HaveLen(member.HomeCount))
+	g.Expect(a.Homes("r1", pool(list))).To(Equal(b.Homes("r1", pool(list))))
+	first, backups := 0, 0
+	for _, e := range list[:8] {
+		m := member.New(e, regions)
+		m.List(at(0), list)
+		if far, backup := m.Counterparts(); len(far) > 0 {
+			first++
+			if backup {
+				backups++
+			}
+			g.Expect(m.Link(regions[e.Centre])).To(ContainElement(e.VM))
+		}
+	}
+	g.Expect([]int{first, backups}).To(Equal([]int{4, 2}))
+}
+
+// Guards against agents to which no router of their region connects.
+func TestSubsetsCoverThePool(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	covered := map[ident.ProcessID]bool{}
+	for _, e := range list[:8] {
+		m := member.New(e, regions)
+		m.List(at(0), list)
+		for _, id := range m.Subset("s", pool(list), member.SubsetMax) {
+			covered[id] = true
+		}
+	}
+	g.Expect(covered).To(HaveLen(40))
+}
+
+// Guards against connections that grow with the fleet, that prefer the other region, or that move
+// when an unrelated agent goes.
+func TestSubset(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	m := member.New(list[0], regions)
+	m.List(at(0), list)
+	before := m.Subset("s", pool(list), member.SubsetMax)
+	g.Expect(before).To(HaveLen(member.SubsetMax))
+	for _, id := range before {
+		g.Expect(string(id)).To(ContainSubstring("west-b"))
+	}
+	m.Heard(at(1), member.Entry{VM: before[0]}, 1, true)
+	after := m.Subset("s", pool(list), member.SubsetMax)
+	g.Expect(after[:member.SubsetMax-1]).To(Equal(before[1:]))
+	var few []ident.ProcessID
+	for _, id := range pool(list) {
+		if e := string(id); e == "agent-west-b-1" || e > "agent-east" && e < "agent-west" {
+			few = append(few, id)
+		}
+	}
+	got := m.Subset("s", few, member.SubsetMax)
+	g.Expect(got).To(HaveLen(member.SubsetMax))
+	g.Expect(got[0]).To(Equal(ident.ProcessID("agent-west-b-1")))
+}
