--- a/core/moves/machine.go
+++ b/core/moves/machine.go
@@ -32,6 +32,8 @@
 	started time.Time
 	ev      Evidence
 	judged  Judgement
+	// stale is true when evidence, deadline or state changed since the last judgement.
+	stale bool
 	// bad is set once and for all when the new version was judged bad here or elsewhere.
 	bad *Verdict
 	// end is the decision, recorded whether the object API holds it.
@@ -68,19 +70,19 @@
 // Start lets a waiting move run.
 func (m *Machine) Start(now time.Time) {
 	if m.state == Waiting {
-		m.state, m.started = Running, now
+		m.state, m.started, m.stale = Running, now, true
 	}
 }
 
 // Declare takes a changed declaration: a cancellation or another deadline.
 func (m *Machine) Declare(now time.Time, mv conf.Move) []Action {
-	m.move = mv
+	m.move, m.stale = mv, true
 	return m.Tick(now)
 }
 
 // Evidence takes all evidence facts of the move, after some of them changed.
 func (m *Machine) Evidence(now time.Time, fs []wire.Fact) []Action {
-	m.ev = Gather(fs, m.move.From, m.move.To)
+	m.ev, m.stale = Gather(fs, m.move.From, m.move.To), true
 	return m.Tick(now)
 }
 
@@ -109,8 +111,8 @@
 	if m.recorded {
 		return nil
 	}
-	if m.state == Running {
-		m.judged = Judge(m.ev, m.plan())
+	if m.state == Running && m.stale {
+		m.judged, m.stale = Judge(m.ev, m.plan()), false
 	}
 	if m.judged.Bad && m.bad == nil {
 		v := Verdict{Reason: m.judged.Reason, Route: m.judged.Route, Class: m.judged.Class, At: now}
--- a/core/moves/share.go
+++ b/core/moves/share.go
@@ -110,7 +110,10 @@
 		return Trial
 	}
 	stage := Trial
-	good := make([]float64, len(cells))
+	good, need := make([]float64, len(cells)), make([][len(needs)]float64, len(cells))
+	for i, k := range cells {
+		need[i] = ev.need(k, p)
+	}
 	doubt := ev.doubts(r, cells)
 	for _, s := range ev.spans(cell{route: r}) {
 		if s.Start == ev.newest {
@@ -121,7 +124,7 @@
 			if q := ev.cells[k][s]; q != nil {
 				good[i] += float64(q.new.Good())
 			}
-			ready = min(ready, ev.ready(k, good[i], p))
+			ready = min(ready, passed(good[i], need[i]))
 		}
 		if doubt[s] < suspicion {
 			stage = min(ready, stage+s.steps())
@@ -170,12 +173,21 @@
 	return out
 }
 
-// ready returns the highest stage for which a cell has enough good outcomes.
-func (ev *Evidence) ready(k cell, good float64, p Plan) Stage {
+// need returns the good outcomes that a cell needs to leave each stage: fewer when its traffic could
+// not give them in the time of the stage.
+func (ev *Evidence) need(k cell, p Plan) (out [len(needs)]float64) {
 	rate := ev.rate(k)
 	for i, n := range needs {
 		expect := rate * stageTime * p.Window.Seconds() * stageShares[i] / 2
-		if good < max(needMin*float64(i+1), min(n, expect)) {
+		out[i] = max(needMin*float64(i+1), min(n, expect))
+	}
+	return out
+}
+
+// passed returns the stage reached with a number of good outcomes.
+func passed(good float64, need [len(needs)]float64) Stage {
+	for i, n := range need {
+		if good < n {
 			return Stage(i)
 		}
 	}
