Moves: tests per failure, one end per move, suspicion threshold

Ruled out: letting shares fall under suspicion, which hides badness under load. Change: threshold 6; property test of the recorder with two planted faults.

--- /dev/null
+++ b/core/moves/ender_test.go
@@ -0,0 +1,174 @@
+package moves_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/store"
+)
+
+// shelf is a store whose answers get lost and whose writes may take effect late.
+type shelf struct {
+	obj  *store.Object
+	late []store.Object
+}
+
+func (s *shelf) create(o store.Object) error {
+	if s.obj != nil {
+		return store.ErrExists
+	}
+	s.obj = &o
+	return nil
+}
+
+func (s *shelf) do(t *rapid.T, c moves.Call) (store.Object, error) {
+	fault := rapid.SampledFrom([]string{"", "", "out", "lost before", "lost after", "late"}).Draw(t, "fault")
+	switch {
+	case fault == "out":
+		return store.Object{}, store.ErrUnavailable
+	case c.Read && fault != "":
+		return store.Object{}, store.ErrUnsure
+	case c.Read && s.obj == nil:
+		return store.Object{}, store.ErrNotFound
+	case c.Read:
+		return *s.obj, nil
+	case fault == "late":
+		s.late = append(s.late, c.Object)
+		return store.Object{}, store.ErrUnsure
+	case fault == "lost before":
+		return store.Object{}, store.ErrUnsure
+	}
+	err := s.create(c.Object)
+	if fault == "lost after" {
+		err = store.ErrUnsure
+	}
+	return c.Object, err
+}
+
+type answer struct {
+	ender int
+	seq   ident.Seq
+	o     store.Object
+	err   error
+}
+
+// oneEnd runs several processes that decided differently, of which more than one may believe that it
+// holds the lease, and checks that one record is written and that all report that one.
+func oneEnd(plant func(*shelf, *answer, moves.Call)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		s, now := &shelf{}, start
+		var enders []*moves.Ender
+		boot := ident.Boot(0)
+		fresh := func(i int) *moves.Ender {
+			boot++
+			e := moves.End{Move: "m", State: moves.Done, At: start.Add(time.Duration(i))}
+			if i%2 == 0 {
+				e.State, e.Reason = moves.Back, moves.ReasonDeadline
+			}
+			return moves.NewEnder(ident.ProcessID(fmt.Sprint(i)), boot, e)
+		}
+		for i := range 3 {
+			enders = append(enders, fresh(i))
+		}
+		var transit []answer
+		first := ""
+		check := func() {
+			if s.obj == nil {
+				return
+			}
+			if first == "" {
+				first = string(s.obj.Value)
+			}
+			for _, n := range enders {
+				if r := n.Recorded(); string(s.obj.Value) != first || r != nil && string(r.Encode()) != first {
+					t.Fatalf("two ends: %s and %v", first, r)
+				}
+			}
+		}
+		act := func(i int) {
+			for _, c := range enders[i].Tick(now, 1, true) {
+				a := answer{ender: i, seq: c.Seq}
+				a.o, a.err = s.do(t, c)
+				if plant != nil {
+					plant(s, &a, c)
+				}
+				transit = append(transit, a)
+			}
+		}
+		take := func() {
+			a := transit[0]
+			transit = transit[1:]
+			enders[a.ender].Result(now, a.seq, a.o, a.err)
+		}
+		vm := rapid.IntRange(0, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": func(t *rapid.T) { act(vm.Draw(t, "vm")) },
+			"answer": func(*rapid.T) {
+				if len(transit) > 0 {
+					take()
+				}
+			},
+			"late": func(*rapid.T) {
+				if len(s.late) > 0 {
+					_ = s.create(s.late[0])
+					s.late = s.late[1:]
+				}
+			},
+			"time":  func(*rapid.T) { now = now.Add(time.Second) },
+			"crash": func(t *rapid.T) { i := vm.Draw(t, "vm"); enders[i] = fresh(i) },
+			"":      func(*rapid.T) { check() },
+		})
+		for range 200 {
+			now = now.Add(time.Second)
+			act(0)
+			for len(transit) > 0 {
+				take()
+			}
+		}
+		check()
+		if enders[0].Recorded() == nil {
+			t.Skip("the store failed all the time")
+		}
+	}
+}
+
+// Guards against two recorded ends of one move, and against a process that reports an end which is
+// not the recorded one, after lost answers, late writes, crashes and two believed holders.
+func TestOneEndPerMove(t *testing.T) {
+	rapid.Check(t, oneEnd(nil))
+	g := NewWithT(t)
+	g.Expect(catches(t, oneEnd(func(_ *shelf, a *answer, c moves.Call) {
+		if !c.Read && a.err != nil { // planted fault: a writer takes a failed write for its own record
+			a.o, a.err = c.Object, nil
+		}
+	}))).To(BeTrue())
+	g.Expect(catches(t, oneEnd(func(s *shelf, _ *answer, c moves.Call) {
+		if !c.Read { // planted fault: writes are not conditional
+			s.obj = &c.Object
+		}
+	}))).To(BeTrue())
+}
+
+// Guards against a record written by a process that does not hold the lease, and against a decision
+// that is lost or gets another time while the store is out.
+func TestEndWaitsForLeaseAndStore(t *testing.T) {
+	g := NewWithT(t)
+	e := moves.End{Move: "m", State: moves.Back, Reason: moves.ReasonDeadline, At: start}
+	n := moves.NewEnder("r", 1, e)
+	g.Expect(n.Tick(start, 0, false)).To(BeEmpty())
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * time.Second)
+		c := n.Tick(now, 4, true)[0]
+		g.Expect(n.Result(now, c.Seq, store.Object{}, store.ErrUnavailable)).To(BeFalse())
+	}
+	c := n.Tick(start.Add(time.Minute), 5, true)[0]
+	g.Expect(n.Result(start.Add(time.Minute), c.Seq, c.Object, nil)).To(BeTrue())
+	g.Expect(n.Recorded().At).To(BeTemporally("==", start))
+	g.Expect(n.Recorded().Fence).To(Equal(ident.Fence(5)))
+}
--- a/core/moves/measure_test.go
+++ b/core/moves/measure_test.go
@@ -80,8 +80,8 @@
 // Guards against a bad version that is moved to, a good one that is taken back, requests that reach a
 // bad version 2 s after the evidence, and more than 5% before a route is proved.
 func TestMeasureMoves(t *testing.T) {
-	t.Logf("%-19s %-14s | %5s %5s | %9s %9s %9s | %8s %8s", "version", "scenario", "done", "back",
-		"share", "requests", "after 2s", "mean s", "worst s")
+	t.Logf("%-19s %-14s | %5s %5s | %9s %9s %9s %9s | %8s %8s", "version", "scenario", "done", "back",
+		"share", "requests", "met it", "after 2s", "mean s", "worst s")
 	for _, k := range kinds {
 		for _, sc := range scenarios {
 			t.Run(k.name+"/"+sc.name, func(t *testing.T) {
@@ -94,7 +94,7 @@
 
 func measure(t *testing.T, k kind, name string, apply func(*sim)) {
 	g := NewWithT(t)
-	done, back, after, before := 0, 0, 0, 0
+	done, back, after, before, shown := 0, 0, 0, 0, 0
 	var share float64
 	var sum, worst time.Duration
 	for seed := range uint64(seeds) {
@@ -115,12 +115,12 @@
 		}
 		took := s.ended.At.Sub(start)
 		sum, worst = sum+took, max(worst, took)
-		after, before, share = after+s.after, max(before, s.before), max(share, s.share)
+		after, before, share, shown = after+s.after, max(before, s.before), max(share, s.share), max(shown, s.shown)
 	}
 	if !k.bad() {
 		share, before = 1, 0
 	}
-	t.Logf("%-19s %-14s | %5d %5d | %8.0f%% %9d %9d | %8.0f %8.0f", k.name, name, done, back, share*100, before, after,
+	t.Logf("%-19s %-14s | %5d %5d | %8.0f%% %9d %9d %9d | %8.0f %8.0f", k.name, name, done, back, share*100, before, shown, after,
 		sum.Seconds()/seeds, worst.Seconds())
 	if k.bad() {
 		g.Expect(back).To(Equal(seeds))
@@ -132,17 +132,24 @@
 
 // Shows what a fixed timetable with an error threshold does with the same versions; nothing is asserted.
 func TestMeasureBaseline(t *testing.T) {
-	t.Logf("%-19s | %5s %5s | %9s %9s", "version", "done", "back", "share", "requests")
+	t.Logf("%-19s | %5s %5s | %9s %9s %9s", "version", "done", "back", "share", "requests", "met it")
 	for _, k := range kinds {
-		done, before := 0, 0
-		var share float64
-		for seed := range uint64(seeds) {
-			s := newSim(k, seed+1)
-			if s.runTimed() {
-				done++
-			}
-			before, share = max(before, s.before), max(share, s.share)
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			baseline(t, k)
+		})
+	}
+}
+
+func baseline(t *testing.T, k kind) {
+	done, before, shown := 0, 0, 0
+	var share float64
+	for seed := range uint64(seeds) {
+		s := newSim(k, seed+1)
+		if s.runTimed() {
+			done++
 		}
-		t.Logf("%-19s | %5d %5d | %8.0f%% %9d", k.name, done, seeds-done, share*100, before)
+		before, share, shown = max(before, s.before), max(share, s.share), max(shown, s.shown)
 	}
+	t.Logf("%-19s | %5d %5d | %8.0f%% %9d %9d", k.name, done, seeds-done, share*100, before, shown)
 }
--- a/core/moves/sim_test.go
+++ b/core/moves/sim_test.go
@@ -114,9 +114,11 @@
 	evidence time.Time
 	before   int
 	after    int
-	share    float64
-	overs    int
-	ended    *moves.End
+	// shown counts the requests of before that met the badness.
+	shown int
+	share float64
+	overs int
+	ended *moves.End
 }
 
 type fakeStore struct {
@@ -393,6 +395,9 @@
 		ms *= 1.8
 	}
 	if t.isNew && s.kind.bad() && s.kind.shows(s.now.Sub(s.newSince), s.recentNew/s.recentAll, r, t.class) {
+		if s.evidence.IsZero() {
+			s.shown++
+		}
 		o.Failed = o.Failed || s.kind.fail && s.rnd.Float64() < failPart
 		if s.kind.slow {
 			ms *= slowBy
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -11,8 +11,9 @@
 	// alarm is the sum at which a version is bad: a chance of exp(-14), 1 in 1.2 million, per start,
 	// cell and ratio; below 1 in 100 over 100 spans, 20 cells, 2 kinds of events and 3 ratios.
 	alarm = 14
-	// suspicion is the sum above which shares do not grow.
-	suspicion = 2
+	// suspicion is the sum above which shares do not grow. At 2, one chance failure at a share of 5%
+	// was enough, and 2 of 200 good versions were not proved in time.
+	suspicion = 6
 	// quantile is the part of the old version's answers that counts as slow.
 	quantile = 0.1
 	// binsMin is the number of answers of the old version below which slowness is not tested.
