--- a/core/facts/table.go
+++ b/core/facts/table.go
@@ -25,8 +25,8 @@
 	at time.Time
 	// hot counts the rounds for which the fact is still pushed.
 	hot int
-	// far is true while the fact still has to cross the region link.
-	far bool
+	// far is the number of times that the fact is still sent over the region link.
+	far int
 	// known holds peers that have this version or a later one; at most knownMax.
 	known []ident.ProcessID
 }
@@ -109,7 +109,13 @@
 	if !m.valid(f, r) || !m.room(f, old) {
 		return false
 	}
-	e := &entry{fact: f, at: now.Add(-time.Duration(f.Age) * time.Millisecond), hot: hotRounds, far: true}
+	e := &entry{fact: f, at: now.Add(-time.Duration(f.Age) * time.Millisecond), hot: hotRounds, far: 1}
+	if r.Urgent {
+		e.far = urgentFar
+	}
+	if r.Rank != nil {
+		m.beats[s] = true
+	}
 	if from != "" {
 		e.know(from)
 	}
@@ -180,7 +186,7 @@
 		if s == keep || m.rule(s.sort).Pinned {
 			continue
 		}
-		if !ok || e.at.Before(at) || e.at.Equal(at) && lessSlot(s, found) {
+		if !ok || e.at.Before(at) || e.at.Equal(at) && compareSlots(s, found) < 0 {
 			found, at, ok = s, e.at, true
 		}
 	}
@@ -196,8 +202,8 @@
 	}
 }
 
-func lessSlot(a, b slot) bool {
-	return cmp.Or(cmp.Compare(a.sort, b.sort), cmp.Compare(a.key, b.key), cmp.Compare(a.origin, b.origin)) < 0
+func compareSlots(a, b slot) int {
+	return cmp.Or(cmp.Compare(a.sort, b.sort), cmp.Compare(a.key, b.key), cmp.Compare(a.origin, b.origin))
 }
 
 // aged returns the fact of e with its age at now.
