Agent: event for a target that does not answer; tests of the router's core

Ruled out: the target's probe (it succeeds) and the queue (no offer arrived). Change: event 505; a test bench for the router's core.

--- a/agent/node/answers.go
+++ b/agent/node/answers.go
@@ -91,6 +91,7 @@
 // that is frozen, makes no request suspect.
 func (c *Core) downTarget(now time.Time) {
 	c.up = false
+	c.log(event.TargetDown, "target", c.decl.Name)
 	c.refuseAll(c.queue.Drain(now, fault.NotRunf(fault.Target, "target does not answer")))
 	c.report.due = true
 }
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -29,6 +29,7 @@
 	TargetUp        ID = 502
 	TargetSlow      ID = 503
 	TargetLeaving   ID = 504
+	TargetDown      ID = 505
 	MoveStage       ID = 601
 	MoveBad         ID = 602
 	MoveEnded       ID = 603
@@ -63,6 +64,7 @@
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
 	{TargetLeaving, log.InfoLevel, "target is leaving"},
+	{TargetDown, log.WarnLevel, "target does not answer"},
 	{MoveStage, log.InfoLevel, "move changed its share"},
 	{MoveBad, log.WarnLevel, "version judged bad"},
 	{MoveEnded, log.InfoLevel, "move ended"},
--- /dev/null
+++ b/router/entry/core_test.go
@@ -0,0 +1,178 @@
+package entry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/links"
+	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/entry"
+)
+
+// bench is a router core with agents that the test plays itself.
+type bench struct {
+	g    *WithT
+	c    *entry.Core
+	now  time.Time
+	sent []entry.Send
+	got  []entry.Part
+	made []entry.Create
+}
+
+var config = conf.Config{
+	Generation: 1, Deployment: "d",
+	Regions:  []conf.Region{{Name: "west", Centres: []ident.DataCentre{"west-a"}}},
+	Tiers:    []conf.Tier{{Name: "high", Rank: 0, Wait: 5000}, {Name: "low", Rank: 1, Wait: 5000}},
+	Accounts: []conf.Account{{Name: "acme", Keys: []string{ident.HashKey("key")}, Weight: 1, Tier: "low", Tiers: []string{"high", "low"}}},
+	Services: []conf.Service{
+		{Name: "llm", Kind: conf.Model, Versions: []ident.Version{"v1"}, Current: "v1", Routes: []conf.Route{{Name: "chat", Method: "POST", Path: "/v1/chat/completions"}}},
+		{Name: "shop", Kind: conf.Plain, Versions: []ident.Version{"s1"}, Current: "s1", Routes: []conf.Route{{Name: "order", Method: "POST", Path: "/orders"}, {Name: "read", Method: "GET", Path: "/read", Repeat: true}}},
+	},
+	Targets: []conf.Target{
+		{Name: "e1", VM: "a1", Centre: "west-a", Service: "llm", Version: "v1", Class: "x"},
+		{Name: "e2", VM: "a2", Centre: "west-a", Service: "llm", Version: "v1", Class: "x"},
+		{Name: "p1", VM: "a3", Centre: "west-a", Service: "shop", Version: "s1", Class: "x"},
+		{Name: "p2", VM: "a4", Centre: "west-a", Service: "shop", Version: "s1", Class: "x"},
+	},
+	Limits: conf.Limits{Claims: 100, Link: 1 << 20, Loads: 60},
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{g: NewWithT(t), now: time.Unix(1_800_000_000, 0)}
+	b.c = entry.New(member.Entry{VM: "r1", Role: member.Router, Centre: "west-a"}, "west", 1, "d", rand.New(rand.NewPCG(1, 1)))
+	value, err := conf.Encode(config)
+	b.g.Expect(err).NotTo(HaveOccurred())
+	b.c.ConfigRead(b.now, value)
+	for i, id := range []ident.ProcessID{"a1", "a2", "a3", "a4"} {
+		b.open(links.ID(i+1), id, 7)
+	}
+	b.tick(time.Second)
+	return b
+}
+
+// open connects an agent.
+func (b *bench) open(l links.ID, id ident.ProcessID, boot ident.Boot) {
+	b.c.Opened(b.now, l, wire.Hello{Process: id, Role: "agent", Boot: boot, Centre: "west-a"}, "127.0.0.1:1")
+	b.take()
+}
+
+// tick lets time pass in the steps of the driver.
+func (b *bench) tick(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.c.Tick(b.now)
+	}
+	b.take()
+}
+
+func (b *bench) take() {
+	for _, a := range b.c.Take() {
+		switch a := a.(type) {
+		case entry.Send:
+			b.sent = append(b.sent, a)
+		case entry.Reply:
+			b.got = append(b.got, a.Part)
+		case entry.Create:
+			b.made = append(b.made, a)
+		}
+	}
+}
+
+// begin starts a call of a service.
+func (b *bench) begin(id entry.CallID, service int, route int, key string) {
+	s := config.Services[service]
+	b.c.Begin(b.now, id, entry.Request{
+		Account: config.Accounts[0], Service: s, Route: s.Routes[route], Tier: config.Tiers[1], Wait: 5 * time.Second,
+		Prompt: 10, Output: 10, Print: 1, Key: key,
+	})
+	b.take()
+}
+
+// deliver gives a message of an agent to the core.
+func (b *bench) deliver(l links.ID, m wire.Message) {
+	b.c.Message(b.now, l, m)
+	b.take()
+}
+
+// last returns the newest message of a type and its connection, and forgets all messages.
+func last[M wire.Message](b *bench) (l links.ID, m M) {
+	for _, s := range b.sent {
+		if x, ok := s.Message.(M); ok {
+			l, m = s.Link, x
+		}
+	}
+	b.sent = nil
+	return l, m
+}
+
+// count returns the number of messages of a type that were sent.
+func count[M wire.Message](b *bench) (n int) {
+	for _, s := range b.sent {
+		if _, ok := s.Message.(M); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// dispatch takes a call up to its body.
+func (b *bench) dispatch() (links.ID, *wire.Body) {
+	l, o := last[*wire.Offer](b)
+	b.g.Expect(o).NotTo(BeNil(), "no offer was sent")
+	b.deliver(l, &wire.Grant{ID: o.ID, Ticket: 5})
+	return last[*wire.Body](b)
+}
+
+// Guards against a call that is dispatched twice because two agents grant it.
+func TestOneGrantIsTaken(t *testing.T) {
+	b := newBench(t)
+	b.begin(1, 0, 0, "")
+	b.g.Expect(count[*wire.Offer](b)).To(Equal(2))
+	first, o := last[*wire.Offer](b)
+	b.deliver(first, &wire.Grant{ID: o.ID, Ticket: 5})
+	b.g.Expect(count[*wire.Body](b)).To(Equal(1))
+	b.g.Expect(count[*wire.Withdraw](b)).To(Equal(1))
+	b.sent = nil
+	other := links.ID(1)
+	if first == other {
+		other = 2
+	}
+	b.deliver(other, &wire.Grant{ID: o.ID, Ticket: 6})
+	b.g.Expect(count[*wire.Body](b)).To(BeZero())
+	b.g.Expect(count[*wire.Decline](b)).To(Equal(1))
+}
+
+// Guards against a refusal that says "not run" although the body had left the router.
+func TestAgentLostAfterBodyIsUnknown(t *testing.T) {
+	b := newBench(t)
+	b.begin(1, 0, 0, "")
+	l, body := b.dispatch()
+	b.g.Expect(body).NotTo(BeNil())
+	b.c.Closed(b.now, l)
+	b.tick(11 * time.Second)
+	b.g.Expect(b.got).To(HaveLen(1))
+	b.g.Expect(b.got[0].Fault.Run).To(Equal(fault.Unknown))
+	b.g.Expect(count[*wire.Body](b)).To(BeZero())
+}
+
+// Guards against a call that is given up although its agent was lost before the body was written.
+func TestAgentLostBeforeBodyIsOfferedElsewhere(t *testing.T) {
+	b := newBench(t)
+	b.begin(1, 0, 0, "")
+	b.c.Closed(b.now, 1)
+	b.take()
+	b.sent = nil
+	b.c.Closed(b.now, 2)
+	b.open(5, "a1", 8)
+	b.tick(time.Second)
+	l, body := b.dispatch()
+	b.g.Expect(l).To(Equal(links.ID(5)))
+	b.g.Expect(body).NotTo(BeNil())
+}
