Thin path: a request runs from caller to engine and back

Cause: three faults kept the first request from its answer. (1) Facts of the configuration had no order over origins, so an agent could wait for the digest repair (5 s), and a silent agent's connection was closed after 3 s. (2) The agent did not read the answer store after it attached a router, and the store wakes a reader only once it was read to its end. (3) A configuration pushed by an operator carried the wrong version and was dropped. Ruled out: the picker, the queue and the engine; the tests of the agent's core showed the missing chunks without any of them.

--- a/agent/node/answers.go
+++ b/agent/node/answers.go
@@ -162,6 +162,7 @@
 		if e := c.keep.Attach(a.peer, &a.msg); e != nil {
 			c.refuse(a.peer, id, e)
 		}
+		c.flush(a.peer)
 	}
 }
 
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -23,8 +23,8 @@
 const (
 	// reportInterval is the longest time between two load reports.
 	reportInterval = time.Second
-	// reportMin is the shortest time between two load reports.
-	reportMin = 100 * time.Millisecond
+	// reportPause is the shortest time between two load reports.
+	reportPause = 100 * time.Millisecond
 	// orphanTime is the time for which a request without a key runs on after its router was lost.
 	orphanTime = 30 * time.Second
 	// drainKeep is the time for which ended answers are kept for their readers during a stop.
@@ -142,7 +142,7 @@
 		claims:   ledger.NewClaims(),
 		keep:     answer.New(boot),
 		guard:    guard.New(),
-		facts:    facts.New(self, boot, rnd),
+		facts:    active.NewTable(self, boot, rnd),
 		fence:    lease.NewFence(false),
 		peers:    make(map[answer.Peer]*peer),
 		byID:     make(map[ident.ProcessID]answer.Peer),
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -29,6 +29,9 @@
 		return
 	}
 	c.nextFact = now.Add(facts.Round)
+	if !c.ok { // a configured agent sends load reports instead
+		c.broadcast(&wire.Facts{})
+	}
 	near := make([]ident.ProcessID, 0, len(c.byID))
 	for id, p := range c.byID {
 		if c.peers[p].hello.Role == string(member.Router) {
--- a/agent/node/offer.go
+++ b/agent/node/offer.go
@@ -148,6 +148,7 @@
 	if e := c.keep.Attach(p, &wire.Attach{ID: m.ID, Boot: c.boot, Account: o.Account, Credit: m.Credit}); e != nil {
 		c.log(event.Cut, "request", m.ID, "error", e)
 	}
+	c.flush(p) // the store wakes a peer only after it was read to its end
 	c.act(Start{Request: requestOf(o, m)})
 }
 
--- a/agent/node/report.go
+++ b/agent/node/report.go
@@ -27,7 +27,7 @@
 // reportTick sends a load report when one is due.
 func (c *Core) reportTick(now time.Time) {
 	age := now.Sub(c.report.sent)
-	if !c.ok || age < reportMin || (!c.report.due && age < reportInterval) {
+	if !c.ok || age < reportPause || (!c.report.due && age < reportInterval) {
 		return
 	}
 	c.report.sent, c.report.due = now, false
--- a/core/links/dial.go
+++ b/core/links/dial.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// dialMin and dialMax bound the pause between two attempts to reach a peer.
-	dialMin = 100 * time.Millisecond
-	dialMax = 2 * time.Second
+	// dialPause and dialPauseMax bound the pause between two attempts to reach a peer.
+	dialPause    = 100 * time.Millisecond
+	dialPauseMax = 2 * time.Second
 )
 
 // Want replaces the set of addresses that this process keeps connections to. A connection whose address
@@ -44,7 +44,7 @@
 
 func (l *Links) dialLoop(ctx context.Context, addr string) {
 	defer l.loops.Done()
-	pause := dialMin
+	pause := dialPause
 	for ctx.Err() == nil {
 		began := time.Now()
 		c, err := wire.Dial(ctx, addr, l.auth, l.hello(), l.badFrame)
@@ -53,11 +53,11 @@
 		} else {
 			l.serve(ctx, c, addr)
 		}
-		if time.Since(began) > dialMax {
-			pause = dialMin
+		if time.Since(began) > dialPauseMax {
+			pause = dialPause
 		}
 		wait := pause/2 + rand.N(pause) // jitter keeps routers from dialing a restarted agent at once
-		pause = min(2*pause, dialMax)
+		pause = min(2*pause, dialPauseMax)
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
--- a/hickoryvane/push.go
+++ b/hickoryvane/push.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/facts"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/wire"
 )
@@ -90,7 +91,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wire.Facts{Facts: []wire.Fact{{
-		Sort: conf.ConfigSort, Key: conf.ConfigName, Origin: operatorName, Boot: 1, Count: uint64(cfg.Generation), Value: value,
-	}}}, nil
+	f := facts.Ranked(facts.SortConfig, conf.ConfigName, operatorName, uint64(cfg.Generation), value)
+	return &wire.Facts{Facts: []wire.Fact{f}}, nil
 }
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -41,6 +41,8 @@
 	shedRetry = time.Second
 	// demandTime is the time between two announcements of demand.
 	demandTime = quota.Round
+	// beatTime is the time between two signs of life to other routers; a third of member.SuspectAfter.
+	beatTime = time.Second
 	// idleTime is the time for which a connection outside the subset is kept after its last use.
 	idleTime = 30 * time.Second
 	// claimBurst is the number of claims in the object API that may be made at once.
@@ -88,6 +90,7 @@
 type tasks struct {
 	facts    time.Time
 	demand   time.Time
+	beat     time.Time
 	second   time.Time
 	absorbed time.Time
 	// dirty is true when facts about moves changed since absorbed.
@@ -152,7 +155,7 @@
 		quota:    quota.New(id),
 		retry:    retry.New(rnd),
 		guard:    guard.New(),
-		facts:    facts.New(id, boot, rnd),
+		facts:    active.NewTable(id, boot, rnd),
 		member:   member.New(self, member.Regions{self.Centre: region}),
 		moves:    active.New(),
 		lease:    lease.New(controlLease, id, boot),
--- a/router/entry/core_test.go
+++ b/router/entry/core_test.go
@@ -60,7 +60,13 @@
 // open connects an agent.
 func (b *bench) open(l links.ID, id ident.ProcessID, boot ident.Boot) {
 	b.c.Opened(b.now, l, wire.Hello{Process: id, Role: "agent", Boot: boot, Centre: "west-a"}, "127.0.0.1:1")
-	b.take()
+	for _, t := range config.Targets {
+		if t.VM == id {
+			b.deliver(l, &wire.Load{
+				Target: t.Name, Service: t.Service, Version: t.Version, Seq: 1, Window: 8, Prefill: 8000, Decode: 500, Floor: 255,
+			})
+		}
+	}
 }
 
 // tick lets time pass in the steps of the driver.
--- a/router/entry/duty.go
+++ b/router/entry/duty.go
@@ -24,9 +24,9 @@
 	// reads it for its region and by any other.
 	listInterval = time.Second
 	listRare     = 30 * time.Second
-	// watchMin and watchMax bound the pause before a lost watch is started again.
-	watchMin = 200 * time.Millisecond
-	watchMax = 5 * time.Second
+	// watchPause and watchPauseMax bound the pause before a lost watch is started again.
+	watchPause    = 200 * time.Millisecond
+	watchPauseMax = 5 * time.Second
 )
 
 // follow reads the platform's list of VMs.
@@ -69,15 +69,18 @@
 
 // watchSort lists the objects of a kind and watches them, again and again until ctx ends.
 func (r *Router) watchSort(ctx context.Context, sort string) {
-	pause := watchMin
+	pause := watchPause
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := r.watchOnce(ctx, sort)
 		if ctx.Err() != nil {
 			return
 		}
-		if time.Since(began) > watchMax {
-			pause = watchMin
+		if err == nil { // the store ends each watch after a while
+			continue
+		}
+		if time.Since(began) > watchPauseMax {
+			pause = watchPause
 		}
 		r.log.Log(event.StoreDown, "sort", sort, "error", err)
 		_ = r.inbox.Put(ctx, func(now time.Time, c *Core) { c.StoreDown(now) })
@@ -85,7 +88,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(2*pause, watchMax)
+		pause = min(2*pause, watchPauseMax)
 	}
 }
 
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -16,9 +16,6 @@
 	"hickoryvane.example/core/wire"
 )
 
-// sortList is the sort of facts that hold the platform's list of VMs, as a watcher read it.
-const sortList = "vms"
-
 // gossip merges facts of a peer and answers it.
 func (c *Core) gossip(now time.Time, from ident.ProcessID, m *wire.Facts) {
 	c.sendFacts(c.facts.Handle(now, from, m))
@@ -46,6 +43,20 @@
 	}
 	c.sendFacts(c.facts.Tick(now, peers))
 	c.announce(now)
+	c.beat(now)
+}
+
+// beat sends a sign of life to the other routers, as a round of gossip reaches only a few of them.
+func (c *Core) beat(now time.Time) {
+	if now.Sub(c.tasks.beat) < beatTime {
+		return
+	}
+	c.tasks.beat = now
+	for l, p := range c.peers {
+		if p.hello.Role == string(member.Router) {
+			c.send(l, &wire.Facts{})
+		}
+	}
 }
 
 func (c *Core) near(dc ident.DataCentre) bool {
@@ -88,7 +99,7 @@
 			c.mergeGuard(now, f)
 		case facts.SortBad, facts.SortEnd, facts.SortEvidence, active.SortRecord:
 			c.tasks.dirty = true
-		case sortList:
+		case active.SortList:
 			c.mergeList(now, f)
 		}
 	}
@@ -119,7 +130,7 @@
 	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
 }
 
-// listFact is the value of a fact of sortList.
+// listFact is the value of a fact of sort active.SortList.
 type listFact struct {
 	// At is the Unix time in milliseconds at which the watcher read the list.
 	At   int64          `json:"at"`
@@ -147,7 +158,7 @@
 	}
 	c.tasks.list = string(b)
 	if v, err := json.Marshal(listFact{At: now.UnixMilli(), List: list}); err == nil {
-		c.facts.Set(now, sortList, string(c.region), v)
+		c.facts.Set(now, active.SortList, string(c.region), v)
 	}
 }
 
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -180,6 +180,11 @@
 			}
 		}
 	}
+	for id := range c.byID { // a silent or leaving process may still hold answers
+		if st := c.member.State(id); st == member.Suspected || st == member.Leaving {
+			add(id)
+		}
+	}
 	for _, id := range c.nextRouters() {
 		add(id)
 	}
