Router: new agents are trusted at once

Cause: each connection of an agent, also the first, counted as a restart, and a restarted target is considered in only a quarter of the choices. Ruled out: load reports (the test sends them). Change: a restart is a change of the boot of a known agent.

--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -70,6 +70,8 @@
 
 	peers map[links.ID]*peer
 	byID  map[ident.ProcessID]links.ID
+	// boots holds the last run of each agent that was connected.
+	boots map[ident.ProcessID]ident.Boot
 	calls map[CallID]*call
 	// byReq finds the call of a frame; claims finds the calls that wait for a home.
 	byReq  map[ident.RequestID]*call
@@ -162,6 +164,7 @@
 		meter:    noMeter{},
 		peers:    make(map[links.ID]*peer),
 		byID:     make(map[ident.ProcessID]links.ID),
+		boots:    make(map[ident.ProcessID]ident.Boot),
 		calls:    make(map[CallID]*call),
 		byReq:    make(map[ident.RequestID]*call),
 		claims:   make(map[ident.RequestID]map[CallID]*call),
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -30,7 +30,10 @@
 		return
 	}
 	c.declare(now, h.Process)
-	c.picker.Restarted(now, c.peers[l].target)
+	if boot := c.boots[h.Process]; boot != 0 && boot != h.Boot {
+		c.picker.Restarted(now, c.peers[l].target)
+	}
+	c.boots[h.Process] = h.Boot
 	c.reattach(now, h.Process)
 }
 
