Metrics of router and agent

Cause: nothing recorded goodput, shedding, waste and latencies per tier, account and service. Ruled out: metrics inside the core; it stays free of clocks and locks and reports measures through an interface. Change: adapter from the core's measures to the OpenTelemetry meter, bytes over the region link per call, a memory limit of 112 MiB for daemons. Conclusion: /metrics serves on the admin address.

--- a/agent/cmd_serve.go
+++ b/agent/cmd_serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 
 	"github.com/charmbracelet/log"
 	"github.com/peterbourgon/ff/v4"
@@ -12,6 +13,7 @@
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/launch"
+	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/store"
 )
 
@@ -42,7 +44,12 @@
 	if kind == conf.Plain {
 		t = target.NewPlain(cfg.Target)
 	}
-	a := node.NewAgent(cfg, t, store.NewHTTP(cfg.Store), l)
+	m, err := meter.New(meter.Process(cfg.Name))
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(launch.MemoryLimit)
+	a := node.NewAgent(cfg, t, store.NewHTTP(cfg.Store), l, m)
 	stop := context.AfterFunc(ctx, a.Stop)
 	defer stop()
 	return a.Run(context.WithoutCancel(ctx))
--- a/agent/node/agent.go
+++ b/agent/node/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"hickoryvane.example/core/lease"
 	"hickoryvane.example/core/links"
 	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/ring"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
@@ -48,6 +48,7 @@
 	store  store.Store
 	log    *event.Logger
 	core   *Core
+	meter  *meter.Meter
 	inbox  *ring.Ring[input]
 	links  *links.Links
 	// runs counts the goroutines that read answers from the target; they end with the context of Run.
@@ -60,13 +61,14 @@
 }
 
 // NewAgent returns an agent that is not running yet.
-func NewAgent(cfg conf.Agent, t target.Target, s store.Store, log *event.Logger) *Agent {
+func NewAgent(cfg conf.Agent, t target.Target, s store.Store, log *event.Logger, m *meter.Meter) *Agent {
 	boot := ident.BootAt(time.Now())
 	a := &Agent{
 		cfg: cfg, boot: boot, target: t, store: s, log: log,
 		inbox: ring.New[input](inboxSize),
 		stops: make(map[ident.RequestID]context.CancelFunc),
 		drain: make(chan struct{}),
+		meter: m,
 	}
 	rnd := rand.New(rand.NewPCG(uint64(boot), ident.Rendezvous("agent", string(cfg.Name))))
 	a.core = New(cfg.Name, boot, cfg.Deployment, rnd, WithAnswers(cfg.Bounds.Answers, cfg.Bounds.Keep.Duration()))
@@ -87,7 +89,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := group.New()
-	handler := admin.Handler(&source{Agent: a, ctx: ctx}, http.NotFoundHandler())
+	handler := admin.Handler(&source{Agent: a, ctx: ctx}, a.meter.Handler())
 	g.Go(ctx, "admin", func(ctx context.Context) error { return admin.Serve(ctx, ln, handler) })
 	g.Go(ctx, "core", a.loop)
 	g.Go(ctx, "probe", a.probe)
@@ -144,6 +146,9 @@
 	for _, act := range a.core.Take() {
 		switch act := act.(type) {
 		case Send:
+			if no, ok := act.Message.(*wire.Refuse); ok {
+				a.meter.Refused(no.Reason)
+			}
 			a.links.Send(links.ID(act.Peer), act.Message)
 		case Start:
 			a.start(ctx, act.Request)
--- a/core/launch/launch.go
+++ b/core/launch/launch.go
@@ -24,6 +24,10 @@
 	Wrong = 2
 )
 
+// MemoryLimit is the memory in bytes above which a daemon collects garbage more eagerly. It leaves room
+// below the 128 MB that a daemon may use for control.
+const MemoryLimit = 112 << 20
+
 // ErrWrong means that settings or declarations have faults, which were listed.
 var ErrWrong = errors.New("wrong settings")
 
--- a/router/cmd_serve.go
+++ b/router/cmd_serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 
 	"github.com/charmbracelet/log"
 	"github.com/peterbourgon/ff/v4"
@@ -10,6 +11,7 @@
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/launch"
+	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/vmlist"
 	"hickoryvane.example/router/entry"
@@ -37,7 +39,12 @@
 
 // serve runs the router; the end of ctx begins a graceful shutdown.
 func serve(ctx context.Context, cfg conf.Router, l *event.Logger) error {
-	r := entry.NewRouter(cfg, store.NewHTTP(cfg.Store), vms{list: vmlist.NewHTTP(cfg.List)}, l)
+	m, err := meter.New(meter.Process(cfg.Name))
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(launch.MemoryLimit)
+	r := entry.NewRouter(cfg, store.NewHTTP(cfg.Store), vms{list: vmlist.NewHTTP(cfg.List)}, l, entry.WithMetrics(m))
 	stop := context.AfterFunc(ctx, r.Stop)
 	defer stop()
 	return r.Run(context.WithoutCancel(ctx))
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -80,8 +80,9 @@
 	boot   ident.Boot
 	target ident.TargetID
 	ticket ident.Ticket
-	// remote is true when the target is in another region.
+	// remote is true when the target is in another region; link counts the bytes that went over the region link.
 	remote bool
+	link   ident.Bytes
 	reader *answer.Reader
 	// sent is the time of the body; first that of the first chunk; last that of the newest chunk.
 	sent  time.Time
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -118,6 +118,8 @@
 	// Called records a call that ended: the wait until its dispatch, the time to its first byte, its whole
 	// time, its output tokens, and the reason of its refusal or empty.
 	Called(m Measure)
+	// Gap records the time between two tokens of a call.
+	Gap(a ident.AccountID, s ident.Service, t ident.Tier, d time.Duration)
 }
 
 // Measure is what is known of a call at its end.
@@ -183,6 +185,8 @@
 
 func (noMeter) Called(Measure) {}
 
+func (noMeter) Gap(ident.AccountID, ident.Service, ident.Tier, time.Duration) {}
+
 // Take returns the actions since the last call.
 func (c *Core) Take() []Action {
 	acts := c.acts
--- /dev/null
+++ b/router/entry/meter.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"time"
+
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/meter"
+)
+
+// metered records measurements with OpenTelemetry instruments.
+type metered struct{ m *meter.Meter }
+
+// Called implements Meter.
+func (r metered) Called(m Measure) {
+	if m.Queued > 0 {
+		r.m.Queueing(m.Tier, m.Account, m.Service, m.Queued)
+	}
+	if m.First > 0 {
+		r.m.FirstToken(m.Tier, m.Account, m.Service, m.First)
+		r.m.Length(m.Tier, m.Account, m.Service, m.Prompt+m.Output)
+	}
+	if m.Good {
+		r.m.Goodput(m.Tier)
+	}
+	if m.Wasted > 0 {
+		r.m.Wasted(m.Wasted)
+	}
+	if m.Link > 0 {
+		r.m.Link(m.Account, m.Link)
+	}
+	r.refused(m)
+}
+
+func (r metered) refused(m Measure) {
+	switch reason := fault.Reason(m.Reason); reason {
+	case "":
+	case fault.Quota:
+		r.m.Quota(m.Account)
+		r.m.Refused(reason)
+	case fault.Shed, fault.Deadline:
+		r.m.Shed(m.Tier, reason)
+		r.m.Refused(reason)
+	default:
+		r.m.Refused(reason)
+	}
+}
+
+// Gap implements Meter.
+func (r metered) Gap(a ident.AccountID, s ident.Service, t ident.Tier, d time.Duration) {
+	r.m.TokenGap(t, a, s, d)
+}
+
+// names returns the accounts and services of a configuration.
+func names(x *conf.Index) (accounts []ident.AccountID, services []ident.Service) {
+	for _, a := range x.Config().Accounts {
+		accounts = append(accounts, a.Name)
+	}
+	for _, s := range x.Config().Services {
+		services = append(services, s.Name)
+	}
+	return accounts, services
+}
--- a/router/entry/offers.go
+++ b/router/entry/offers.go
@@ -63,9 +63,6 @@
 		}
 		c.picker.Sent(now, ch.Target, &r)
 		k.open[ch.Agent] = ch.Target
-		if ch.Remote {
-			k.remote = true
-		}
 	}
 }
 
@@ -85,6 +82,7 @@
 	}
 	k.agent, k.boot, k.ticket, k.peer = p.hello.Process, p.hello.Boot, m.Ticket, l
 	k.target = k.open[k.agent]
+	k.remote = !c.near(p.hello.Centre)
 	delete(k.open, k.agent)
 	c.withdraw(k)
 	if k.keyed() {
@@ -104,9 +102,7 @@
 	k.reader = answer.NewReader(k.attempt, k.boot, 0)
 	body := k.body()
 	c.send(k.peer, body)
-	if k.remote {
-		c.picker.Crossed(now, ident.Bytes(len(body.Data)))
-	}
+	c.cross(now, k, ident.Bytes(len(body.Data)))
 }
 
 // retract makes a call available for offers again after it certainly did not run.
--- a/router/entry/router.go
+++ b/router/entry/router.go
@@ -15,6 +15,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/links"
 	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/ring"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
@@ -56,6 +57,8 @@
 	inbox   *ring.Ring[input]
 	links   *links.Links
 	metrics http.Handler
+	// configured is called with each configuration that comes into force; nil if nobody asked for it.
+	configured func(*conf.Index)
 	// index is the configuration in force, for the handlers of calls.
 	index atomic.Pointer[conf.Index]
 	// held counts the bytes of bodies held for callers.
@@ -75,9 +78,12 @@
 // RouterOption changes a Router.
 type RouterOption func(*Router)
 
-// WithMetrics sets the receiver of measurements and the handler that shows them.
-func WithMetrics(m Meter, h http.Handler) RouterOption {
-	return func(r *Router) { r.core.meter, r.metrics = m, h }
+// WithMetrics sets the meter of the router.
+func WithMetrics(m *meter.Meter) RouterOption {
+	return func(r *Router) {
+		r.core.meter, r.metrics = metered{m}, m.Handler()
+		r.configured = func(x *conf.Index) { m.Configure(names(x)) }
+	}
 }
 
 // NewRouter returns a router that is not running yet.
@@ -187,6 +193,9 @@
 	}
 	if x := r.core.Index(); x != r.index.Load() {
 		r.index.Store(x)
+		if r.configured != nil {
+			r.configured(x)
+		}
 	}
 }
 
--- a/router/entry/stream.go
+++ b/router/entry/stream.go
@@ -23,10 +23,16 @@
 	for _, ch := range ready {
 		c.deliver(now, k, ch)
 	}
+	c.cross(now, k, ident.Bytes(len(m.Data)))
+	c.result(now, k, res, nil)
+}
+
+// cross counts bytes of a call that went over the region link.
+func (c *Core) cross(now time.Time, k *call, n ident.Bytes) {
 	if k.remote {
-		c.picker.Crossed(now, ident.Bytes(len(m.Data)))
+		k.link += n
+		c.picker.Crossed(now, n)
 	}
-	c.result(now, k, res, nil)
 }
 
 func (c *Core) end(now time.Time, l links.ID, m *wire.End) {
@@ -57,6 +63,9 @@
 }
 
 func (c *Core) deliver(now time.Time, k *call, m *wire.Chunk) {
+	if !k.first.IsZero() && m.Tokens > 0 {
+		c.meter.Gap(k.Account.Name, k.Service.Name, k.Tier.Rank, now.Sub(k.last))
+	}
 	k.last = now
 	if k.first.IsZero() {
 		k.first = now
@@ -203,7 +212,7 @@
 func (c *Core) measure(now time.Time, k *call, reason string) {
 	m := Measure{
 		Account: k.Account.Name, Service: k.Service.Name, Tier: k.Tier.Rank, Total: now.Sub(k.began),
-		Prompt: k.Prompt, Output: k.tokens, Reason: reason,
+		Prompt: k.Prompt, Output: k.tokens, Reason: reason, Link: k.link,
 	}
 	if !k.sent.IsZero() {
 		m.Queued = k.sent.Sub(k.began)
