--- a/core/lease/fence.go
+++ b/core/lease/fence.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"hickoryvane.example/core/ident"
@@ -21,6 +22,8 @@
 	checks bool
 	// highest is the highest fencing number known per lease; a lease is absent before it was read.
 	highest map[string]ident.Fence
+	// given holds the last orders that were forwarded, so that a repeated message has no effect.
+	given []ident.RequestID
 	// waiting holds accepted orders that are not forwarded yet, with the end of their validity.
 	waiting map[ident.RequestID]pending
 }
@@ -30,8 +33,12 @@
 	until time.Time
 }
 
-// waitingMax bounds the accepted orders that are not forwarded yet.
-const waitingMax = 64
+const (
+	// waitingMax bounds the accepted orders that are not forwarded yet.
+	waitingMax = 64
+	// givenMax bounds the forwarded orders that are remembered.
+	givenMax = 256
+)
 
 // NewFence returns the check for a target; checks tells whether the target checks numbers itself.
 func NewFence(checks bool) *Fence {
@@ -63,6 +70,8 @@
 		return f.refuse(o, "fencing number is old")
 	case o.Valid <= 0:
 		return f.refuse(o, "lease has expired")
+	case slices.Contains(f.given, o.ID):
+		return f.refuse(o, "order was given before")
 	case len(f.waiting) >= waitingMax:
 		return f.refuse(o, "too many orders wait")
 	}
@@ -85,6 +94,7 @@
 	if !now.Before(p.until) {
 		return nil, f.refuse(&p.order, "lease has expired")
 	}
+	f.given = append(f.given[max(0, len(f.given)-givenMax+1):], id)
 	return &Forward{Order: p.order, Check: f.checks}, nil
 }
 
--- a/core/lease/fence_test.go
+++ b/core/lease/fence_test.go
@@ -41,6 +41,7 @@
 	g.Expect(no.Detail).To(ContainSubstring("old"))
 	_, no = f.Send(at(1), "c")
 	g.Expect(no).NotTo(BeNil(), "an order is sent once")
+	g.Expect(f.Order(at(1), newOrder("c", 9)).Detail).To(ContainSubstring("before"), "a repeated message")
 }
 
 // answered drives a machine whose store calls all succeed at once.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -28,10 +28,9 @@
 	// until is the end of validity: two thirds of the term after the start of the last renewal.
 	until time.Time
 
-	// out is the number of the outstanding call, zero if none; started is when it was issued.
-	out     ident.Seq
-	verb    Verb
-	started time.Time
+	// out is the number of the outstanding call, zero if none.
+	out  ident.Seq
+	verb Verb
 	// want is the record of an outstanding or unsure write, and unsure its start.
 	want   *Record
 	unsure time.Time
@@ -120,7 +119,7 @@
 
 func (m *Machine) call(now time.Time, v Verb, r *Record) []Call {
 	m.seq++
-	m.out, m.verb, m.started = m.seq, v, now
+	m.out, m.verb = m.seq, v
 	o := store.Object{Sort: Sort, Name: m.name}
 	if r != nil {
 		o.Value = r.Encode()
--- a/core/moves/codec.go
+++ b/core/moves/codec.go
@@ -103,6 +103,7 @@
 	for len(r.b) > 0 && len(rep.counts) < routesMax*spansMax {
 		p := place{route: ident.Route(r.text())}
 		p.span = span{Start: epoch(r.number(countMax)), Len: int64(r.number(coarseLen))}
+		r.bad = r.bad || p.span.Start > rep.newest
 		rep.counts[p] = r.counts()
 	}
 	if r.bad {
--- a/core/moves/evidence.go
+++ b/core/moves/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/wire"
@@ -30,8 +31,13 @@
 	bad int
 }
 
-// Gather merges the evidence facts of a move. Facts with other versions than the move's are left out.
-func Gather(fs []wire.Fact, from, to ident.Version) Evidence {
+// aheadMax is the number of epochs by which the clock of an agent may be ahead.
+const aheadMax = 2
+
+// Gather merges the evidence facts of a move. Facts with other versions than the move's are left out,
+// and so are those of agents whose clock is ahead by more than aheadMax epochs: they would make all
+// other evidence look old.
+func Gather(now time.Time, fs []wire.Fact, from, to ident.Version) Evidence {
 	ev := Evidence{cells: map[cell]map[span]*pair{}}
 	var reps []report
 	for _, f := range fs {
@@ -40,7 +46,7 @@
 			ev.bad++
 			continue
 		}
-		if rep.version != from && rep.version != to {
+		if rep.version != from && rep.version != to || rep.newest > epochOf(now)+aheadMax {
 			continue
 		}
 		reps = append(reps, rep)
--- a/core/moves/machine.go
+++ b/core/moves/machine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/facts"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/wire"
 )
@@ -86,7 +87,7 @@
 
 // Evidence takes all evidence facts of the move, after some of them changed.
 func (m *Machine) Evidence(now time.Time, fs []wire.Fact) []Action {
-	m.ev, m.stale = Gather(fs, m.move.From, m.move.To), true
+	m.ev, m.stale = Gather(now, fs, m.move.From, m.move.To), true
 	return m.Tick(now)
 }
 
@@ -121,14 +122,14 @@
 	if m.judged.Bad && m.bad == nil {
 		v := Verdict{Reason: m.judged.Reason, Route: m.judged.Route, Class: m.judged.Class, At: now}
 		m.bad = &v
-		out = append(out, Publish{Sort: "bad", Key: BadKey(m.move.Service, m.move.To), Value: v.Encode()})
+		out = append(out, Publish{Sort: facts.SortBad, Key: BadKey(m.move.Service, m.move.To), Value: v.Encode()})
 	}
 	e, ok := m.decide(now)
 	if !ok || m.end != nil && !e.wins(*m.end) {
 		return out
 	}
 	m.end = &e
-	return append(out, Publish{Sort: "end", Key: string(m.move.Name), Value: e.Encode()}, Record{e})
+	return append(out, Publish{Sort: facts.SortEnd, Key: string(m.move.Name), Value: e.Encode()}, Record{e})
 }
 
 // plan counts the window from the start that the evidence tells, so that a process which was
--- a/core/moves/moves_test.go
+++ b/core/moves/moves_test.go
@@ -95,8 +95,8 @@
 func TestCommonFaultIsNotCounted(t *testing.T) {
 	g := NewWithT(t)
 	now := start.Add(time.Minute)
-	g.Expect(moves.Judge(moves.Gather(evidence(now, 950, 3, 50, 3), "v1", "v2"), moves.Plan{}).Bad).To(BeFalse())
-	g.Expect(moves.Judge(moves.Gather(evidence(now, 950, 100, 50, 3), "v1", "v2"), moves.Plan{}).Bad).To(BeTrue())
+	g.Expect(moves.Judge(moves.Gather(now, evidence(now, 950, 3, 50, 3), "v1", "v2"), moves.Plan{}).Bad).To(BeFalse())
+	g.Expect(moves.Judge(moves.Gather(now, evidence(now, 950, 100, 50, 3), "v1", "v2"), moves.Plan{}).Bad).To(BeTrue())
 }
 
 // Guards against excused outcomes and repeated crashes in the counters, and against a judgement that
@@ -112,14 +112,18 @@
 		r.Add(start, o)
 	}
 	fs := append(evidence(start, 100, 0, 10, 0), wire.Fact{Value: r.Value()}, wire.Fact{Value: []byte{200, 1}})
-	ev := moves.Gather(fs, "v1", "v2")
+	ev := moves.Gather(start, fs, "v1", "v2")
 	old, trial := ev.Requests("ask")
 	g.Expect([]uint64{old, trial}).To(Equal([]uint64{100, 11}))
+	ahead := evidence(start.Add(time.Hour), 0, 0, 50, 0)
+	late := moves.Gather(start, append(ahead, fs...), "v1", "v2")
+	_, trial = late.Requests("ask")
+	g.Expect(trial).To(Equal(uint64(11)), "an agent whose clock is an hour ahead")
 	want := moves.Judge(ev, moves.Plan{Classes: []ident.Class{"c"}, Window: window})
 	rnd := rand.New(rand.NewPCG(1, 1))
 	for range 20 {
 		rnd.Shuffle(len(fs), func(i, j int) { fs[i], fs[j] = fs[j], fs[i] })
-		g.Expect(moves.Judge(moves.Gather(fs, "v1", "v2"), moves.Plan{Classes: []ident.Class{"c"}, Window: window})).To(Equal(want))
+		g.Expect(moves.Judge(moves.Gather(start, fs, "v1", "v2"), moves.Plan{Classes: []ident.Class{"c"}, Window: window})).To(Equal(want))
 	}
 }
 
@@ -127,7 +131,7 @@
 func FuzzGather(f *testing.F) {
 	f.Add(evidence(start, 10, 2, 10, 3)[0].Value)
 	f.Fuzz(func(_ *testing.T, b []byte) {
-		moves.Judge(moves.Gather([]wire.Fact{{Value: b}, {Value: b}}, "v1", "v2"), moves.Plan{Classes: []ident.Class{"c"}, Window: window})
+		moves.Judge(moves.Gather(start, []wire.Fact{{Value: b}, {Value: b}}, "v1", "v2"), moves.Plan{Classes: []ident.Class{"c"}, Window: window})
 	})
 }
 
