Rings grow on demand; plain prefix only for plain services

Requests to /services/NAME of a model service were passed on with a wrong path. Ruled out: JSON and hashing of the body. Change: a ring starts with 8 items and doubles up to its bound; the prefix /services/ is for plain services only.

--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -9,8 +9,9 @@
 // Ring is a bounded first-in, first-out queue. All methods are safe for concurrent use.
 type Ring[T any] struct {
 	mu sync.Mutex
-	// items has a fixed length; head is the index of the oldest of n items.
+	// items grows up to size; head is the index of the oldest of n items.
 	items []T
+	size  int
 	head  int
 	n     int
 	// ready holds at most one signal; it is sent when the ring becomes non-empty.
@@ -19,16 +20,19 @@
 	room chan struct{}
 }
 
+// firstSize is the room of a new ring. Most rings of requests stay that short, and there are thousands.
+const firstSize = 8
+
 // New returns a ring for at most size items; size must be at least 1.
 func New[T any](size int) *Ring[T] {
-	return &Ring[T]{items: make([]T, size), ready: make(chan struct{}, 1), room: make(chan struct{}, 1)}
+	return &Ring[T]{items: make([]T, min(size, firstSize)), size: size, ready: make(chan struct{}, 1), room: make(chan struct{}, 1)}
 }
 
 // Offer appends v and reports whether there was room.
 func (r *Ring[T]) Offer(v T) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.n == len(r.items) {
+	if r.n == r.size {
 		return false
 	}
 	r.push(v)
@@ -44,7 +48,7 @@
 		case <-r.room:
 		}
 	}
-	if r.Len() < len(r.items) { // another writer may wait as well
+	if r.Len() < r.size { // another writer may wait as well
 		signal(r.room)
 	}
 	return nil
@@ -54,7 +58,7 @@
 func (r *Ring[T]) Replace(v T) (dropped bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.n == len(r.items) {
+	if r.n == r.size {
 		r.pop()
 		dropped = true
 	}
@@ -84,11 +88,22 @@
 }
 
 func (r *Ring[T]) push(v T) {
+	if r.n == len(r.items) {
+		r.grow()
+	}
 	r.items[(r.head+r.n)%len(r.items)] = v
 	r.n++
 	signal(r.ready)
 }
 
+// grow doubles the room, up to size, and puts the oldest item first.
+func (r *Ring[T]) grow() {
+	items := make([]T, min(2*len(r.items), r.size))
+	k := copy(items, r.items[r.head:])
+	copy(items[k:], r.items[:r.head])
+	r.items, r.head = items, 0
+}
+
 func signal(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/core/ring/ring_test.go
+++ b/core/ring/ring_test.go
@@ -52,3 +52,26 @@
 		g.Expect(<-ends).To(Succeed())
 	}
 }
+
+// Guards against items that are lost or swapped when a ring that has wrapped grows.
+func TestRingGrowsInOrder(t *testing.T) {
+	g := NewWithT(t)
+	r := ring.New[int](100)
+	next, want := 0, 0
+	for range 5 {
+		for range 20 {
+			g.Expect(r.Offer(next)).To(BeTrue())
+			next++
+		}
+		for range 7 {
+			v, _ := r.Take()
+			g.Expect(v).To(Equal(want))
+			want++
+		}
+	}
+	for v, ok := r.Take(); ok; v, ok = r.Take() {
+		g.Expect(v).To(Equal(want))
+		want++
+	}
+	g.Expect(want).To(Equal(next))
+}
--- a/router/entry/http.go
+++ b/router/entry/http.go
@@ -143,14 +143,14 @@
 	var ok bool
 	if rest, plain := strings.CutPrefix(req.URL.Path, servicePrefix); plain {
 		name, path, _ := strings.Cut(rest, "/")
-		if c.Service, ok = x.Service(ident.Service(name)); ok {
+		if c.Service, ok = x.Service(ident.Service(name)); ok && c.Service.Kind == conf.Plain {
 			c.Route, ok = x.Route(c.Service.Name, req.Method, "/"+path, "")
 			c.Path = strings.TrimPrefix(c.Path, servicePrefix+name)
 		}
 	} else {
 		c.Service, c.Route, ok = x.Match(req.Method, req.URL.Path)
 	}
-	if !ok {
+	if !ok || c.Service.Kind != conf.Plain || c.Route.Name == "" {
 		return fault.NotRunf(fault.Route, "no service has a route %s %s", req.Method, req.URL.Path)
 	}
 	c.Prompt, c.Output = ident.Estimate(len(body)), 1
