Trace format, replay in virtual time and hickoryvane replay

Decisions could only be compared by reading code. A trace (JSON lines, documented in docs/TRACES.md) now replays in virtual time through queue, pick, quota, ledger, guard and moves in front of a model of an engine with continuous batching, or through four baselines that push requests to engines. The same trace and policy give the same result; a test compares the bytes of two runs of each policy.

Left out: plain services, claims, leases, loss of routers and agents, gossip itself.

--- a/hickoryvane/cmd_replay.go
+++ b/hickoryvane/cmd_replay.go
@@ -2,18 +2,63 @@
 
 import (
 	"context"
+	"io"
+	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/trace"
+	"hickoryvane.example/core/trace/chart"
 )
 
-var errReplay = errors.New("replay is not part of this build")
+// errMissed means that a replay missed stated outcomes, which were printed.
+var errMissed = errors.New("stated outcomes were missed")
 
-func replayVerb(*tool, *ff.FlagSet) func(context.Context, []string) error {
+// replayVerb replays a trace through the state machines in virtual time.
+func replayVerb(t *tool, fs *ff.FlagSet) func(context.Context, []string) error {
+	names := make([]string, 0, len(trace.Policies))
+	for _, p := range trace.Policies {
+		names = append(names, string(p))
+	}
+	policy := fs.StringEnumLong("policy", "policy: "+strings.Join(names, ", "), names...)
+	dir := fs.StringLong("report", "", "write a table and plots into this directory")
 	return func(_ context.Context, args []string) error {
-		if _, err := only(args, "trace"); err != nil {
+		name, err := only(args, "trace")
+		if err != nil {
+			return err
+		}
+		return replay(t.out, name, trace.Policy(*policy), *dir)
+	}
+}
+
+// replay prints the result; the stated outcomes hold for the product's policy only.
+func replay(out io.Writer, name string, p trace.Policy, dir string) (err error) {
+	defer func() { err = errors.WithMessagef(err, "replay %s", name) }()
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	t, err := trace.Read(f)
+	if err != nil {
+		return err
+	}
+	r, err := trace.Replay(t, p)
+	if err != nil {
+		return err
+	}
+	if err = t.Header.Print(out, r); err != nil {
+		return err
+	}
+	if dir != "" {
+		if err = chart.Write(dir, &t.Header, r); err != nil {
 			return err
 		}
-		return errReplay
 	}
+	if n := len(t.Header.Judge(r)); p == trace.LateBinding && n > 0 {
+		return errors.WithMessagef(errMissed, "%d of %d", n, len(t.Header.Outcomes))
+	}
+	return nil
 }
