Open-loop load tool

bench had no commands. bench load plans Poisson arrivals from a mix file with a fixed seed, or takes those of a trace, and sends them at their times, whether or not earlier answers have come, so that overload is not hidden by a closed loop.

It records first token, token gap and total by tier and account, refusals by reason and run state, whole, cut and torn answers, and requests that ran twice as stand-ins report them. Count, time, requests in flight and drain time are bounded. A broken promise gives exit code 1, a wrong flag or mix exit code 2.

Not run against a router.

--- /dev/null
+++ b/bench/cmd_load.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/bench/load"
+	"hickoryvane.example/bench/plan"
+)
+
+// loadFlags are the flags of bench load.
+type loadFlags struct {
+	routers, standins, mix, trace, keys, want, out string
+	count, inflight                                int
+	scale                                          float64
+	length, drain                                  time.Duration
+	quiet                                          bool
+}
+
+func cmdLoad(s streams) *ff.Command {
+	f := &loadFlags{}
+	fs := ff.NewFlagSet("load")
+	fs.StringVar(&f.routers, 0, "routers", "", "routers as IP:PORT,...")
+	fs.StringVar(&f.standins, 0, "standins", "", "stand-ins whose GET /runs is read, as IP:PORT,...")
+	fs.StringVar(&f.mix, 0, "mix", "", "mix file (JSON with comments)")
+	fs.StringVar(&f.trace, 0, "trace", "", "trace whose arrivals are sent, instead of a mix")
+	fs.StringVar(&f.keys, 0, "keys", "", "keys of the accounts of a trace, as ACCOUNT=KEY,...; key-ACCOUNT if not listed")
+	fs.StringVar(&f.want, 0, "want", "", "least goodput by tier, as TIER=SHARE,...")
+	fs.StringVar(&f.out, 0, "json", "", "write the report as JSON to this file")
+	fs.IntVar(&f.count, 0, "count", 10000, "largest number of requests")
+	fs.IntVar(&f.inflight, 0, "inflight", 4096, "largest number of requests at a time")
+	fs.Float64Var(&f.scale, 0, "scale", 1, "factor for all rates")
+	fs.DurationVar(&f.length, 0, "time", 30*time.Second, "end of arrivals")
+	fs.DurationVar(&f.drain, 0, "drain", time.Minute, "time for answers after the last arrival")
+	fs.BoolVar(&f.quiet, 0, "quiet", "no progress on the terminal")
+	return &ff.Command{
+		Name: "load", Usage: "bench load --routers IP:PORT,... --mix FILE [FLAGS]",
+		ShortHelp: "send open-loop load to routers and judge the answers", Flags: fs,
+		Exec: func(ctx context.Context, _ []string) error { return f.run(ctx, s) },
+	}
+}
+
+func (f *loadFlags) run(ctx context.Context, s streams) (err error) {
+	shots, promises, err := f.input()
+	if err != nil {
+		return err
+	}
+	r := load.NewRunner(load.NewClient(f.inflight), strings.Split(f.routers, ","),
+		load.WithInflight(f.inflight), load.WithDrain(f.drain), load.WithProgress(f.progress(s)))
+	results, skipped := r.Run(ctx, shots)
+	var runs map[string]int
+	if f.standins != "" {
+		if runs, err = load.Runs(ctx, strings.Split(f.standins, ",")); err != nil {
+			return err
+		}
+	}
+	rep := load.NewReport(results, skipped, runs)
+	broken := rep.Judge(promises)
+	if err = f.write(s, rep); err != nil {
+		return err
+	}
+	if len(broken) > 0 {
+		return errors.Errorf("%d broken promises", len(broken))
+	}
+	return nil
+}
+
+func (f *loadFlags) input() (shots []plan.Shot, p load.Promises, err error) {
+	if f.routers == "" || (f.mix == "") == (f.trace == "") {
+		return nil, p, errors.Wrap(errSetting, "--routers and either --mix or --trace are needed")
+	}
+	if f.inflight < 1 {
+		return nil, p, errors.Wrap(errSetting, "--inflight is below 1")
+	}
+	if p.Shares, err = shares(f.want); err != nil {
+		return nil, p, err
+	}
+	if shots, err = f.shots(); err != nil {
+		return nil, p, errors.Wrap(errSetting, err.Error())
+	}
+	return shots, p, nil
+}
+
+func (f *loadFlags) shots() ([]plan.Shot, error) {
+	b := plan.Bounds{Count: f.count, Time: f.length, Scale: f.scale}
+	if f.trace != "" {
+		keys := map[string]string{}
+		for part := range strings.SplitSeq(f.keys, ",") {
+			account, key, _ := strings.Cut(part, "=")
+			keys[account] = key
+		}
+		return plan.ReadTrace(f.trace, keys, b)
+	}
+	m, err := plan.Read(f.mix)
+	if err != nil {
+		return nil, err
+	}
+	return m.Shots(b), nil
+}
+
+func shares(s string) (m map[string]float64, err error) {
+	m = map[string]float64{}
+	if s == "" {
+		return m, nil
+	}
+	for part := range strings.SplitSeq(s, ",") {
+		tier, value, _ := strings.Cut(part, "=")
+		if m[tier], err = strconv.ParseFloat(value, 64); err != nil {
+			return nil, errors.Wrapf(errSetting, "--want %s: %v", part, err)
+		}
+	}
+	return m, nil
+}
+
+func (f *loadFlags) progress(s streams) func(load.Progress) {
+	if f.quiet {
+		return func(load.Progress) {}
+	}
+	return func(p load.Progress) {
+		fmt.Fprintf(s.err, "%4.0f s  sent %d of %d, running %d, whole %d, refused %d, other %d\n",
+			p.Elapsed.Seconds(), p.Sent, p.Planned, p.Running, p.Whole, p.Not, p.Broke)
+	}
+}
+
+func (f *loadFlags) write(s streams, rep *load.Report) error {
+	if f.out != "" {
+		b, err := json.MarshalIndent(rep, "", "\t")
+		if err != nil {
+			return errors.WithMessage(err, "encode report")
+		}
+		if err = os.WriteFile(f.out, append(b, '\n'), 0o644); err != nil {
+			return errors.WithMessage(err, "write report")
+		}
+	}
+	return rep.Print(s.out)
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,16 @@
-// Command bench is a program of hickoryvane.
+// Command bench sends open-loop load to routers and measures the decision machines.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/bench/plan/plan_test.go
@@ -0,0 +1,67 @@
+package plan_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/bench/plan"
+	"hickoryvane.example/core/chat"
+	"hickoryvane.example/core/ident"
+)
+
+const mix = `{
+	// Two kinds.
+	"seed": 7,
+	"kinds": [
+		{"name": "draft", "rate": 20, "key": "k", "tier": "urgent", "prompt": [100, 200], "output": [5, 9],
+		 "sessions": 3, "shared": 0.5, "prefix": 64},
+		{"name": "order", "rate": 10, "key": "k", "service": "booking", "method": "POST", "path": "/orders",
+		 "keyed": true, "resend": 1},
+	],
+}`
+
+func read(g *WithT, dir, text string) (*plan.Mix, error) {
+	name := filepath.Join(dir, "mix.json")
+	g.Expect(os.WriteFile(name, []byte(text), 0o600)).To(Succeed())
+	return plan.Read(name)
+}
+
+// Guards against a load that differs between two runs with the same seed, or ignores its bounds.
+func TestShotsAreFixedAndBounded(t *testing.T) {
+	g := NewWithT(t)
+	m, err := read(g, t.TempDir(), mix)
+	g.Expect(err).NotTo(HaveOccurred())
+	a := m.Shots(plan.Bounds{Count: 1000, Time: 10 * time.Second})
+	g.Expect(a).To(Equal(m.Shots(plan.Bounds{Count: 1000, Time: 10 * time.Second})))
+	g.Expect(len(a)).To(BeNumerically("~", 400, 80)) // 20/s drafts, 10/s orders sent twice
+	g.Expect(m.Shots(plan.Bounds{Count: 5, Time: 10 * time.Second})).To(HaveLen(5))
+	r, err := chat.Parse(a[firstOf(a, "draft")].Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ident.Estimate(len(r.Messages[0].Content))).To(And(BeNumerically(">=", 100), BeNumerically("<=", 200)))
+	g.Expect(a[firstOf(a, "order")].Path).To(Equal("/services/booking/orders"))
+}
+
+// Guards against a misspelt or senseless mix that runs as something else.
+func TestReadRefusesWrongMixes(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		`{}`, `{"kinds": [{"name": "a"}]}`, `{"kinds": [{"name": "a", "rate": 1, "tire": "x"}]}`,
+		`{"kinds": [{"name": "a", "rate": 1, "prompt": [5, 2]}]}`, `{"kinds": [{"name": "a", "rate": 1, "resend": 1}]}`,
+	} {
+		_, err := read(g, t.TempDir(), text)
+		g.Expect(err).To(MatchError(plan.ErrMix), text)
+	}
+}
+
+func firstOf(shots []plan.Shot, kind string) int {
+	for i, s := range shots {
+		if s.Kind == kind {
+			return i
+		}
+	}
+	return -1
+}
