Measurement of overload against four baselines

Cause: the queue takes prompts that the engine reads ahead of a request for slowness, so that its window shrinks. Ruled out: a larger token window, separate reductions of both windows, faster token growth. The queue is not changed here.

--- a/bench/cmds.go
+++ b/bench/cmds.go
@@ -26,6 +26,7 @@
 // commands is the table of commands.
 var commands = []func(streams) *ff.Command{
 	cmdLoad,
+	cmdOverload,
 }
 
 // run executes the command in args and returns the exit code. Errors are printed here only.
