Recorded traces with stated outcomes

Fifteen small traces of both mixes: bursts, slow and crashed engines, stale reports with late and lost cache events, requests that crash engines, good versions with and without an outage of the object API, and versions that are bad at once, later, under load, on one route or slow. A test replays all of them; bench trace writes them anew.

--- a/bench/cmds.go
+++ b/bench/cmds.go
@@ -27,6 +27,7 @@
 var commands = []func(streams) *ff.Command{
 	cmdLoad,
 	cmdOverload,
+	cmdTrace,
 }
 
 // run executes the command in args and returns the exit code. Errors are printed here only.
