Costs of the decision machines, extended to the size in two years

bench slopes measures gossip, picking, queue and quota at three or more sizes, fits a line and prints the sums by role beside the limits of a daemon.

--- a/bench/cmds.go
+++ b/bench/cmds.go
@@ -28,6 +28,7 @@
 	cmdLoad,
 	cmdOverload,
 	cmdTrace,
+	cmdSlopes,
 }
 
 // run executes the command in args and returns the exit code. Errors are printed here only.
--- /dev/null
+++ b/bench/slope/serving.go
@@ -0,0 +1,164 @@
+package slope
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/pick"
+	"hickoryvane.example/core/queue"
+	"hickoryvane.example/core/quota"
+	"hickoryvane.example/core/wire"
+)
+
+// seconds is the virtual time of a measurement; it is long because each second costs little.
+const seconds = 500
+
+// perDaemon and perEngine are requests and offers per second at the size in two years.
+const (
+	perDaemon = float64(requests) / daemons
+	perEngine = 2 * float64(requests) / engines
+)
+
+// every calls f at a rate per second, spread over the virtual time.
+func every(rate float64, f func(i int, now time.Time)) {
+	start := time.Unix(1_800_000_000, 0)
+	for i := range int(rate * seconds) {
+		f(i, start.Add(time.Duration(float64(i)/rate*float64(time.Second))))
+	}
+}
+
+func point(size int, took time.Duration, bytes, memory float64) Point {
+	return Point{Size: size, CPU: float64(took.Microseconds()) / 1000 / seconds, Bytes: bytes, Memory: memory}
+}
+
+// picking measures a router that is connected to size targets, 12 per model.
+func picking(size int) Point {
+	before := heap()
+	p := pick.New(rand.New(rand.NewPCG(1, 1)), "west")
+	start := time.Unix(1_800_000_000, 0)
+	service := func(i int) ident.Service { return ident.Service(fmt.Sprintf("model%d", i/12)) }
+	for i := range size {
+		p.Put(start, pick.Target{
+			ID: ident.TargetID(fmt.Sprint(i)), Agent: ident.ProcessID(fmt.Sprint(i)), Region: "west",
+			Service: service(i), Version: "v1",
+		})
+		p.Cache(&wire.Cache{Target: ident.TargetID(fmt.Sprint(i)), Seq: 1, Reset: true, Added: blocks(i, 1024)})
+	}
+	took := cpu(func() {
+		every(float64(size), func(i int, now time.Time) {
+			id := ident.TargetID(fmt.Sprint(i % size))
+			p.Load(now, &wire.Load{Target: id, Service: service(i % size), Version: "v1", Seq: ident.Seq(i), Window: 16, Floor: 255})
+		})
+		var dst []pick.Choice
+		every(perDaemon, func(i int, now time.Time) {
+			r := pick.Request{
+				ID: "r", Service: service(i % size), Version: "v1", Prompt: 4096, Output: 256, Blocks: blocks(i%size, 64),
+			}
+			for _, c := range p.Pick(now, r, dst[:0]) {
+				p.Sent(now, c.Target, &r)
+				p.Done(now, c.Target, pick.Outcome{First: time.Second, Prompt: 4096, Output: 256})
+			}
+		})
+	})
+	memory := heap() - before
+	runtime.KeepAlive(p)
+	return point(size, took, 2*perDaemon*offerBytes(), memory)
+}
+
+func blocks(seed, n int) []ident.Block {
+	list := make([]ident.Block, n)
+	for i := range list {
+		list[i] = ident.Block(seed*1024 + i)
+	}
+	return list
+}
+
+// offerBytes is the length of an offer of a prompt of 4,096 tokens.
+func offerBytes() float64 {
+	b, err := wire.Encode(&wire.Offer{
+		ID: "0123456789abcdef0123456789abcdef", Account: "account", Service: "model", Version: "v1", Route: "chat",
+		Wait: 5000, Prompt: 4096, Output: 256, Print: 1 << 60, Blocks: []ident.Block(blocks(1<<40, 64)),
+	})
+	if err != nil {
+		return 0
+	}
+	return float64(len(b))
+}
+
+// queueing measures an agent at which size offers wait.
+func queueing(size int) Point {
+	before := heap()
+	q := queue.New()
+	push := func(i int, now time.Time) {
+		_, _ = q.Push(now, queue.Item{
+			ID: ident.RequestID(fmt.Sprint(i)), Account: ident.AccountID(fmt.Sprint(i % 100)), Weight: 1,
+			Tier: ident.Tier(i % 5), Deadline: now.Add(time.Hour), Prompt: 100, Output: 50,
+		})
+	}
+	start := time.Unix(1_800_000_000, 0)
+	for i := range size {
+		push(-1-i, start)
+	}
+	took := cpu(func() {
+		every(perEngine, func(i int, now time.Time) {
+			push(i, now)
+			if it, _, ok := q.Next(now); ok {
+				q.Started(now, it.ID)
+				q.FirstToken(now, it.ID)
+				q.Finished(now, it.ID, queue.Outcome{Prompt: 100, Output: 50})
+			}
+		})
+		every(10, func(_ int, now time.Time) { q.Lapse(now) })
+	})
+	memory := heap() - before
+	runtime.KeepAlive(q)
+	load, err := wire.Encode(&wire.Load{Target: "engine-000", Service: "model", Version: "v1", Waiting: []ident.Tokens{1000, 1000, 1000}})
+	if err != nil {
+		return Point{Size: size}
+	}
+	// A load report per second goes to each connected router: 12 of 340 per pool connect to 36 engines.
+	return point(size, took, float64(len(load))*daemons*pools/engines, memory)
+}
+
+// quotas measures a router with size accounts, each of which 20 routers serve.
+func quotas(size int) Point {
+	const (
+		routers = 20
+		// takes is perDaemon, rounded up.
+		takes = 7
+	)
+	var names []ident.AccountID
+	var demands []quota.Demand
+	for i := range size {
+		names = append(names, ident.AccountID(fmt.Sprintf("account%d", i)))
+		for r := range routers {
+			demands = append(demands, quota.Demand{
+				Account: names[i], Router: ident.ProcessID(fmt.Sprintf("r%d", r+1)), Rate: 100,
+			})
+		}
+	}
+	before := heap()
+	q := quota.New("r0")
+	q.SetRouters(daemons)
+	start := time.Unix(1_800_000_000, 0)
+	for i := range size {
+		q.Set(start, names[i], quota.Limit{Rate: 10000, Burst: 100000})
+	}
+	took := cpu(func() {
+		every(1, func(i int, now time.Time) {
+			for _, d := range demands {
+				q.Merge(now, d)
+			}
+			for k := range takes {
+				_ = q.Take(now, names[(i+k)%size], 300)
+			}
+			q.Demands(now)
+		})
+	})
+	memory := heap() - before
+	runtime.KeepAlive(q)
+	return point(size, took, 0, memory) // demand travels as facts and is counted there
+}
