--- a/core/facts/facts_test.go
+++ b/core/facts/facts_test.go
@@ -94,6 +94,14 @@
 				wrote++
 				w.all[one.Draw(t, "at")].Set(w.now, "evidence", "k", []byte(strconv.Itoa(wrote)))
 			},
+			"miss": func(t *rapid.T) { // a process is away for longer than a fact is pushed
+				i := one.Draw(t, "vm")
+				w.down[i] = true
+				wrote++
+				w.all[(i+2)%len(w.all)].Set(w.now, "evidence", "k", []byte(strconv.Itoa(wrote)))
+				w.run(5*time.Second, nil)
+				w.down[i] = false
+			},
 			"pause":  func(t *rapid.T) { w.down[one.Draw(t, "vm")] = true },
 			"resume": func(t *rapid.T) { w.down[one.Draw(t, "vm")] = false },
 			"restart": func(t *rapid.T) {
