--- a/GNUmakefile
+++ b/GNUmakefile
@@ -3,6 +3,10 @@
 programs = router agent hickoryvane standin bench
 modules  = core $(programs) proof
 
+# Tests that are known to fail, one for each line of KNOWN-RED.txt that starts with Test; they are left out.
+red  := $(shell grep -hs '^Test' KNOWN-RED.txt)
+skip := $(if $(red),-skip '$(shell echo $(red) | sed 's#[^ /]*#^&$$#g; s# #|#g')')
+
 .PHONY: all build fmt lint test race demo golden slopes clean
 
 all: build
@@ -21,10 +25,11 @@
 	cd tools && go tool revive -config ../revive.toml -set_exit_status $(foreach m,$(modules),../$(m)/...)
 
 test: build
-	go test $(foreach m,$(modules),./$(m)/...)
+	@if [ -n "$(red)" ]; then echo "left out, see KNOWN-RED.txt:"; printf '  %s\n' $(red); fi
+	go test $(skip) $(foreach m,$(modules),./$(m)/...)
 
 race: build
-	go test -race $(foreach m,$(modules),./$(m)/...)
+	go test -race $(skip) $(foreach m,$(modules),./$(m)/...)
 
 demo: build
 	bin/bench demo -examples examples/rekkverk -bin bin
--- a/core/wire/conn.go
+++ b/core/wire/conn.go
@@ -47,6 +47,8 @@
 	bad int
 	// onBad is called for each malformed frame.
 	onBad func(error)
+	// unsent counts messages that were queued and not written yet.
+	unsent atomic.Int64
 	// sent and received count bytes of messages.
 	sent     atomic.Int64
 	received atomic.Int64
@@ -177,7 +179,9 @@
 	if err != nil {
 		return err
 	}
+	c.unsent.Add(1)
 	if !c.out.Offer(b) {
+		c.unsent.Add(-1)
 		return ErrFull
 	}
 	return nil
@@ -214,7 +218,7 @@
 func (c *Conn) Flush(ctx context.Context) {
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
-	for c.out.Len() > 0 {
+	for c.unsent.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			c.Close()
@@ -256,6 +260,7 @@
 		if c.write(ctx, b) != nil {
 			return false
 		}
+		c.unsent.Add(-1)
 	}
 }
 
