--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -298,6 +298,14 @@
 func (c *Core) log(id event.ID, pairs ...any) { c.act(Log{Event: id, Pairs: pairs}) }
 
 // requestOf returns what is written to the target.
-func requestOf(o *offer, m *wire.Body) target.Request {
-	return target.Request{ID: o.ID, Method: m.Method, Path: m.Path, Type: m.Type, Data: m.Data, Key: m.Key}
+func (c *Core) requestOf(o *offer, m *wire.Body) target.Request {
+	r := target.Request{ID: o.ID, Method: m.Method, Path: m.Path, Type: m.Type, Data: m.Data, Key: m.Key}
+	if x := c.force.Index(); x != nil {
+		if s, ok := x.Service(o.Service); ok {
+			for _, route := range s.Routes {
+				r.Repeat = r.Repeat || route.Name == o.Route && route.Repeat
+			}
+		}
+	}
+	return r
 }
--- a/agent/node/offer.go
+++ b/agent/node/offer.go
@@ -149,7 +149,7 @@
 		c.log(event.Cut, "request", m.ID, "error", e)
 	}
 	c.flush(p) // the store wakes a peer only after it was read to its end
-	c.act(Start{Request: requestOf(o, m)})
+	c.act(Start{Request: c.requestOf(o, m)})
 }
 
 // cancel stops a request whose caller left. A request with a key runs on, because its caller may come back.
--- a/agent/node/verdict.go
+++ b/agent/node/verdict.go
@@ -14,13 +14,6 @@
 	"hickoryvane.example/core/wire"
 )
 
-const (
-	// evidenceInterval is the time between two evidence facts while nothing failed.
-	evidenceInterval = 2 * time.Second
-	// absorbInterval is the shortest time between two readings of changed facts about moves.
-	absorbInterval = 100 * time.Millisecond
-)
-
 // verdict is the agent's part in the move of its service.
 type verdict struct {
 	moves *active.Set
@@ -45,7 +38,7 @@
 // judge lets the moves run and publishes evidence.
 func (c *Core) judge(now time.Time) {
 	v := &c.verdict
-	if v.dirty && now.Sub(v.absorbed) >= absorbInterval {
+	if v.dirty && now.Sub(v.absorbed) >= moves.JudgeGap {
 		v.dirty, v.absorbed = false, now
 		c.publish(now, v.moves.Absorb(now, c.facts))
 	}
@@ -126,6 +119,14 @@
 	c.report.due = true
 }
 
+// poolSize returns the number of agents of the service.
+func (c *Core) poolSize() int {
+	if x := c.force.Index(); x != nil {
+		return len(x.Pool(c.decl.Service))
+	}
+	return 1
+}
+
 // evidence publishes the counters of the recorder when they are due.
 func (c *Core) evidence(now time.Time) {
 	v := &c.verdict
@@ -133,7 +134,7 @@
 		return
 	}
 	changed, urgent := v.recorder.Changed()
-	if urgent || changed && now.Sub(v.written) >= evidenceInterval || v.written.IsZero() {
+	if urgent || changed && now.Sub(v.written) >= moves.Interval(c.poolSize()) || v.written.IsZero() {
 		v.written = now
 		c.facts.Set(now, facts.SortEvidence, moves.EvidenceKey(v.move, c.boot), v.recorder.Value())
 		v.dirty = true
--- a/agent/target/plain.go
+++ b/agent/target/plain.go
@@ -16,17 +16,23 @@
 // Plain is a plain service.
 type Plain struct {
 	base string
-	rt   http.RoundTripper
+	// kept uses connections again, fresh does not. A connection that the service closes while it is idle
+	// would make the outcome of a non-idempotent call unknown.
+	kept, fresh http.RoundTripper
 }
 
 // NewPlain returns the plain service at addr (IP number and port).
 func NewPlain(addr string) *Plain {
-	return &Plain{base: "http://" + addr, rt: newTransport(false)}
+	return &Plain{base: "http://" + addr, kept: newTransport(true), fresh: newTransport(false)}
 }
 
 // Run implements Target.
 func (p *Plain) Run(ctx context.Context, r Request, emit func(Part)) Outcome {
-	res, out := send(ctx, p.rt, p.base, r)
+	rt := p.fresh
+	if r.Repeat {
+		rt = p.kept
+	}
+	res, out := send(ctx, rt, p.base, r)
 	if res == nil {
 		return out
 	}
@@ -43,7 +49,7 @@
 func (*Plain) Cancel(context.Context, ident.RequestID) error { return nil }
 
 // Probe implements Target.
-func (p *Plain) Probe(ctx context.Context) error { return probe(ctx, p.rt, p.base) }
+func (p *Plain) Probe(ctx context.Context) error { return probe(ctx, p.kept, p.base) }
 
 // Order implements Target.
 func (*Plain) Order(context.Context, Order) error { return ErrUnsupported }
--- a/agent/target/target.go
+++ b/agent/target/target.go
@@ -24,6 +24,8 @@
 	Data []byte
 	// Key is the Idempotency-Key of the caller, if any; targets that know it protect themselves.
 	Key string
+	// Repeat is true when the call is idempotent.
+	Repeat bool
 }
 
 // Part is a piece of an answer.
--- a/router/entry/moves.go
+++ b/router/entry/moves.go
@@ -11,16 +11,12 @@
 	"hickoryvane.example/core/store"
 )
 
-const (
-	// controlLease is the name of the lease under which ends of moves are recorded and orders are given.
-	controlLease = "control"
-	// absorbInterval is the shortest time between two readings of changed facts about moves.
-	absorbInterval = 100 * time.Millisecond
-)
+// controlLease is the name of the lease under which ends of moves are recorded and orders are given.
+const controlLease = "control"
 
 // moveTick lets the moves and the lease run.
 func (c *Core) moveTick(now time.Time) {
-	if c.tasks.dirty && now.Sub(c.tasks.absorbed) >= absorbInterval {
+	if c.tasks.dirty && now.Sub(c.tasks.absorbed) >= moves.JudgeGap {
 		c.tasks.dirty, c.tasks.absorbed = false, now
 		c.publish(now, c.moves.Absorb(now, c.facts))
 	}
