Orders: the holder of the lease has targets load their declared version

Cause: agents checked fencing numbers of orders that nobody gave. Ruled out: orders by each agent on its own; the rate of the weight store is one for all. Change: package orders, a fact with the version that a target reports, and the router that holds the lease gives load orders within limits.loads. An agent refuses offers, as not run, while its target runs another declared version. Conclusion: orders go the whole way from lease to target.

--- a/agent/node/agent.go
+++ b/agent/node/agent.go
@@ -95,6 +95,7 @@
 	g.Go(ctx, "probe", a.probe)
 	if e, ok := a.target.(*target.Engine); ok {
 		g.Go(ctx, "cache", func(ctx context.Context) error { return a.follow(ctx, e) })
+		g.Go(ctx, "version", func(ctx context.Context) error { return a.report(ctx, e) })
 	}
 	a.log.Log(event.Started, "role", "agent", "process", a.cfg.Name, "admin", ln.Addr())
 	first := <-g.Ends()
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -67,6 +67,8 @@
 	given   map[ident.RequestID]answer.Peer
 	report  report
 	verdict verdict
+	// loaded is the version that the target reports; empty if it does not tell.
+	loaded ident.Version
 	// up is false while the target does not answer.
 	up       bool
 	leaving  bool
--- a/agent/node/duty.go
+++ b/agent/node/duty.go
@@ -19,6 +19,8 @@
 	probeInterval = 250 * time.Millisecond
 	// probeFails is the number of failed probes in sequence after which the target counts as down.
 	probeFails = 4
+	// loadInterval is the time between two reads of the target's load report, which names its version.
+	loadInterval = time.Second
 	// cacheInterval is the time between two reads of the target's cache events.
 	cacheInterval = 500 * time.Millisecond
 )
@@ -82,6 +84,26 @@
 	}
 }
 
+// report tells the core which version an engine runs.
+func (a *Agent) report(ctx context.Context, e *target.Engine) error {
+	tick := time.NewTicker(loadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		l, err := e.Load(ctx)
+		if err != nil || l.Version == "" {
+			continue // the probe tells about an engine that is down
+		}
+		if a.inbox.Put(ctx, func(now time.Time, c *Core) { c.Reported(now, l.Version) }) != nil {
+			return nil
+		}
+	}
+}
+
 func contiguous(seq ident.Seq, events []target.CacheEvent) bool {
 	for _, e := range events {
 		if e.Seq != seq+1 {
--- a/agent/node/offer.go
+++ b/agent/node/offer.go
@@ -36,6 +36,8 @@
 	switch {
 	case !c.ok || m.Service != c.decl.Service || m.Version != c.decl.Version:
 		return fault.NotRunf(fault.Config, "target does not serve %s %s", m.Service, m.Version)
+	case c.other():
+		return fault.NotRunf(fault.Config, "target runs version %s and not %s yet", c.loaded, c.decl.Version)
 	case !c.drainAt.IsZero() || c.leaving:
 		return fault.NotRunf(fault.Draining, "target is leaving")
 	case c.refusing(m):
--- a/agent/node/report.go
+++ b/agent/node/report.go
@@ -35,7 +35,7 @@
 	l := &wire.Load{
 		Target: c.decl.Name, Service: c.decl.Service, Version: c.decl.Version, Seq: c.report.seq,
 		Draining: c.leaving || !c.drainAt.IsZero(),
-		Refusing: !c.up || c.verdict.refuses(),
+		Refusing: !c.up || c.other() || c.verdict.refuses(),
 	}
 	c.queue.Load().Fill(l)
 	c.broadcast(l)
--- a/agent/target/target.go
+++ b/agent/target/target.go
@@ -68,8 +68,10 @@
 type Load struct {
 	Running int          `json:"running"`
 	Waiting int          `json:"waiting"`
-	Held    ident.Tokens `json:"held"`
-	Memory  ident.Tokens `json:"memory"`
+	Held    ident.Tokens `json:"used"`
+	Memory  ident.Tokens `json:"size"`
+	// Version is the version that the target runs; empty if it does not tell.
+	Version ident.Version `json:"version"`
 }
 
 // CacheEvent tells which prompt blocks entered or left a target's prefix cache.
--- a/core/active/table.go
+++ b/core/active/table.go
@@ -12,6 +12,9 @@
 // region of the watcher.
 const SortList = "vms"
 
+// SortLoaded is the sort of facts with the version that a target reports; the key is the target.
+const SortLoaded = "loaded"
+
 // NewTable returns the table of facts of a daemon, with the order of the sorts that have one value over
 // all origins: the configuration by its generation, the list of VMs by the time of its reading, and the
 // recorded ends, which never change.
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -18,6 +18,7 @@
 	"hickoryvane.example/core/links"
 	"hickoryvane.example/core/member"
 	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/orders"
 	"hickoryvane.example/core/pick"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/retry"
@@ -80,6 +81,7 @@
 
 	choosers map[ident.Move]*moves.Chooser
 	enders   map[ident.Move]*moves.Ender
+	orders   *orders.Machine
 	tasks    tasks
 	// limit bounds the claims in the object API.
 	limit   *rate.Limiter
@@ -163,6 +165,7 @@
 		member:   member.New(self, member.Regions{self.Centre: region}),
 		moves:    active.New(),
 		lease:    lease.New(controlLease, id, boot),
+		orders:   orders.New(controlLease),
 		meter:    noMeter{},
 		peers:    make(map[links.ID]*peer),
 		byID:     make(map[ident.ProcessID]links.ID),
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -99,6 +99,8 @@
 			c.mergeGuard(now, f)
 		case facts.SortBad, facts.SortEnd, facts.SortEvidence, active.SortRecord:
 			c.tasks.dirty = true
+		case active.SortLoaded:
+			c.orders.Reported(ident.TargetID(f.Key), ident.Version(f.Value))
 		case active.SortList:
 			c.mergeList(now, f)
 		}
@@ -217,6 +219,7 @@
 	}
 	c.publish(now, c.moves.Configure(now, cfg))
 	c.tasks.dirty = true
+	c.declareOrders(now, cfg)
 	c.connect(now)
 	return true
 }
--- a/router/entry/moves.go
+++ b/router/entry/moves.go
@@ -29,6 +29,7 @@
 		c.act(LeaseCall{Call: call})
 	}
 	c.record(now)
+	c.order(now)
 }
 
 // duty starts or stops the watching of the object API for the region.
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -118,6 +118,8 @@
 	case *wire.Facts:
 		c.heard(now, l, "", false)
 		c.gossip(now, p.hello.Process, m)
+	case *wire.Ordered:
+		c.ordered(m)
 	case *wire.Leave:
 		c.heard(now, l, "", true)
 	}
