Orders: name of the least validity

Cause: revive refuses the suffix Min for a duration. Ruled out: an exception for the linter. Change: ValidLeast.

--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -16,8 +16,8 @@
 const (
 	// Again is the time after which an order without effect is given once more.
 	Again = 60 * time.Second
-	// ValidMin is the least validity of the lease with which an order is given.
-	ValidMin = 2 * time.Second
+	// ValidLeast is the least validity of the lease with which an order is given.
+	ValidLeast = 2 * time.Second
 	// Load is the verb of an order to load a version.
 	Load = "load"
 )
@@ -79,7 +79,7 @@
 // Due returns the orders to give now, in the order of the targets' names. fence and valid are those of the
 // lease at this moment; without a lease nothing is ordered.
 func (m *Machine) Due(now time.Time, fence ident.Fence, valid time.Duration, held bool) (out []Order) {
-	if !held || valid < ValidMin {
+	if !held || valid < ValidLeast {
 		return nil
 	}
 	for _, t := range m.wrong() {
