Tests of reasons and metrics on the pages

Cause: nothing checked that the protocol page lists every reason with its status, and that the metrics on the operator pages exist. Ruled out: generating the tables; the explanations belong to no source file.

--- a/proof/docs_test.go
+++ b/proof/docs_test.go
@@ -6,10 +6,13 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/fault"
 )
 
 // root is the top of the repository.
@@ -26,6 +29,10 @@
 	makes   = regexp.MustCompile(`(?:^|[\s;&])make((?: +[a-z][a-z-]*)+)`)
 	tests   = regexp.MustCompile(`\b(?:Test|Fuzz|Benchmark)[A-Z]\w*`)
 	defined = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)[A-Z]\w*)\(`)
+	reasons = regexp.MustCompile(`(?m)^\s+\w+\s+Reason = "(\w+)"`)
+	meters  = regexp.MustCompile(`"(hickoryvane(?:\.[a-z]+)+)"`)
+	series  = regexp.MustCompile(`\bhickoryvane(?:_[a-z]+)+`)
+	units   = regexp.MustCompile(`(?:_seconds|_bytes)?(?:_total)?$`)
 	paths   = regexp.MustCompile(`(?:^|[\s("=])(?:\./|hickoryvane\.example/)?((?:core|router|agent|hickoryvane|standin|bench|proof)/[\w./-]+)`)
 )
 
@@ -175,3 +182,33 @@
 	}
 	return have
 }
+
+// Guards against a reason that callers see and the protocol page does not explain, or with another status.
+func TestProtocolListsAllReasons(t *testing.T) {
+	g := NewWithT(t)
+	page := read(g, "docs/PROTOCOL.md")
+	all := reasons.FindAllStringSubmatch(read(g, "core/fault/fault.go"), -1)
+	g.Expect(all).NotTo(BeEmpty())
+	for _, m := range all {
+		status := (&fault.Error{Reason: fault.Reason(m[1])}).Status()
+		g.Expect(page).To(MatchRegexp("(?m)^\\| `%s` \\| %s\\b[^|]*\\| [^|]+ \\| [^|]+ \\|$", m[1], strconv.Itoa(status)))
+	}
+}
+
+// Guards against pages that send operators to a metric which does not exist, and metrics that no page explains.
+func TestPagesNameTheMetrics(t *testing.T) {
+	g := NewWithT(t)
+	known := map[string]bool{}
+	for _, m := range meters.FindAllStringSubmatch(read(g, "core/meter/instrument.go"), -1) {
+		known[strings.ReplaceAll(m[1], ".", "_")] = true
+	}
+	named := map[string]bool{}
+	for _, name := range files(g, ".md") {
+		for _, s := range series.FindAllString(read(g, name), -1) {
+			base := units.ReplaceAllString(s, "")
+			g.Expect(known).To(HaveKey(base), "%s in %s", s, name)
+			named[base] = true
+		}
+	}
+	g.Expect(named).To(Equal(known))
+}
