Agent: answers read back in their middle, truth of "not run", readers

An answer that a replaced agent read back from the engine was attached before its first part was there, so that every reader past position 0 was refused; a second Attach with the older boot was refused too. A refused connection of the read-back was passed on as "not run" although the earlier run may have written the request. The answer was opened after the dispatch was recorded, so that a full memory cut a request that had been written. A part that could not be kept left a gap in an answer that still ended as whole. One of two readers that left stopped the request of the other. A repeated Offer or Body was refused as a duplicate, which ended the running call at its router. An Attach that ended a grant did not tell the router that held it. Attach entries and order entries of closed connections were kept.

Ruled out: waiting at the router until the position is read back, because the router cannot know it; comparing boots of ids that the ledger knows, because an id is dispatched by one run only.

Change: readers wait at the agent until their position is read back; readers are counted per request; the answer is opened before the dispatch; a cut answer ends as not whole; repeated frames of the same connection are ignored.

The refusal at a full memory before the dispatch, and the dropping of entries of closed connections, have no test of their own.

Conclusion: an agent may be replaced during a stream, and its statements about the run state hold in the cases examined.

--- a/agent/node/answers.go
+++ b/agent/node/answers.go
@@ -15,11 +15,11 @@
 
 // Part takes in a piece of an answer from the target.
 func (c *Core) Part(now time.Time, id ident.RequestID, p target.Part) {
-	if len(c.resuming[id]) > 0 {
-		c.adopt(now, id)
+	if r := c.resuming[id]; r != nil && c.offers[id] == nil {
+		c.adopt(now, id, r.account)
 	}
 	o := c.offers[id]
-	if o == nil || o.phase != running {
+	if o == nil || o.phase != running || o.cut {
 		return
 	}
 	if o.first.IsZero() {
@@ -33,21 +33,23 @@
 	o.last = now
 	wake, err := c.keep.Append(id, answer.Part{Status: p.Status, Type: p.Type, Data: p.Data, Tokens: p.Tokens})
 	if err != nil {
-		o.left = true
+		o.left, o.cut = true, true
 		c.act(Stop{ID: id})
 		c.log(event.Cut, "request", id, "error", err)
 		return
 	}
 	c.flushAll(wake)
+	c.join(id, o)
 }
 
 // Ended takes in the end of a dispatch.
 func (c *Core) Ended(now time.Time, id ident.RequestID, out target.Outcome) {
 	o := c.offers[id]
 	if o == nil || o.phase != running {
-		c.refuseResuming(id, out)
+		c.refuseResuming(id)
 		return
 	}
+	out = o.truth(out)
 	if out.Lost {
 		c.lostTarget(now)
 	}
@@ -56,7 +58,9 @@
 		Prompt: out.Prompt, Output: out.Output, Cached: out.Cached, Failed: !out.Whole || o.left,
 	})
 	c.ledger.End(now, id)
-	c.learn(now, o, out)
+	if !o.adopted { // an adopted request has no route and no fingerprint
+		c.learn(now, o, out)
+	}
 	wake, err := c.keep.End(now, id, wire.End{
 		Whole: out.Whole, Run: out.Run, Reason: out.Reason, Detail: out.Detail,
 		Prompt: out.Prompt, Output: out.Output, Cached: out.Cached,
@@ -65,9 +69,22 @@
 		c.log(event.Cut, "request", id, "error", err)
 	}
 	c.flushAll(wake)
+	c.join(id, o)
+	c.refuseResuming(id)
 	c.grant(now)
 }
 
+// truth corrects what the target's connection knows of an outcome by what the agent knows.
+func (o *offer) truth(out target.Outcome) target.Outcome {
+	if o.cut {
+		out.Whole, out.Run, out.Reason, out.Detail = false, fault.Ran, fault.Target, "the answer exceeds the memory of the agent"
+	}
+	if o.adopted && out.Run == fault.NotRun {
+		out.Run = fault.Unknown // the refused connection was only the one that reads the answer
+	}
+	return out
+}
+
 // lostTarget takes in that the target crashed: everything that runs now is suspected of it, once.
 func (c *Core) lostTarget(now time.Time) {
 	if !c.up {
@@ -75,7 +92,7 @@
 	}
 	var prints []ident.Print
 	for _, o := range c.offers {
-		if o.phase == running {
+		if o.phase == running && !o.adopted {
 			prints = append(prints, o.Print)
 		}
 	}
@@ -116,20 +133,43 @@
 	switch c.ledger.Revoke(now, m.ID) {
 	case ledger.Absent:
 		c.queue.Remove(now, m.ID)
-		delete(c.offers, m.ID)
+		c.drop(m.ID, fault.NotRunf(fault.Lapsed, "an earlier send of the request was looked for and had not run"))
 		c.attachAbsent(p, m)
 	default:
-		if e := c.keep.Attach(p, m); e != nil {
-			c.refuse(p, m.ID, &fault.Error{Run: fault.Ran, Reason: e.Reason, Detail: e.Detail})
+		c.attachKept(p, m)
+	}
+}
+
+// attachKept connects a peer to an answer that this run keeps. The boot is not compared: an id is dispatched
+// by one run only, and an answer that was read back from the target has the same numbering.
+func (c *Core) attachKept(p answer.Peer, m *wire.Attach) {
+	a := *m
+	a.Boot = 0
+	o := c.offers[m.ID]
+	if e := c.keep.Attach(p, &a); e != nil {
+		if o != nil && o.adopted {
+			c.await(p, m) // the position has not been read back yet
 			return
 		}
-		if o := c.offers[m.ID]; o != nil {
-			o.orphan = time.Time{}
-			o.peer = p
-		}
-		c.log(event.Resumed, "request", m.ID, "after", m.Seq)
-		c.flush(p)
+		c.refuse(p, m.ID, &fault.Error{Run: fault.Ran, Reason: e.Reason, Detail: e.Detail})
+		return
+	}
+	if o != nil {
+		o.readers[p] = true
 	}
+	c.log(event.Resumed, "request", m.ID, "after", m.Seq)
+	c.flush(p)
+}
+
+// await holds an Attach until the target has given the part of the answer before its position.
+func (c *Core) await(p answer.Peer, m *wire.Attach) {
+	r := c.resuming[m.ID]
+	if r == nil {
+		r = &resume{account: m.Account}
+		c.resuming[m.ID] = r
+	}
+	r.remove(p)
+	r.waiting = append(r.waiting, attach{peer: p, msg: *m})
 }
 
 // attachAbsent answers for a request that this run of the agent never dispatched. If an earlier run may
@@ -139,36 +179,55 @@
 		c.refuse(p, m.ID, fault.NotRunf(fault.Gone, "the request was not dispatched"))
 		return
 	}
-	c.resuming[m.ID] = append(c.resuming[m.ID], attach{peer: p, msg: *m})
-	if len(c.resuming[m.ID]) == 1 {
+	asked := c.resuming[m.ID] != nil
+	c.await(p, m)
+	if !asked {
 		c.act(Resume{ID: m.ID})
 	}
 }
 
 // adopt records an answer that the target still streams for an earlier run of this agent.
-func (c *Core) adopt(now time.Time, id ident.RequestID) {
-	waiting := c.resuming[id]
-	delete(c.resuming, id)
+func (c *Core) adopt(now time.Time, id ident.RequestID, account ident.AccountID) {
 	ticket, err := c.ledger.Grant(now, id)
-	if err != nil || c.ledger.Dispatch(now, id, ticket) != nil || c.keep.Open(id, waiting[0].msg.Account) != nil {
+	if err != nil || c.ledger.Dispatch(now, id, ticket) != nil || c.keep.Open(id, account) != nil {
+		c.refuseResuming(id)
 		return
 	}
 	c.offers[id] = &offer{
-		Offer: wire.Offer{ID: id, Account: waiting[0].msg.Account, Keyed: true},
-		phase: running, began: now, peer: waiting[0].peer,
+		Offer: wire.Offer{ID: id, Account: account, Keyed: true}, phase: running, began: now,
+		adopted: true, readers: make(map[answer.Peer]bool),
 	}
-	for _, a := range waiting {
-		a.msg.Boot = c.boot
-		if e := c.keep.Attach(a.peer, &a.msg); e != nil {
-			c.refuse(a.peer, id, e)
+}
+
+// join attaches the peers that waited for a position which the target has now given.
+func (c *Core) join(id ident.RequestID, o *offer) {
+	r := c.resuming[id]
+	if r == nil {
+		return
+	}
+	rest := r.waiting[:0]
+	for _, a := range r.waiting {
+		msg := a.msg
+		msg.Boot = 0
+		if c.keep.Attach(a.peer, &msg) != nil {
+			rest = append(rest, a)
+			continue
 		}
+		o.readers[a.peer] = true
 		c.flush(a.peer)
 	}
+	r.waiting = rest
 }
 
-func (c *Core) refuseResuming(id ident.RequestID, out target.Outcome) {
-	for _, a := range c.resuming[id] {
-		c.refuse(a.peer, id, &fault.Error{Run: out.Run, Reason: fault.Gone, Detail: "the answer is not kept any more"})
+// refuseResuming ends the wait for an answer that the target does not give. The earlier run may have written
+// the request to the target, so that it is never stated to be not run.
+func (c *Core) refuseResuming(id ident.RequestID) {
+	r := c.resuming[id]
+	if r == nil {
+		return
+	}
+	for _, a := range r.waiting {
+		c.refuse(a.peer, id, &fault.Error{Run: fault.Unknown, Reason: fault.Gone, Detail: "the answer is not kept any more"})
 	}
 	delete(c.resuming, id)
 }
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hickoryvane.example/agent/target"
@@ -59,8 +60,8 @@
 	byID map[ident.ProcessID]answer.Peer
 	// offers holds each offer from its receipt until its end.
 	offers map[ident.RequestID]*offer
-	// resuming holds the Attach messages that wait for an answer from the target.
-	resuming map[ident.RequestID][]attach
+	// resuming holds the answers that are read back from the target.
+	resuming map[ident.RequestID]*resume
 	// waiting holds orders until the lease was read.
 	waiting []order
 	// given holds the peers that wait for the result of an order.
@@ -106,15 +107,34 @@
 	tokens ident.Tokens
 	// left is true when the caller left; its outcome is no evidence about the target.
 	left bool
+	// readers are the connections on which the answer is read. A request without a key is stopped when
+	// the last of them is gone, not when one of several callers leaves.
+	readers map[answer.Peer]bool
+	// adopted is true when an earlier run of this agent dispatched the request.
+	adopted bool
+	// cut is true when a part of the answer could not be kept; the answer is not whole then.
+	cut bool
 	// orphan is the time when the last router of the request was lost; zero while there is one.
 	orphan time.Time
 }
 
+// resume is an answer that is read back from the target. It lasts until the target has answered, even when no
+// reader is left, because the answer is numbered from its first part.
+type resume struct {
+	account ident.AccountID
+	// waiting are the readers whose position has not been read back yet.
+	waiting []attach
+}
+
 type attach struct {
 	peer answer.Peer
 	msg  wire.Attach
 }
 
+func (r *resume) remove(p answer.Peer) {
+	r.waiting = slices.DeleteFunc(r.waiting, func(a attach) bool { return a.peer == p })
+}
+
 type order struct {
 	peer answer.Peer
 	msg  wire.Order
@@ -147,7 +167,7 @@
 		peers:    make(map[answer.Peer]*peer),
 		byID:     make(map[ident.ProcessID]answer.Peer),
 		offers:   make(map[ident.RequestID]*offer),
-		resuming: make(map[ident.RequestID][]attach),
+		resuming: make(map[ident.RequestID]*resume),
 		up:       true,
 		verdict:  verdict{moves: active.New()},
 	}
@@ -188,18 +208,26 @@
 		c.claims.Release(&wire.Release{ID: id, Attempt: attempt})
 	}
 	c.keep.Close(p)
+	c.forgetOrders(p)
 	for id, o := range c.offers {
-		if o.peer == p {
-			c.lostRouter(now, id, o)
-		}
+		c.lostRouter(now, p, id, o)
+	}
+	for _, r := range c.resuming {
+		r.remove(p)
 	}
 	c.log(event.PeerDown, "peer", gone.hello.Process)
 	c.grant(now)
 }
 
-func (c *Core) lostRouter(now time.Time, id ident.RequestID, o *offer) {
+func (c *Core) lostRouter(now time.Time, p answer.Peer, id ident.RequestID, o *offer) {
 	if o.phase == running {
-		o.orphan = now
+		if o.readers[p] {
+			delete(o.readers, p)
+			o.orphan = now
+		}
+		return
+	}
+	if o.peer != p {
 		return
 	}
 	c.queue.Remove(now, id)
@@ -274,7 +302,7 @@
 
 func (c *Core) cancelOrphans(now time.Time) {
 	for id, o := range c.offers {
-		if o.phase == running && !o.left && !o.Keyed && !o.orphan.IsZero() && now.Sub(o.orphan) >= orphanTime {
+		if o.phase == running && !o.left && !o.Keyed && len(o.readers) == 0 && !o.orphan.IsZero() && now.Sub(o.orphan) >= orphanTime {
 			o.left = true
 			c.act(Stop{ID: id})
 		}
--- a/agent/node/core_test.go
+++ b/agent/node/core_test.go
@@ -28,9 +28,9 @@
 
 const self, boot = ident.ProcessID("a1"), ident.Boot(7)
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, opts ...node.Option) *bench {
 	b := &bench{g: NewWithT(t), now: time.Unix(1_800_000_000, 0), sent: make(map[answer.Peer][]wire.Message)}
-	b.c = node.New(self, boot, "d", rand.New(rand.NewPCG(1, 1)))
+	b.c = node.New(self, boot, "d", rand.New(rand.NewPCG(1, 1)), opts...)
 	b.c.Opened(1, wire.Hello{Process: "r1", Role: "router", Boot: 1})
 	b.c.Opened(2, wire.Hello{Process: "r2", Role: "router", Boot: 1})
 	value, err := conf.Encode(conf.Config{
--- a/agent/node/offer.go
+++ b/agent/node/offer.go
@@ -15,6 +15,9 @@
 
 // offer queues a request, or refuses it as not run.
 func (c *Core) offer(now time.Time, p answer.Peer, m *wire.Offer) {
+	if o := c.offers[m.ID]; o != nil && o.peer == p {
+		return // a repeated frame; the first one has been or will be answered
+	}
 	if e := c.admit(now, m); e != nil {
 		c.refuse(p, m.ID, e)
 		return
@@ -97,11 +100,18 @@
 // body is the dispatch: the ledger records the id before anything is written to the target.
 func (c *Core) body(now time.Time, p answer.Peer, m *wire.Body) {
 	o := c.offers[m.ID]
+	if o != nil && o.phase == running && o.peer == p {
+		return // a repeated frame of the request that runs
+	}
 	if o == nil || o.phase != granted || o.peer != p {
 		c.refuseBody(now, p, m.ID)
 		return
 	}
-	if e := c.recheck(now, o); e != nil {
+	e := c.recheck(now, o)
+	if e == nil && c.keep.Open(m.ID, o.Account) != nil {
+		e = fault.NotRunf(fault.Shed, "running answers fill the memory of the agent")
+	}
+	if e != nil {
 		c.ledger.Decline(m.ID, m.Ticket)
 		c.queue.Remove(now, m.ID)
 		c.drop(m.ID, e)
@@ -109,6 +119,7 @@
 		return
 	}
 	if err := c.ledger.Dispatch(now, m.ID, m.Ticket); err != nil {
+		c.keep.Discard(m.ID)
 		c.queue.Remove(now, m.ID)
 		delete(c.offers, m.ID)
 		c.refuseBody(now, p, m.ID)
@@ -141,10 +152,8 @@
 
 func (c *Core) start(now time.Time, p answer.Peer, o *offer, m *wire.Body) {
 	o.phase, o.began, o.last = running, now, now
+	o.readers = map[answer.Peer]bool{p: true}
 	c.queue.Started(now, m.ID)
-	if err := c.keep.Open(m.ID, o.Account); err != nil { // the ledger has ruled out a second dispatch
-		c.log(event.Cut, "request", m.ID, "error", err)
-	}
 	if e := c.keep.Attach(p, &wire.Attach{ID: m.ID, Boot: c.boot, Account: o.Account, Credit: m.Credit}); e != nil {
 		c.log(event.Cut, "request", m.ID, "error", e)
 	}
@@ -163,7 +172,8 @@
 		c.withdraw(now, p, id)
 		return
 	}
-	if !o.Keyed && !o.left {
+	delete(o.readers, p)
+	if !o.Keyed && !o.left && len(o.readers) == 0 {
 		o.left = true
 		c.act(Stop{ID: id})
 	}
--- a/agent/node/order.go
+++ b/agent/node/order.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"hickoryvane.example/core/answer"
@@ -82,6 +83,11 @@
 	c.send(p, done)
 }
 
+// forgetOrders drops what is only held to answer a peer that is gone. An order that was given stays in force.
+func (c *Core) forgetOrders(p answer.Peer) {
+	maps.DeleteFunc(c.given, func(_ ident.RequestID, q answer.Peer) bool { return q == p })
+}
+
 func (c *Core) ordering(id ident.RequestID, p answer.Peer) {
 	if c.given == nil {
 		c.given = make(map[ident.RequestID]answer.Peer)
