Router: claims at every home, one attempt per agent, lower tiers in pairs

A body was sent when one home had confirmed and the other could not be reached, so that two sends that each reached one home both ran, although no home was lost. Answers to claims were matched by key only, so that the answer to an earlier claim of the same key was taken for one's own. A claim in the object API was not replaced by its own call when the agent was lost before the body. An answer of an earlier send that began later than 10 s was given up although its agent was connected. A kept answer whose request had not run was offered as an empty request. A refusal after the first chunk could say "not run". A refusal of a repeated frame ended the running call. Offers on a connection that was replaced by a new one waited until the deadline. `lower` asked all agents at once, and not at all when the last refusal named another reason. There was no second pair of offers. A call over its quota evicted another call. A call that read the answer of an earlier send was charged. A waiting call kept a version that was replaced meanwhile. Claims waiting at homes did not count as waiting for evictions. Entries of gone agents and moves were kept.

Ruled out: sending with one of two homes after a pause, because a second send may have reached only the other one; refusing at once when a home is lost, because the homes follow membership, which suspects it after 3 s.

Change: all homes confirm; a home that cannot be reached is waited for until it is suspected and another agent is home, within the deadline of the call. A new attempt is made each time a grant is given up, so that an attempt belongs to one agent and its claim may be released once that agent said that it did not run. Claims of one connection are answered in order, and each answer is matched to its attempt. Targets with a lower tier are asked two at a time, each once. A canary that sheds hands a call to the old version first.

The charge of attached calls, the changed version, evictions of claiming calls and the bounded maps have no test of their own.

Conclusion: a keyed call waits up to 3 s longer when one of its homes has just been lost, and is not run twice while one home lives.

--- a/router/entry/begin.go
+++ b/router/entry/begin.go
@@ -23,6 +23,11 @@
 		c.reject(now, k, e)
 		return
 	}
+	if e := c.room(now, k); e != nil {
+		c.quota.Correct(now, r.Account.Name, -r.Prompt-r.Output)
+		c.reject(now, k, e)
+		return
+	}
 	c.calls[id] = k
 	c.byReq[k.attempt] = k
 	c.retry.Request(now)
@@ -44,19 +49,26 @@
 		return fault.NotRunf(fault.Draining, "this router is stopping")
 	case c.guard.Check(now, k.Print) == guard.Blocked:
 		return fault.NotRunf(fault.Crashes, "this request crashed several targets and is blocked for a while")
-	case c.bounds.Requests > 0 && len(c.calls) >= c.bounds.Requests && !c.evict(now, k.Tier.Rank):
-		e := fault.NotRunf(fault.Shed, "too many requests wait at this router")
-		e.Retry = shedRetry
-		return e
 	}
 	return nil
 }
 
+// room makes room for a call, or returns the reason why there is none. It comes after the quota, so that a
+// call over the limit of its account takes no place of another.
+func (c *Core) room(now time.Time, k *call) *fault.Error {
+	if c.bounds.Requests == 0 || len(c.calls) < c.bounds.Requests || c.evict(now, k.Tier.Rank) {
+		return nil
+	}
+	e := fault.NotRunf(fault.Shed, "too many requests wait at this router")
+	e.Retry = shedRetry
+	return e
+}
+
 // evict ends a waiting call of the lowest tier below rank, the latest deadline first.
 func (c *Core) evict(now time.Time, rank ident.Tier) bool {
 	var worst *call
 	for _, k := range c.calls {
-		if k.phase != offering || k.Tier.Rank <= rank {
+		if (k.phase != offering && k.phase != claiming) || k.Tier.Rank <= rank {
 			continue
 		}
 		if worst == nil || k.Tier.Rank > worst.Tier.Rank ||
@@ -101,11 +113,12 @@
 	m := c.moves.Running(k.Service.Name)
 	if m == nil {
 		k.version, k.trial = c.moves.Current(k.Service), false
+		k.lowered, k.refusal = k.lowered[:0], nil
 		return
 	}
 	if k.version == m.Move().To {
 		k.version, k.trial = m.Move().From, false
-		k.tried = k.tried[:0]
+		k.tried, k.lowered, k.refusal = k.tried[:0], k.lowered[:0], nil
 	}
 }
 
@@ -115,6 +128,6 @@
 	if k == nil {
 		return
 	}
-	c.release(now, k)
+	c.release(k)
 	c.finish(now, k, string(fault.Left))
 }
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -74,7 +74,10 @@
 	next time.Time
 	// refusal is the most telling refusal so far.
 	refusal *fault.Error
-	lowered bool
+	// lowered are targets that were asked to evict a lower tier for this call.
+	lowered []ident.TargetID
+	// widened is true after a second pair of offers was sent.
+	widened bool
 	// agent, boot and target are those of the taken grant or of the attached answer.
 	agent  ident.ProcessID
 	boot   ident.Boot
@@ -93,10 +96,13 @@
 	headSent bool
 	tokens   ident.Tokens
 	retries  int
-	// homes are the agents that hold the claim; confirms those that have not answered yet.
-	homes    []ident.ProcessID
-	confirms map[ident.ProcessID]bool
-	held     int
+	// homes are the agents that hold the claim, and asked all that the present attempt was claimed at.
+	homes []ident.ProcessID
+	asked []ident.ProcessID
+	// held are the homes that confirmed the claim in the present phase.
+	held map[ident.ProcessID]bool
+	// resumed is true for a call that only asks for a kept answer; it is never offered.
+	resumed bool
 	// waitUntil bounds claiming, confirming and attaching.
 	waitUntil time.Time
 	// replace is the attempt whose claim in the object API is replaced, because it never ran.
@@ -111,6 +117,9 @@
 // inStore reports whether the claim of the call is kept in the object API.
 func (c *call) inStore() bool { return c.keyed() && c.Service.Kind == conf.Plain }
 
+// mayOffer reports whether the call may be offered again after its attempt ended.
+func (c *call) mayOffer() bool { return !c.headSent && !c.resumed }
+
 func (c *call) pickRequest() pick.Request {
 	return pick.Request{
 		ID: c.attempt, Service: c.Service.Name, Version: c.version, Tier: c.Tier.Rank,
@@ -143,8 +152,10 @@
 func weight(r fault.Reason) int {
 	switch r {
 	case fault.Crashes:
+		return 4
+	case fault.Shed: // other agents may hold a lower tier, whatever the remaining ones say
 		return 3
-	case fault.Shed, fault.Deadline:
+	case fault.Deadline:
 		return 2
 	case fault.Bad, fault.Draining, fault.Target:
 		return 1
--- a/router/entry/claims.go
+++ b/router/entry/claims.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -16,58 +17,70 @@
 // earlier send of it exists.
 func (c *Core) claimHomes(now time.Time, k *call) {
 	k.phase, k.waitUntil = claiming, now.Add(claimTime)
-	k.homes = c.member.Homes(k.key, c.poolAgents(k.Service.Name))
-	c.keep(now, k.homes)
-	c.askHomes(k, "", 0)
+	c.askHomes(now, k)
 }
 
-// askHomes sends a claim to the homes that are connected. An empty agent means that none was chosen yet.
-func (c *Core) askHomes(k *call, agent ident.ProcessID, boot ident.Boot) {
-	k.confirms, k.held = make(map[ident.ProcessID]bool, len(k.homes)), 0
-	c.waitFor(k)
+// askHomes claims the present attempt at its homes. Until a grant was taken the claim names no agent. Every
+// home has to confirm it: two sends that each reach only one of the homes would not learn of each other. A
+// home that cannot be reached is waited for until it is suspected, and then it is a home no more.
+func (c *Core) askHomes(now time.Time, k *call) {
+	k.homes = c.member.Homes(k.key, c.poolAgents(k.Service.Name))
+	k.held = make(map[ident.ProcessID]bool, len(k.homes))
+	c.keep(now, k.homes)
 	for _, h := range k.homes {
-		if c.tell(h, &wire.Claim{ID: k.key, Account: k.Account.Name, Attempt: k.attempt, Agent: agent, Boot: boot}) {
-			k.confirms[h] = true
-		}
+		c.ask(k, h)
 	}
 }
 
-func (c *Core) waitFor(k *call) {
-	if c.claims[k.key] == nil {
-		c.claims[k.key] = make(map[CallID]*call)
+// ask sends a claim to one home if it is connected.
+func (c *Core) ask(k *call, home ident.ProcessID) {
+	m := &wire.Claim{ID: k.key, Account: k.Account.Name, Attempt: k.attempt}
+	if k.phase == confirming {
+		m.Agent, m.Boot = k.agent, k.boot
+	}
+	if !c.tell(home, m) {
+		return
+	}
+	p := c.peers[c.byID[home]]
+	p.asked[k.key] = append(p.asked[k.key], k.attempt)
+	if !slices.Contains(k.asked, home) {
+		k.asked = append(k.asked, home)
 	}
-	c.claims[k.key][k.id] = k
 }
 
-func (c *Core) forgetClaim(k *call) {
-	delete(c.claims[k.key], k.id)
-	if len(c.claims[k.key]) == 0 {
-		delete(c.claims, k.key)
+// answered returns the call whose claim a peer answers, or nil if it does not wait for it any more.
+func (c *Core) answered(p *peer, key ident.RequestID) *call {
+	asked := p.asked[key]
+	if len(asked) == 0 {
+		return nil
+	}
+	if p.asked[key] = asked[1:]; len(asked) == 1 {
+		delete(p.asked, key)
 	}
+	k := c.byReq[asked[0]]
+	if k == nil || k.key != key || (k.phase != claiming && k.phase != confirming) {
+		return nil
+	}
+	return k
 }
 
 // claimed takes in the answer of a home.
-func (c *Core) claimed(now time.Time, from ident.ProcessID, m *wire.Claimed) {
-	for _, k := range c.claims[m.ID] {
-		if !k.confirms[from] || (k.phase != claiming && k.phase != confirming) {
-			continue
-		}
-		delete(k.confirms, from)
-		if m.Attempt != k.attempt {
-			c.duplicate(now, k, m.Attempt, m.Agent, m.Boot)
-			continue
-		}
-		k.held++
+func (c *Core) claimed(now time.Time, p *peer, m *wire.Claimed) {
+	k := c.answered(p, m.ID)
+	switch {
+	case k == nil || !slices.Contains(k.homes, p.hello.Process):
+	case m.Attempt != k.attempt:
+		c.duplicate(now, k, m.Attempt, m.Agent, m.Boot)
+	case k.phase == claiming || m.Agent == k.agent && m.Boot == k.boot:
+		k.held[p.hello.Process] = true
 		c.proceed(now, k)
 	}
 }
 
-// proceed goes on when every home that could be asked has answered.
+// proceed goes on when every home has confirmed the claim.
 func (c *Core) proceed(now time.Time, k *call) {
 	switch {
-	case len(k.confirms) > 0:
-	case k.held == 0:
-		// The claim could not be recorded; without it a second send would not be recognised.
+	case len(k.homes) == 0 || len(k.held) < len(k.homes):
 	case k.phase == claiming:
 		c.spread(now, k)
 	case k.phase == confirming:
@@ -87,7 +100,7 @@
 		c.act(Create{Call: k.id, ID: k.key, Claim: c.claimOf(now, k), Replace: k.replace})
 		return
 	}
-	c.askHomes(k, k.agent, k.boot)
+	c.askHomes(now, k)
 }
 
 func (c *Core) claimOf(now time.Time, k *call) Claim {
@@ -125,9 +138,9 @@
 	}
 	switch {
 	case res == Won && now.Before(k.waitUntil):
+		k.replace = attempt // if it does not run after all
 		c.commit(now, k)
 	case res == Held:
-		c.tell(k.agent, &wire.Decline{ID: k.attempt, Ticket: k.ticket})
 		c.duplicate(now, k, held.Attempt, held.Agent, held.Boot)
 	default:
 		c.expire(now, k)
@@ -152,7 +165,7 @@
 // look attaches a call to an answer of an earlier send.
 func (c *Core) look(now time.Time, k *call, attempt ident.RequestID, agent ident.ProcessID, boot ident.Boot, after ident.Seq) {
 	delete(c.byReq, k.attempt)
-	k.attempt, k.agent, k.boot, k.target = attempt, agent, boot, ""
+	k.attempt, k.agent, k.boot, k.target, k.sent, k.last = attempt, agent, boot, "", time.Time{}, now
 	if other := c.byReq[attempt]; other != nil && other != k {
 		e := &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "the answer of this request is being read", Retry: shedRetry}
 		k.attempt = ""
@@ -160,6 +173,7 @@
 		return
 	}
 	c.byReq[attempt] = k
+	k.replace = attempt
 	k.phase, k.waitUntil = attaching, now.Add(lostTime)
 	k.reader = answer.NewReader(attempt, boot, after)
 	c.keep(now, []ident.ProcessID{agent})
@@ -168,15 +182,13 @@
 
 // takeOver runs a keyed call whose earlier send was claimed but certainly never dispatched.
 func (c *Core) takeOver(now time.Time, k *call) {
-	if !k.keyed() { // a caller that only asked for a kept answer
+	if k.resumed { // a caller that only asked for a kept answer
 		c.fail(now, k, &fault.Error{Run: fault.NotRun, Reason: fault.Gone, Detail: "the request was not run"})
 		return
 	}
 	old := k.attempt
 	c.rename(k)
-	k.reader, k.agent = nil, ""
 	if k.inStore() {
-		k.replace = old
 		c.spread(now, k)
 		return
 	}
@@ -186,48 +198,78 @@
 	c.claimHomes(now, k)
 }
 
-// expire ends the wait for a claim or for an answer.
+// expire ends the wait for a claim or for an answer. The claim of a model request is tried again until the
+// deadline of the call, because the choice of homes follows the live agents.
 func (c *Core) expire(now time.Time, k *call) {
 	if k.phase == attaching {
-		c.fail(now, k, &fault.Error{Run: fault.Unknown, Reason: fault.Lost, Detail: "the agent that holds the answer cannot be reached"})
+		c.expireAttach(now, k)
 		return
 	}
 	if k.phase == confirming {
 		c.tell(k.agent, &wire.Decline{ID: k.attempt, Ticket: k.ticket})
 	}
+	if !k.inStore() && now.Before(k.deadline) {
+		c.unclaim(k)
+		c.picker.Withdrawn(k.target, k.attempt)
+		c.rename(k)
+		c.claimHomes(now, k)
+		return
+	}
+	c.failClaim(now, k)
+}
+
+func (c *Core) failClaim(now time.Time, k *call) {
 	e := fault.NotRunf(fault.Store, "the claim of the request could not be recorded")
 	e.Retry = shedRetry
 	c.fail(now, k, e)
 }
 
+// expireAttach gives up an answer whose agent cannot be reached. A connected agent is waited for, because an
+// answer may begin late.
+func (c *Core) expireAttach(now time.Time, k *call) {
+	if _, up := c.byID[k.agent]; up && now.Sub(k.last) < silentTime {
+		k.waitUntil = now.Add(lostTime)
+		return
+	}
+	c.fail(now, k, &fault.Error{Run: fault.Unknown, Reason: fault.Lost, Detail: "the agent that holds the answer cannot be reached"})
+}
+
 // unclaim releases the claim of a call that was not dispatched.
 func (c *Core) unclaim(k *call) {
 	if !k.keyed() {
 		return
 	}
 	c.releaseHomes(k)
-	c.forgetClaim(k)
 }
 
 func (c *Core) releaseHomes(k *call) {
-	for _, h := range k.homes {
+	for _, h := range k.homes { // also those that named an earlier send which did not run
+		if !slices.Contains(k.asked, h) {
+			k.asked = append(k.asked, h)
+		}
+	}
+	for _, h := range k.asked {
 		c.tell(h, &wire.Release{ID: k.key, Attempt: k.attempt})
 	}
+	k.asked = nil
 }
 
-// refuseClaim takes in that a home refused a claim.
-func (c *Core) refuseClaim(now time.Time, from ident.ProcessID, m *wire.Refuse) {
-	for _, k := range c.claims[m.ID] {
-		if k.confirms[from] {
-			delete(k.confirms, from)
-			c.proceed(now, k)
-		}
+// refuseClaim takes in that a home cannot record a claim. The call is refused, because a second send of it
+// would not be recognised there.
+func (c *Core) refuseClaim(now time.Time, p *peer, m *wire.Refuse) {
+	k := c.answered(p, m.ID)
+	if k == nil {
+		return
+	}
+	if k.phase == confirming {
+		c.tell(k.agent, &wire.Decline{ID: k.attempt, Ticket: k.ticket})
 	}
+	c.failClaim(now, k)
 }
 
 // Resume takes in a call that asks for a kept answer after a chunk that its caller has.
 func (c *Core) Resume(now time.Time, id CallID, r Request, attempt ident.RequestID, agent ident.ProcessID, boot ident.Boot, after ident.Seq) {
-	k := &call{Request: r, id: id, began: now, deadline: now.Add(lostTime), open: make(map[ident.ProcessID]ident.TargetID)}
+	k := &call{Request: r, id: id, resumed: true, began: now, deadline: now.Add(lostTime), open: make(map[ident.ProcessID]ident.TargetID)}
 	if !c.drainAt.IsZero() {
 		c.reject(now, k, fault.NotRunf(fault.Draining, "this router is stopping"))
 		return
--- /dev/null
+++ b/router/entry/claims_test.go
@@ -0,0 +1,168 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/links"
+	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/entry"
+)
+
+// claims takes the claims that were sent, by connection, and forgets all messages.
+func (b *bench) claims() map[links.ID]*wire.Claim {
+	out := make(map[links.ID]*wire.Claim)
+	for _, s := range b.sent {
+		if m, ok := s.Message.(*wire.Claim); ok {
+			out[s.Link] = m
+		}
+	}
+	b.sent = nil
+	return out
+}
+
+// confirm lets homes record the claims that were sent, and returns how many did.
+func (b *bench) confirm() int {
+	claims := b.claims()
+	for l, m := range claims {
+		b.deliver(l, &wire.Claimed{ID: m.ID, Attempt: m.Attempt, Agent: m.Agent, Boot: m.Boot})
+	}
+	return len(claims)
+}
+
+// alive lets time pass while the given agents give signs of life.
+func (b *bench) alive(d time.Duration, ls ...links.ID) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		for _, l := range ls {
+			b.deliver(l, &wire.Facts{})
+		}
+		b.tick(500 * time.Millisecond)
+	}
+}
+
+// granted takes a keyed call of the model service up to the claims that name its agent.
+func (b *bench) granted(id entry.CallID) (links.ID, ident.RequestID) {
+	b.begin(id, 0, 0, "k")
+	b.g.Expect(b.confirm()).To(Equal(2))
+	l, o := last[*wire.Offer](b)
+	b.g.Expect(o).NotTo(BeNil())
+	b.deliver(l, &wire.Grant{ID: o.ID, Ticket: 5})
+	return l, o.ID
+}
+
+// Guards against a body that is sent before every home has recorded its agent: another send that reaches
+// only the other home would run as well.
+func TestBodyWaitsForEveryHome(t *testing.T) {
+	b := newBench(t)
+	l, _ := b.granted(1)
+	claims := b.claims()
+	b.g.Expect(claims).To(HaveLen(2))
+	other := 3 - l
+	m := claims[l]
+	b.deliver(l, &wire.Claimed{ID: m.ID, Attempt: m.Attempt, Agent: m.Agent, Boot: m.Boot})
+	b.g.Expect(count[*wire.Body](b)).To(BeZero())
+	b.c.Closed(b.now, other)
+	b.alive(500*time.Millisecond, l)
+	b.g.Expect(count[*wire.Body](b)).To(BeZero(), "the other home may have taken the claim of another send")
+}
+
+// Guards against a keyed call that is given up because a home was lost: homes are chosen again among the
+// agents that live.
+func TestLostHomeIsReplaced(t *testing.T) {
+	b := newBench(t)
+	b.c.Closed(b.now, 2)
+	b.begin(1, 0, 0, "k")
+	for b.now.Before(time.Unix(1_800_000_006, 0)) {
+		b.alive(500*time.Millisecond, 1)
+		b.agree()
+	}
+	b.g.Expect(b.got).To(BeEmpty())
+	b.g.Expect(b.bodies).To(Equal(1))
+}
+
+// agree plays homes and targets that agree to all that was sent.
+func (b *bench) agree() {
+	sent := b.sent
+	b.sent = nil
+	for _, s := range sent {
+		switch m := s.Message.(type) {
+		case *wire.Claim:
+			b.deliver(s.Link, &wire.Claimed{ID: m.ID, Attempt: m.Attempt, Agent: m.Agent, Boot: m.Boot})
+		case *wire.Offer:
+			b.deliver(s.Link, &wire.Grant{ID: m.ID, Ticket: 5})
+		case *wire.Body:
+			b.bodies++
+		}
+	}
+	if len(b.sent) > 0 {
+		b.agree()
+	}
+}
+
+// Guards against a body although a home holds the claim of another attempt; the call reads its answer.
+func TestClaimOfAnotherAttemptIsFollowed(t *testing.T) {
+	b := newBench(t)
+	l, id := b.granted(1)
+	claims := b.claims()
+	b.deliver(3-l, &wire.Claimed{ID: claims[l].ID, Attempt: "first", Agent: "a2", Boot: 7})
+	b.deliver(l, &wire.Claimed{ID: claims[l].ID, Attempt: id, Agent: claims[l].Agent, Boot: 7})
+	b.g.Expect(count[*wire.Body](b)).To(BeZero())
+	b.g.Expect(count[*wire.Decline](b)).To(Equal(1))
+	b.g.Expect(count[*wire.Release](b)).To(Equal(2))
+	_, a := last[*wire.Attach](b)
+	b.g.Expect(a.ID).To(Equal(ident.RequestID("first")))
+	b.alive(12*time.Second, 1, 2)
+	b.g.Expect(b.got).To(BeEmpty(), "the agent lives, and the answer may begin late")
+	b.deliver(2, &wire.Refuse{ID: "first", Run: fault.NotRun, Reason: fault.Gone})
+	b.g.Expect(count[*wire.Release](b)).To(BeNumerically(">=", 2), "the claim of an attempt that did not run")
+}
+
+// Guards against a call that takes the answer to an earlier claim for its own: that claim was released.
+func TestAnswerToAnEarlierClaimIsToldApart(t *testing.T) {
+	b := newBench(t)
+	b.begin(1, 0, 0, "k")
+	first := b.claims()
+	b.c.Left(b.now, 1)
+	b.begin(2, 0, 0, "k")
+	for l, m := range first {
+		b.deliver(l, &wire.Claimed{ID: m.ID, Attempt: m.Attempt})
+	}
+	b.g.Expect(b.got).To(BeEmpty())
+	b.g.Expect(b.confirm()).To(Equal(2))
+	b.g.Expect(count[*wire.Offer](b)).To(Equal(2))
+}
+
+// Guards against a claim in the object API that blocks its own call: the agent was lost before the body.
+func TestOwnClaimIsReplaced(t *testing.T) {
+	b := newBench(t)
+	b.begin(1, 1, 0, "k")
+	l, o := last[*wire.Offer](b)
+	b.deliver(l, &wire.Grant{ID: o.ID, Ticket: 5})
+	b.c.Closed(b.now, l)
+	b.c.Claimed(b.now, 1, o.ID, entry.Won, entry.Claim{})
+	b.take()
+	l, o2 := last[*wire.Offer](b)
+	b.deliver(l, &wire.Grant{ID: o2.ID, Ticket: 6})
+	b.g.Expect(b.made).To(HaveLen(2))
+	b.g.Expect(b.made[1].Replace).To(Equal(o.ID))
+}
+
+// Guards against an offer, without a body, for a call that only asks for a kept answer.
+func TestKeptAnswerThatDidNotRunIsNotOffered(t *testing.T) {
+	b := newBench(t)
+	for id, route := range []int{0, 1} {
+		b.got = nil
+		b.c.Resume(b.now, entry.CallID(id+1), entry.Request{
+			Account: config.Accounts[0], Service: config.Services[1], Route: config.Services[1].Routes[route], Wait: time.Second,
+		}, "old", "a3", 7, 0)
+		b.take()
+		b.deliver(3, &wire.End{ID: "old", Boot: 7, Run: fault.NotRun, Reason: fault.Target})
+		b.tick(time.Second)
+		b.g.Expect(count[*wire.Offer](b)).To(BeZero())
+		b.g.Expect(b.got).To(HaveLen(1))
+	}
+}
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -29,10 +30,12 @@
 	creditMax ident.Bytes = 256 << 10
 	// lostTime is the time in which an answer is looked for after its agent was lost.
 	lostTime = 10 * time.Second
-	// claimTime bounds the wait for the homes of a keyed request.
+	// claimTime bounds the wait for the homes of a keyed request; after it the homes are chosen again.
 	claimTime = time.Second
 	// confirmTime bounds the wait for a claim after a grant; it is shorter than a grant's ticket.
 	confirmTime = 800 * time.Millisecond
+	// widenPart is the part of the wait after which a second pair of offers is sent.
+	widenPart = 4
 	// againTime is the pause before targets that refused are asked again.
 	againTime = 50 * time.Millisecond
 	// refusedTime is the time for which a target that refused is not picked for other calls.
@@ -73,9 +76,8 @@
 	// boots holds the last run of each agent that was connected.
 	boots map[ident.ProcessID]ident.Boot
 	calls map[CallID]*call
-	// byReq finds the call of a frame; claims finds the calls that wait for a home.
+	// byReq finds the call of a frame.
 	byReq  map[ident.RequestID]*call
-	claims map[ident.RequestID]map[CallID]*call
 	bounds conf.RouterBounds
 
 	choosers map[ident.Move]*moves.Chooser
@@ -111,6 +113,9 @@
 type peer struct {
 	hello  wire.Hello
 	target ident.TargetID
+	// asked lists, by key, the attempts whose claims the peer has not answered yet, in the order of sending.
+	// An answer names the attempt that holds the claim, not the one that asked.
+	asked map[ident.RequestID][]ident.RequestID
 }
 
 // Meter records measurements of finished calls.
@@ -167,7 +172,6 @@
 		boots:    make(map[ident.ProcessID]ident.Boot),
 		calls:    make(map[CallID]*call),
 		byReq:    make(map[ident.RequestID]*call),
-		claims:   make(map[ident.RequestID]map[CallID]*call),
 		limit:    rate.NewLimiter(0, claimBurst),
 		choosers: make(map[ident.Move]*moves.Chooser),
 		enders:   make(map[ident.Move]*moves.Ender),
@@ -224,9 +228,27 @@
 		c.changed(now, c.member.Tick(now))
 		c.guard.Expire(now)
 		c.connect(now)
+		c.forget()
 	}
 }
 
+// forget drops what is held about agents and moves that are gone.
+func (c *Core) forget() {
+	maps.DeleteFunc(c.boots, func(id ident.ProcessID, _ ident.Boot) bool {
+		_, up := c.byID[id]
+		return !up && c.member.State(id) == member.Gone
+	})
+	running := make(map[ident.Move]bool)
+	if x := c.force.Index(); x != nil {
+		for _, s := range x.Config().Services {
+			if m := c.moves.Running(s.Name); m != nil {
+				running[m.Move().Name] = true
+			}
+		}
+	}
+	maps.DeleteFunc(c.choosers, func(m ident.Move, _ *moves.Chooser) bool { return !running[m] })
+}
+
 func (c *Core) act(a Action) { c.acts = append(c.acts, a) }
 
 func (c *Core) send(l links.ID, m wire.Message) {
--- a/router/entry/core_test.go
+++ b/router/entry/core_test.go
@@ -24,34 +24,45 @@
 	sent []entry.Send
 	got  []entry.Part
 	made []entry.Create
+	// bodies counts the bodies that agree took in.
+	bodies int
 }
 
 var config = conf.Config{
 	Generation: 1, Deployment: "d",
-	Regions:  []conf.Region{{Name: "west", Centres: []ident.DataCentre{"west-a"}}},
-	Tiers:    []conf.Tier{{Name: "high", Rank: 0, Wait: 5000}, {Name: "low", Rank: 1, Wait: 5000}},
-	Accounts: []conf.Account{{Name: "acme", Keys: []string{ident.HashKey("key")}, Weight: 1, Tier: "low", Tiers: []string{"high", "low"}}},
+	Regions: []conf.Region{{Name: "west", Centres: []ident.DataCentre{"west-a"}}},
+	Tiers:   []conf.Tier{{Name: "high", Rank: 0, Wait: 5000}, {Name: "low", Rank: 1, Wait: 5000}},
+	Accounts: []conf.Account{
+		{Name: "acme", Keys: []string{ident.HashKey("key")}, Weight: 1, Tier: "low", Tiers: []string{"high", "low"}},
+		{Name: "small", Keys: []string{ident.HashKey("key2")}, Weight: 1, Tier: "low", Tiers: []string{"high", "low"}, Rate: 1, Burst: 1},
+	},
 	Services: []conf.Service{
 		{Name: "llm", Kind: conf.Model, Versions: []ident.Version{"v1"}, Current: "v1", Routes: []conf.Route{{Name: "chat", Method: "POST", Path: "/v1/chat/completions"}}},
 		{Name: "shop", Kind: conf.Plain, Versions: []ident.Version{"s1"}, Current: "s1", Routes: []conf.Route{{Name: "order", Method: "POST", Path: "/orders"}, {Name: "read", Method: "GET", Path: "/read", Repeat: true}}},
+		{Name: "wide", Kind: conf.Model, Versions: []ident.Version{"w1"}, Current: "w1", Routes: []conf.Route{{Name: "chat", Method: "POST", Path: "/wide"}}},
 	},
 	Targets: []conf.Target{
 		{Name: "e1", VM: "a1", Centre: "west-a", Service: "llm", Version: "v1", Class: "x"},
 		{Name: "e2", VM: "a2", Centre: "west-a", Service: "llm", Version: "v1", Class: "x"},
 		{Name: "p1", VM: "a3", Centre: "west-a", Service: "shop", Version: "s1", Class: "x"},
 		{Name: "p2", VM: "a4", Centre: "west-a", Service: "shop", Version: "s1", Class: "x"},
+		{Name: "w1", VM: "a5", Centre: "west-a", Service: "wide", Version: "w1", Class: "x"},
+		{Name: "w2", VM: "a6", Centre: "west-a", Service: "wide", Version: "w1", Class: "x"},
+		{Name: "w3", VM: "a7", Centre: "west-a", Service: "wide", Version: "w1", Class: "x"},
+		{Name: "w4", VM: "a8", Centre: "west-a", Service: "wide", Version: "w1", Class: "x"},
+		{Name: "w5", VM: "a9", Centre: "west-a", Service: "wide", Version: "w1", Class: "x"},
 	},
 	Limits: conf.Limits{Claims: 100, Link: 1 << 20, Loads: 60},
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, opts ...entry.Option) *bench {
 	b := &bench{g: NewWithT(t), now: time.Unix(1_800_000_000, 0)}
-	b.c = entry.New(member.Entry{VM: "r1", Role: member.Router, Centre: "west-a"}, "west", 1, "d", rand.New(rand.NewPCG(1, 1)))
+	b.c = entry.New(member.Entry{VM: "r1", Role: member.Router, Centre: "west-a"}, "west", 1, "d", rand.New(rand.NewPCG(1, 1)), opts...)
 	value, err := conf.Encode(config)
 	b.g.Expect(err).NotTo(HaveOccurred())
 	b.c.ConfigRead(b.now, value)
-	for i, id := range []ident.ProcessID{"a1", "a2", "a3", "a4"} {
-		b.open(links.ID(i+1), id, 7)
+	for i, t := range config.Targets {
+		b.open(links.ID(i+1), t.VM, 7)
 	}
 	b.tick(time.Second)
 	return b
--- a/router/entry/offers.go
+++ b/router/entry/offers.go
@@ -8,6 +8,7 @@
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/links"
+	"hickoryvane.example/core/pick"
 	"hickoryvane.example/core/wire"
 )
 
@@ -23,8 +24,13 @@
 	if len(k.open) > 0 {
 		return
 	}
-	if k.refusal != nil && k.refusal.Reason == fault.Shed && !k.lowered {
-		c.lower(now, k)
+	shed := k.refusal != nil && k.refusal.Reason == fault.Shed
+	if shed && k.trial { // the old version may have room
+		c.fallback(k)
+		c.again(now, k, 0)
+		return
+	}
+	if shed && c.lower(now, k) {
 		return
 	}
 	if k.refusal != nil && lasting(k.refusal.Reason) {
@@ -36,20 +42,40 @@
 		c.again(now, k, 0)
 		return
 	}
+	if c.moves.Running(k.Service.Name) == nil { // the version may have been replaced while the call waited
+		k.version = c.moves.Current(k.Service)
+	}
 	k.tried = k.tried[:0]
 	c.again(now, k, againTime)
 }
 
-// lower offers a call to agents at which a lower tier waits, so that it is not shed before that tier is.
-func (c *Core) lower(now time.Time, k *call) {
-	k.lowered = true
+// lower offers a call to the next agents at which a lower tier waits, so that it is not shed before that tier
+// is. It reports whether there were any; each is asked once.
+func (c *Core) lower(now time.Time, k *call) bool {
 	r := k.pickRequest()
-	r.Tried = nil
+	r.Tried = k.lowered
 	c.choices = c.picker.Lower(now, r, c.choices[:0])
+	c.choices = c.choices[:min(len(c.choices), pick.OffersMax)]
+	for _, ch := range c.choices {
+		k.lowered = append(k.lowered, ch.Target)
+	}
 	c.offerTo(now, k)
-	if len(k.open) == 0 {
-		c.fail(now, k, k.refusal)
+	return len(k.open) > 0 || len(c.choices) > 0 && c.lower(now, k)
+}
+
+// widen sends a second pair of offers when the first was not granted within a quarter of the wait.
+func (c *Core) widen(now time.Time, k *call) {
+	if k.widened || now.Sub(k.began) < k.Wait/widenPart {
+		return
 	}
+	k.widened = true
+	r := k.pickRequest()
+	r.Tried = slices.Clone(k.tried)
+	for _, t := range k.open {
+		r.Tried = append(r.Tried, t)
+	}
+	c.choices = c.picker.Pick(now, r, c.choices[:0])
+	c.offerTo(now, k)
 }
 
 func (c *Core) offerTo(now time.Time, k *call) {
@@ -79,6 +105,9 @@
 // grant takes the first grant of a call and declines further ones.
 func (c *Core) grant(now time.Time, l links.ID, m *wire.Grant) {
 	k, p := c.byReq[m.ID], c.peers[l]
+	if k != nil && k.agent == p.hello.Process && k.ticket == m.Ticket && k.phase != offering {
+		return // a repeated frame of the grant that was taken
+	}
 	if k == nil || k.phase != offering || k.open[p.hello.Process] == "" {
 		c.send(l, &wire.Decline{ID: m.ID, Ticket: m.Ticket})
 		return
@@ -119,8 +148,8 @@
 	if e.Reason == fault.Bad {
 		c.fallback(k)
 	}
+	c.unclaim(k)
 	c.rename(k)
-	k.agent, k.target, k.ticket, k.reader, k.lostUntil = "", "", 0, nil, time.Time{}
 	c.spread(now, k)
 }
 
@@ -129,13 +158,15 @@
 	delete(c.byReq, k.attempt)
 	k.attempt = ident.NewRequestID()
 	c.byReq[k.attempt] = k
+	k.agent, k.target, k.ticket, k.reader, k.remote = "", "", 0, nil, false
+	k.sent, k.lostUntil = time.Time{}, time.Time{}
 }
 
 // refuse takes in that an agent ends an offer, a ticket or an Attach.
 func (c *Core) refuse(now time.Time, l links.ID, m *wire.Refuse) {
 	k, p := c.byReq[m.ID], c.peers[l]
 	if k == nil {
-		c.refuseClaim(now, p.hello.Process, m)
+		c.refuseClaim(now, p, m)
 		return
 	}
 	e := &fault.Error{Run: m.Run, Reason: m.Reason, Detail: m.Detail, Retry: time.Duration(m.Retry) * time.Millisecond}
@@ -143,6 +174,8 @@
 	case k.phase == offering:
 		c.refuseOffer(now, k, p.hello.Process, e)
 	case k.agent != p.hello.Process:
+	case k.phase == confirming && e.Run == fault.NotRun:
+		c.retract(now, k, e)
 	case k.phase == committed || k.phase == attaching:
 		c.refuseBody(now, k, e)
 	}
@@ -168,18 +201,22 @@
 // refuseBody ends a committed or attached call, or offers it again if it certainly did not run.
 func (c *Core) refuseBody(now time.Time, k *call, e *fault.Error) {
 	switch {
+	case e.Reason == fault.Duplicate && k.phase == committed: // the answer is kept there
+		c.tell(k.agent, k.reader.Attach(k.Account.Name, creditMax))
 	case e.Run == fault.NotRun && k.phase == attaching:
 		c.takeOver(now, k)
-	case e.Run == fault.NotRun && !k.headSent:
-		c.unclaim(k)
+	case e.Run == fault.NotRun && k.mayOffer():
 		c.retract(now, k, e)
 	default:
+		if k.headSent {
+			e.Run = fault.Ran
+		}
 		c.fail(now, k, e)
 	}
 }
 
 // release ends all that agents hold for a call.
-func (c *Core) release(now time.Time, k *call) {
+func (c *Core) release(k *call) {
 	c.withdraw(k)
 	switch k.phase {
 	case committed, attaching:
@@ -190,7 +227,6 @@
 	case claiming, offering:
 		c.unclaim(k)
 	}
-	_ = now
 }
 
 // withdraw takes all outstanding offers of a call back.
@@ -216,8 +252,9 @@
 	switch k.phase {
 	case offering:
 		if !now.Before(k.deadline) {
-			c.release(now, k)
 			c.fail(now, k, deadlineFault(k))
+		} else if len(k.open) > 0 {
+			c.widen(now, k)
 		} else if len(k.open) == 0 && !k.next.IsZero() && !now.Before(k.next) {
 			c.spread(now, k)
 		}
@@ -235,7 +272,7 @@
 	case !k.lostUntil.IsZero() && !now.Before(k.lostUntil):
 		c.fail(now, k, &fault.Error{Run: k.ran(), Reason: fault.Lost, Detail: "the agent of the request was lost"})
 	case now.Sub(k.last) >= silentTime:
-		c.release(now, k)
+		c.release(k)
 		c.fail(now, k, &fault.Error{Run: k.ran(), Reason: fault.Target, Detail: "the target is silent"})
 	}
 }
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -21,7 +21,10 @@
 	if again && c.peers[old].hello.Boot > h.Boot {
 		return // an old process that is about to end
 	}
-	c.peers[l] = &peer{hello: h}
+	if again { // what was sent on the old connection may be lost
+		c.Closed(now, old)
+	}
+	c.peers[l] = &peer{hello: h, asked: make(map[ident.RequestID][]ident.RequestID)}
 	c.byID[h.Process] = l
 	c.log(event.PeerUp, "peer", h.Process, "role", h.Role)
 	c.force.Ask(h.Process)
@@ -44,9 +47,8 @@
 			k.lostUntil, k.last = time.Time{}, now
 			c.tell(id, k.reader.Attach(k.Account.Name, creditMax))
 		}
-		if k.phase == claiming && k.held == 0 && slices.Contains(k.homes, id) && !k.confirms[id] {
-			k.confirms[id] = true
-			c.tell(id, &wire.Claim{ID: k.key, Account: k.Account.Name, Attempt: k.attempt})
+		if k.phase == claiming && slices.Contains(k.homes, id) && !k.held[id] {
+			c.ask(k, id)
 		}
 	}
 }
@@ -83,9 +85,8 @@
 			c.spread(now, k)
 		}
 	}
-	if k.confirms[id] {
-		delete(k.confirms, id)
-		c.proceed(now, k)
+	if k.phase == claiming { // a home that starts anew has to be asked again
+		delete(k.held, id)
 	}
 	if k.agent == id && k.phase == committed {
 		k.lostUntil = now.Add(lostTime)
@@ -108,7 +109,7 @@
 	case *wire.End:
 		c.end(now, l, m)
 	case *wire.Claimed:
-		c.claimed(now, p.hello.Process, m)
+		c.claimed(now, p, m)
 	case *wire.Load:
 		c.load(now, l, m)
 	case *wire.Cache:
@@ -227,7 +228,7 @@
 // busy reports whether a call needs the connection to a process.
 func (c *Core) busy(id ident.ProcessID) bool {
 	for _, k := range c.calls {
-		if k.agent == id || slices.Contains(k.homes, id) {
+		if k.agent == id || k.open[id] != "" || slices.Contains(k.homes, id) {
 			return true
 		}
 	}
--- a/router/entry/stream.go
+++ b/router/entry/stream.go
@@ -64,12 +64,12 @@
 	k.tokens += m.Tokens
 	if !k.headSent && m.Seq == 1 || !k.headSent && k.phase == attaching {
 		k.headSent = true
-		if m.Status == 0 {
-			m.Status = 200
-			m.Type = streamType
+		status, typ := m.Status, m.Type
+		if status == 0 {
+			status, typ = 200, streamType
 		}
 		c.act(Reply{Call: k.id, Part: Part{Head: &Head{
-			Status: m.Status, Type: m.Type, Request: k.attempt, Agent: k.agent, Boot: k.boot,
+			Status: status, Type: typ, Request: k.attempt, Agent: k.agent, Boot: k.boot,
 			Account: k.Account.Name, Service: k.Service.Name, Version: k.version,
 		}}})
 	}
@@ -109,15 +109,14 @@
 			e.Reason = end.Reason
 		}
 	}
-	if k.first.IsZero() == false && e.Run == fault.Unknown {
+	if !k.first.IsZero() && e.Run == fault.Unknown {
 		e.Run = fault.Ran
 	}
 	c.learn(now, k, end, true)
 	switch {
-	case e.Run == fault.NotRun && !k.headSent:
-		c.unclaim(k)
+	case e.Run == fault.NotRun && k.mayOffer():
 		c.retract(now, k, e)
-	case k.Route.Repeat && !k.headSent:
+	case k.Route.Repeat && k.mayOffer():
 		c.repeat(now, k, e)
 	default:
 		c.fail(now, k, e)
@@ -134,7 +133,6 @@
 	}
 	k.tried = append(k.tried, k.target)
 	c.rename(k)
-	k.agent, k.target, k.ticket, k.reader, k.lostUntil = "", "", 0, nil, time.Time{}
 	k.phase = offering
 	c.again(now, k, pause)
 }
@@ -191,10 +189,9 @@
 func (c *Core) finish(now time.Time, k *call, reason string) {
 	delete(c.calls, k.id)
 	delete(c.byReq, k.attempt)
-	c.forgetClaim(k)
-	used := k.tokens
-	if !k.first.IsZero() {
-		used += k.Prompt
+	var used ident.Tokens
+	if !k.sent.IsZero() && !k.first.IsZero() { // an answer of an earlier send was charged to that send
+		used = k.tokens + k.Prompt
 	}
 	c.quota.Correct(now, k.Account.Name, used-k.Prompt-k.Output)
 	c.measure(now, k, reason)
