Router: homes after a pause, and connections to silent agents

Cause: a router that had been paused took the silence of all agents for their loss at its first input, so that keyed calls were claimed at the one agent it heard first. A listed agent that was silent for 3 s was not dialled any more, so that it stayed lost to this router after its return. A process whose connection was closed because it was not needed stayed watched and was suspected, so that routers disagreed about homes.

Ruled out: unwatching silent processes too, because they would alternate between live and suspected.

Change: a gap of 1 s between inputs restarts the watch of live processes; listed silent processes are dialled; live ones that are not wanted are no longer watched. The choice of connections moved to connect.go.

The end of a watch has no test of its own.

Conclusion: homes agree between routers as far as the list and the signs of life do.

--- a/router/entry/begin.go
+++ b/router/entry/begin.go
@@ -11,6 +11,7 @@
 
 // Begin takes in a call. Its answer arrives as Reply actions with the same id.
 func (c *Core) Begin(now time.Time, id CallID, r Request) {
+	c.wake(now)
 	k := &call{
 		Request: r, id: id, attempt: ident.NewRequestID(), phase: offering,
 		began: now, deadline: now.Add(r.Wait), open: make(map[ident.ProcessID]ident.TargetID),
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -26,6 +26,9 @@
 )
 
 const (
+	// pauseTime is the time without any input after which the router itself was paused; it gets a tick
+	// every 50 ms.
+	pauseTime = time.Second
 	// creditMax is the number of answer bytes that an agent may send ahead of the caller's reading.
 	creditMax ident.Bytes = 256 << 10
 	// lostTime is the time in which an answer is looked for after its agent was lost.
@@ -86,6 +89,8 @@
 	// limit bounds the claims in the object API.
 	limit   *rate.Limiter
 	drainAt time.Time
+	// awake is the time of the last input.
+	awake   time.Time
 	acts    []Action
 	choices []pick.Choice
 }
@@ -103,6 +108,8 @@
 	want     map[string]bool
 	// used holds the last use of agents outside the subset.
 	used map[ident.ProcessID]time.Time
+	// watched holds the processes whose silence is taken as a sign of their loss.
+	watched map[ident.ProcessID]bool
 	// list is the list of VMs that this router spread last.
 	list string
 	// listAt is the time of the newest list that a watcher spread, in Unix milliseconds.
@@ -175,7 +182,7 @@
 		limit:    rate.NewLimiter(0, claimBurst),
 		choosers: make(map[ident.Move]*moves.Chooser),
 		enders:   make(map[ident.Move]*moves.Ender),
-		tasks:    tasks{want: make(map[string]bool), used: make(map[ident.ProcessID]time.Time)},
+		tasks:    tasks{want: make(map[string]bool), used: make(map[ident.ProcessID]time.Time), watched: make(map[ident.ProcessID]bool)},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -217,6 +224,7 @@
 
 // Tick applies the passing of time; it is called at least every 50 ms.
 func (c *Core) Tick(now time.Time) {
+	c.wake(now)
 	for _, k := range c.calls {
 		c.tickCall(now, k)
 	}
--- a/router/entry/core_test.go
+++ b/router/entry/core_test.go
@@ -24,6 +24,8 @@
 	sent []entry.Send
 	got  []entry.Part
 	made []entry.Create
+	// wanted are the addresses that the router dials.
+	wanted []string
 	// bodies counts the bodies that agree took in.
 	bodies int
 }
@@ -96,6 +98,8 @@
 			b.sent = append(b.sent, a)
 		case entry.Reply:
 			b.got = append(b.got, a.Part)
+		case entry.Want:
+			b.wanted = a.Addresses
 		case entry.Create:
 			b.made = append(b.made, a)
 		}
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -12,11 +12,9 @@
 	"hickoryvane.example/core/wire"
 )
 
-// peersMax bounds the other routers of the region that a router dials; its gossip needs no more.
-const peersMax = 3
-
 // Opened takes in a new connection.
 func (c *Core) Opened(now time.Time, l links.ID, h wire.Hello, dialed string) {
+	c.wake(now)
 	old, again := c.byID[h.Process]
 	if again && c.peers[old].hello.Boot > h.Boot {
 		return // an old process that is about to end
@@ -95,6 +93,7 @@
 
 // Message takes in a message of a peer.
 func (c *Core) Message(now time.Time, l links.ID, m wire.Message) {
+	c.wake(now)
 	p := c.peers[l]
 	if p == nil {
 		return
@@ -161,107 +160,11 @@
 
 // Listed takes in a version of the platform's list of VMs.
 func (c *Core) Listed(now time.Time, list []member.Entry) {
+	c.wake(now)
 	c.changed(now, c.member.List(now, list))
 	c.connect(now)
 }
 
-// connect chooses the processes that this router keeps connections to: a bounded number of agents per pool,
-// a few routers of its region, its counterparts in other regions, and those used a short time ago.
-func (c *Core) connect(now time.Time) {
-	want := make(map[string]bool)
-	add := func(id ident.ProcessID) {
-		for _, m := range c.member.Members() {
-			if m.VM == id && m.Address != "" && id != c.self && m.State != member.Gone {
-				want[m.Address] = true
-				c.member.Watch(now, id)
-			}
-		}
-	}
-	if x := c.force.Index(); x != nil {
-		for _, s := range x.Config().Services {
-			for _, id := range c.member.Subset(s.Name, c.poolAgents(s.Name), c.subset()) {
-				add(id)
-			}
-		}
-	}
-	for id := range c.byID { // a silent or leaving process may still hold answers
-		if st := c.member.State(id); st == member.Suspected || st == member.Leaving {
-			add(id)
-		}
-	}
-	for _, id := range c.nextRouters() {
-		add(id)
-	}
-	far, _ := c.member.Counterparts()
-	for _, id := range far {
-		add(id)
-	}
-	for id, at := range c.tasks.used {
-		if now.Sub(at) >= idleTime && !c.busy(id) {
-			delete(c.tasks.used, id)
-			continue
-		}
-		add(id)
-	}
-	c.want(want)
-}
-
-func (c *Core) want(want map[string]bool) {
-	if len(want) == len(c.tasks.want) {
-		same := true
-		for a := range want {
-			same = same && c.tasks.want[a]
-		}
-		if same {
-			return
-		}
-	}
-	c.tasks.want = want
-	addrs := make([]string, 0, len(want))
-	for a := range want {
-		addrs = append(addrs, a)
-	}
-	slices.Sort(addrs)
-	c.act(Want{Addresses: addrs})
-}
-
-// busy reports whether a call needs the connection to a process.
-func (c *Core) busy(id ident.ProcessID) bool {
-	for _, k := range c.calls {
-		if k.agent == id || k.open[id] != "" || slices.Contains(k.homes, id) {
-			return true
-		}
-	}
-	return false
-}
-
-// keep asks for connections to processes outside the subset.
-func (c *Core) keep(now time.Time, ids []ident.ProcessID) {
-	for _, id := range ids {
-		c.tasks.used[id] = now
-		if _, ok := c.byID[id]; !ok {
-			c.connect(now)
-		}
-	}
-}
-
-// nextRouters returns the routers after this one in the order of names, which connects all of a region.
-func (c *Core) nextRouters() (out []ident.ProcessID) {
-	all := c.member.Live(member.Router, c.region)
-	i := slices.IndexFunc(all, func(m member.Member) bool { return m.VM == c.self })
-	for n := 1; n <= min(peersMax, len(all)-1); n++ {
-		out = append(out, all[(i+n+len(all))%len(all)].VM)
-	}
-	return out
-}
-
-func (c *Core) subset() int {
-	if c.bounds.Agents > 0 {
-		return c.bounds.Agents
-	}
-	return member.SubsetMax
-}
-
 // poolAgents returns the agents of a service's targets.
 func (c *Core) poolAgents(s ident.Service) []ident.ProcessID {
 	x := c.force.Index()
