--- a/GNUmakefile
+++ b/GNUmakefile
@@ -26,7 +26,7 @@
 
 test: build
 	@if [ -n "$(red)" ]; then echo "left out, see KNOWN-RED.txt:"; printf '  %s\n' $(red); fi
-	go test $(skip) $(foreach m,$(modules),./$(m)/...)
+	go test -count=1 $(skip) $(foreach m,$(modules),./$(m)/...)
 
 race: build
 	go test -race $(skip) $(foreach m,$(modules),./$(m)/...)
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -71,9 +71,13 @@
 	// loaded is the version that the target reports; empty if it does not tell.
 	loaded ident.Version
 	// up is false while the target does not answer.
-	up       bool
-	leaving  bool
-	drainAt  time.Time
+	up      bool
+	leaving bool
+	// listAt is the time of the newest list of VMs, in Unix milliseconds.
+	listAt  int64
+	drainAt time.Time
+	// lastEnd is the time at which the newest answer ended.
+	lastEnd  time.Time
 	nextFact time.Time
 	acts     []Action
 }
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -58,6 +58,8 @@
 			c.configure(now, f)
 		case facts.SortBlock:
 			c.mergeGuard(now, f)
+		case active.SortList:
+			c.listed(now, f)
 		case facts.SortFence:
 			c.learnFence(f)
 		case facts.SortBad, facts.SortEnd, facts.SortEvidence, active.SortRecord:
@@ -86,6 +88,20 @@
 	c.report.due = true
 }
 
+// listed takes the platform's list of VMs, as a router spread it, and looks for its own VM.
+func (c *Core) listed(now time.Time, f wire.Fact) {
+	l, err := active.DecodeList(f.Value)
+	if err != nil || l.At < c.listAt {
+		return
+	}
+	c.listAt = l.At
+	for _, e := range l.List {
+		if e.VM == c.self {
+			c.Leaving(now, e.Leaving)
+		}
+	}
+}
+
 // learnFence takes the highest fencing number of a lease.
 func (c *Core) learnFence(f wire.Fact) {
 	var n ident.Fence
--- a/agent/node/stop.go
+++ b/agent/node/stop.go
@@ -14,7 +14,7 @@
 	if !c.drainAt.IsZero() {
 		return
 	}
-	c.drainAt = now
+	c.drainAt, c.lastEnd = now, now
 	c.log(event.Stopping, "running", len(c.offers))
 	c.giveBack(now)
 	c.broadcast(&wire.Leave{Detail: "graceful shutdown"})
@@ -45,5 +45,5 @@
 	if c.drainAt.IsZero() || len(c.offers) > 0 {
 		return false
 	}
-	return !c.keep.Reading() || now.Sub(c.drainAt) >= drainKeep
+	return !c.keep.Reading() || now.Sub(c.lastEnd) >= drainKeep
 }
--- a/bench/load/runs.go
+++ b/bench/load/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -12,6 +13,29 @@
 // runsTimeout bounds one call of GET /runs.
 const runsTimeout = 10 * time.Second
 
+// counts reads the answers of both kinds of stand-in: an engine tells counts by request id, a plain service
+// counts by request id and by key.
+type counts map[string]int
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *counts) UnmarshalJSON(b []byte) error {
+	var plain struct {
+		IDs  map[string]int `json:"ids"`
+		Keys map[string]int `json:"keys"`
+	}
+	if json.Unmarshal(b, &plain) == nil && (plain.IDs != nil || plain.Keys != nil) {
+		*c = plain.IDs
+		if *c == nil {
+			*c = make(map[string]int)
+		}
+		for key, n := range plain.Keys {
+			(*c)["key "+key] = n
+		}
+		return nil
+	}
+	return json.Unmarshal(b, (*map[string]int)(c))
+}
+
 // Runs reads GET /runs of the stand-ins at addrs, an object of counts by request id, and adds them up.
 func Runs(ctx context.Context, addrs []string) (sum map[string]int, err error) {
 	sum = map[string]int{}
@@ -21,7 +45,7 @@
 		if err != nil {
 			return nil, errors.WithMessagef(err, "stand-in %s", a)
 		}
-		counts := map[string]int{}
+		var counts counts
 		resp, err := sling.New().Client(c).Do(req.WithContext(ctx), &counts, nil)
 		if err != nil {
 			return nil, errors.WithMessagef(err, "stand-in %s", a)
--- a/router/entry/action.go
+++ b/router/entry/action.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
@@ -82,6 +84,9 @@
 // Watch starts or stops the duties of a process that watches the object API for its region.
 type Watch struct{ On bool }
 
+// Sweep deletes the claims in the object API that were made before a time.
+type Sweep struct{ Before time.Time }
+
 // LeaseCall makes a store call of the lease. The driver reports it with LeaseResult.
 type LeaseCall struct{ Call lease.Call }
 
@@ -102,6 +107,7 @@
 func (Want) action()      {}
 func (Create) action()    {}
 func (Watch) action()     {}
+func (Sweep) action()     {}
 func (LeaseCall) action() {}
 func (EndCall) action()   {}
 func (Log) action()       {}
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -106,6 +106,8 @@
 	resumed bool
 	// waitUntil bounds claiming, confirming and attaching.
 	waitUntil time.Time
+	// stale is true when the claim of an earlier send is older than trustTime.
+	stale bool
 	// replace is the attempt whose claim in the object API is replaced, because it never ran.
 	replace ident.RequestID
 	// peer is the connection on which the taken grant arrived.
@@ -113,7 +115,11 @@
 }
 
 // keyed reports whether the call must not run again when it is sent again.
-func (c *call) keyed() bool { return c.Key != "" && !c.Route.Repeat }
+func (c *call) keyed() bool { return c.Key != "" && !c.repeats() }
+
+// repeats reports whether the call may be tried again after it may have run. A request to an engine may not,
+// whatever its route declares.
+func (c *call) repeats() bool { return c.Route.Repeat && c.Service.Kind == conf.Plain }
 
 // inStore reports whether the claim of the call is kept in the object API.
 func (c *call) inStore() bool { return c.keyed() && c.Service.Kind == conf.Plain }
--- a/router/entry/claims.go
+++ b/router/entry/claims.go
@@ -141,6 +141,7 @@
 		k.replace = attempt // if it does not run after all
 		c.commit(now, k)
 	case res == Held:
+		k.stale = now.Unix()-held.At >= int64(trustTime.Seconds())
 		c.duplicate(now, k, held.Attempt, held.Agent, held.Boot)
 	default:
 		c.expire(now, k)
@@ -182,8 +183,12 @@
 
 // takeOver runs a keyed call whose earlier send was claimed but certainly never dispatched.
 func (c *Core) takeOver(now time.Time, k *call) {
-	if k.resumed { // a caller that only asked for a kept answer
-		c.fail(now, k, &fault.Error{Run: fault.NotRun, Reason: fault.Gone, Detail: "the request was not run"})
+	switch {
+	case k.resumed: // the token of an answer is given out with its first byte
+		c.fail(now, k, &fault.Error{Run: fault.Ran, Reason: fault.Gone, Detail: "the answer is not kept any more"})
+		return
+	case k.stale: // the agent may have forgotten that it ran the request
+		c.fail(now, k, &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "the request was claimed before and its answer is not kept any more"})
 		return
 	}
 	old := k.attempt
--- a/router/entry/connect.go
+++ b/router/entry/connect.go
@@ -53,9 +53,15 @@
 			add(id)
 		}
 	}
-	for _, id := range c.nextRouters() {
+	others := c.nextRouters()
+	for _, id := range others {
 		add(id)
 	}
+	if len(others) == 0 {
+		for _, addr := range c.seeds {
+			want[addr] = true
+		}
+	}
 	far, _ := c.member.Counterparts()
 	for _, id := range far {
 		add(id)
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -52,6 +52,9 @@
 	beatTime = time.Second
 	// idleTime is the time for which a connection outside the subset is kept after its last use.
 	idleTime = 30 * time.Second
+	// trustTime is the age of a claim up to which an agent's statement that it never dispatched the request
+	// is believed. It is shorter than ledger.Retention by more than clocks differ.
+	trustTime = 10 * time.Minute
 	// claimBurst is the number of claims in the object API that may be made at once.
 	claimBurst = 10
 	// silentTime is the time without any chunk after which a dispatched request counts as lost.
@@ -83,6 +86,7 @@
 	// byReq finds the call of a frame.
 	byReq  map[ident.RequestID]*call
 	bounds conf.RouterBounds
+	seeds  []string
 
 	choosers map[ident.Move]*moves.Chooser
 	enders   map[ident.Move]*moves.Ender
@@ -103,6 +107,7 @@
 	demand   time.Time
 	beat     time.Time
 	second   time.Time
+	sweep    time.Time
 	absorbed time.Time
 	// dirty is true when facts about moves changed since absorbed.
 	dirty    bool
@@ -160,6 +165,9 @@
 // WithMeter sets the receiver of measurements.
 func WithMeter(m Meter) Option { return func(c *Core) { c.meter = m } }
 
+// WithSeeds sets the addresses that the router connects to until it knows other routers.
+func WithSeeds(addrs []string) Option { return func(c *Core) { c.seeds = addrs } }
+
 // WithBounds sets what the router holds at most.
 func WithBounds(b conf.RouterBounds) Option { return func(c *Core) { c.bounds = b } }
 
--- a/router/entry/duty.go
+++ b/router/entry/duty.go
@@ -82,6 +82,7 @@
 		if time.Since(began) > watchPauseMax {
 			pause = watchPause
 		}
+		r.out.Store(true)
 		r.log.Log(event.StoreDown, "sort", sort, "error", err)
 		_ = r.inbox.Put(ctx, func(now time.Time, c *Core) { c.StoreDown(now) })
 		select {
@@ -99,7 +100,9 @@
 	if err != nil {
 		return err
 	}
-	r.log.Log(event.StoreUp, "sort", sort, "objects", len(objects))
+	if r.out.CompareAndSwap(true, false) {
+		r.log.Log(event.StoreUp, "sort", sort, "objects", len(objects))
+	}
 	if sort == conf.ConfigSort && len(objects) == 0 {
 		_ = r.inbox.Put(ctx, func(_ time.Time, c *Core) { c.StoreEmpty() })
 	}
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -132,20 +132,12 @@
 	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
 }
 
-// listFact is the value of a fact of sort active.SortList.
-type listFact struct {
-	// At is the Unix time in milliseconds at which the watcher read the list.
-	At   int64          `json:"at"`
-	List []member.Entry `json:"list"`
-}
-
 // mergeList takes the newest list of all watchers.
 func (c *Core) mergeList(now time.Time, f wire.Fact) {
 	if c.tasks.watching {
 		return // this router reads the list itself
 	}
-	var l listFact
-	if json.Unmarshal(f.Value, &l) == nil && l.At >= c.tasks.listAt {
+	if l, err := active.DecodeList(f.Value); err == nil && l.At >= c.tasks.listAt {
 		c.tasks.listAt = l.At
 		c.Listed(now, l.List)
 	}
@@ -159,9 +151,7 @@
 		return
 	}
 	c.tasks.list = string(b)
-	if v, err := json.Marshal(listFact{At: now.UnixMilli(), List: list}); err == nil {
-		c.facts.Set(now, active.SortList, string(c.region), v)
-	}
+	c.facts.Set(now, active.SortList, string(c.region), active.List{At: now.UnixMilli(), List: list}.Encode())
 }
 
 // ConfigRead takes in a configuration that this router read from the object API.
--- a/router/entry/http.go
+++ b/router/entry/http.go
@@ -51,7 +51,7 @@
 	x := r.index.Load()
 	acc, e := authenticate(x, req)
 	if e != nil {
-		fault.Write(w, e, "")
+		r.refuse(w, e)
 		return
 	}
 	limit := int64(r.cfg.Bounds.Body)
@@ -59,20 +59,20 @@
 		r.held.Add(-limit)
 		e = fault.NotRunf(fault.Shed, "this router holds too many requests")
 		e.Retry = shedRetry
-		fault.Write(w, e, "")
+		r.refuse(w, e)
 		return
 	}
 	defer func() { r.held.Add(-limit) }()
 	body, e := readBody(w, req, limit)
 	if e != nil {
-		fault.Write(w, e, "")
+		r.refuse(w, e)
 		return
 	}
 	r.held.Add(int64(len(body)) - limit)
 	limit = int64(len(body))
 	call, e := readCall(x, acc, req, body)
 	if e != nil {
-		fault.Write(w, e, "")
+		r.refuse(w, e)
 		return
 	}
 	r.run(ctx, w, req, call, func(now time.Time, c *Core, id CallID) { c.Begin(now, id, call) })
@@ -206,18 +206,18 @@
 func (r *Router) resume(ctx context.Context, w http.ResponseWriter, req *http.Request) {
 	acc, e := authenticate(r.index.Load(), req)
 	if e != nil {
-		fault.Write(w, e, "")
+		r.refuseResume(w, e)
 		return
 	}
 	tok, err := openToken([]byte(r.cfg.Secret), req.PathValue("token"))
 	if err != nil || tok.Account != acc.Name {
-		fault.Write(w, fault.NotRunf(fault.Route, "no such answer"), "")
+		r.refuseResume(w, fault.NotRunf(fault.Route, "no such answer"))
 		return
 	}
 	var after uint64
 	if h := req.Header.Get("Last-Event-ID"); h != "" {
 		if after, err = strconv.ParseUint(h, 10, 64); err != nil {
-			fault.Write(w, fault.NotRunf(fault.Invalid, "Last-Event-ID is not a number"), "")
+			r.refuseResume(w, fault.NotRunf(fault.Invalid, "Last-Event-ID is not a number"))
 			return
 		}
 	}
@@ -227,6 +227,18 @@
 	})
 }
 
+// refuse answers a call that was not taken.
+func (r *Router) refuse(w http.ResponseWriter, e *fault.Error) {
+	r.refused(e.Reason)
+	fault.Write(w, e, "")
+}
+
+// refuseResume answers a caller whose answer is not looked for. It says nothing about the request itself.
+func (r *Router) refuseResume(w http.ResponseWriter, e *fault.Error) {
+	e.Run = fault.Unknown
+	r.refuse(w, e)
+}
+
 // run begins a call and passes its answer on until it ends or the caller leaves.
 func (r *Router) run(ctx context.Context, w http.ResponseWriter, req *http.Request, call Request, begin func(time.Time, *Core, CallID)) {
 	id := CallID(r.lastCall.Add(1))
--- a/router/entry/moves.go
+++ b/router/entry/moves.go
@@ -30,6 +30,7 @@
 	}
 	c.record(now)
 	c.order(now)
+	c.sweepTick(now)
 }
 
 // duty starts or stops the watching of the object API for the region.
--- a/router/entry/router.go
+++ b/router/entry/router.go
@@ -11,6 +11,7 @@
 	"hickoryvane.example/core/admin"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/group"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/links"
@@ -59,6 +60,8 @@
 	metrics http.Handler
 	// configured is called with each configuration that comes into force; nil if nobody asked for it.
 	configured func(*conf.Index)
+	// refused counts a refusal of the HTTP side.
+	refused func(fault.Reason)
 	// index is the configuration in force, for the handlers of calls.
 	index atomic.Pointer[conf.Index]
 	// held counts the bytes of bodies held for callers.
@@ -68,7 +71,9 @@
 	handlers map[CallID]*ring.Ring[Part]
 	// watching is true while this router watches the object API for its region.
 	watching atomic.Bool
-	unwatch  context.CancelFunc
+	// out is true after a watch of the object API failed, until it works again.
+	out     atomic.Bool
+	unwatch context.CancelFunc
 	// runs counts goroutines that make store calls; they end with the context of Run.
 	runs  sync.WaitGroup
 	drain chan struct{}
@@ -81,7 +86,7 @@
 // WithMetrics sets the meter of the router.
 func WithMetrics(m *meter.Meter) RouterOption {
 	return func(r *Router) {
-		r.core.meter, r.metrics = metered{m}, m.Handler()
+		r.core.meter, r.metrics, r.refused = metered{m}, m.Handler(), m.Refused
 		r.configured = func(x *conf.Index) { m.Configure(names(x)) }
 	}
 }
@@ -95,10 +100,11 @@
 		handlers: make(map[CallID]*ring.Ring[Part]),
 		drain:    make(chan struct{}),
 		metrics:  http.NotFoundHandler(),
+		refused:  func(fault.Reason) {},
 	}
 	rnd := rand.New(rand.NewPCG(uint64(boot), ident.Rendezvous("router", string(cfg.Name))))
 	self := member.Entry{VM: cfg.Name, Address: cfg.Admin, Role: member.Router, Centre: cfg.Centre}
-	r.core = New(self, cfg.Region, boot, cfg.Deployment, rnd, WithBounds(cfg.Bounds))
+	r.core = New(self, cfg.Region, boot, cfg.Deployment, rnd, WithBounds(cfg.Bounds), WithSeeds(cfg.Peers))
 	auth := wire.Auth{Deployment: cfg.Deployment, Key: []byte(cfg.Secret)}
 	r.links = links.New(auth, r.hello, r.sink, log)
 	for _, opt := range opts {
@@ -211,6 +217,8 @@
 		r.do(ctx, func(ctx context.Context) input { return r.claim(ctx, act) })
 	case Watch:
 		r.watch(ctx, act.On)
+	case Sweep:
+		r.do(ctx, func(ctx context.Context) input { r.sweep(ctx, act.Before); return nil })
 	case LeaseCall:
 		r.do(ctx, func(ctx context.Context) input { return r.leaseCall(ctx, act) })
 	case EndCall:
--- a/router/entry/stream.go
+++ b/router/entry/stream.go
@@ -125,7 +125,7 @@
 	switch {
 	case e.Run == fault.NotRun && k.mayOffer():
 		c.retract(now, k, e)
-	case k.Route.Repeat && k.mayOffer():
+	case k.repeats() && k.mayOffer():
 		c.repeat(now, k, e)
 	default:
 		c.fail(now, k, e)
@@ -207,6 +207,9 @@
 }
 
 func (c *Core) measure(now time.Time, k *call, reason string) {
+	if k.resumed { // the request was measured at the router that ran it
+		return
+	}
 	m := Measure{
 		Account: k.Account.Name, Service: k.Service.Name, Tier: k.Tier.Rank, Total: now.Sub(k.began),
 		Prompt: k.Prompt, Output: k.tokens, Reason: reason, Link: k.link,
--- /dev/null
+++ b/router/entry/sweep.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/store"
+)
+
+const (
+	// claimKeep is the age from which a claim in the object API is deleted.
+	claimKeep = 24 * time.Hour
+	// sweepInterval is the time between two deletions of old claims.
+	sweepInterval = time.Hour
+	// sweepRate bounds the deletions per second, as they count as writes.
+	sweepRate = 10
+	// sweepTimeout bounds one round of deletions.
+	sweepTimeout = 30 * time.Minute
+)
+
+// sweepTick asks for the deletion of old claims while this router holds the lease.
+func (c *Core) sweepTick(now time.Time) {
+	_, _, held := c.lease.Held(now)
+	if !held || now.Sub(c.tasks.sweep) < sweepInterval {
+		return
+	}
+	c.tasks.sweep = now
+	c.act(Sweep{Before: now.Add(-claimKeep)})
+}
+
+// sweep deletes the claims that were made before a time. A claim that was replaced meanwhile stays, because
+// a deletion names the version that was read.
+func (r *Router) sweep(ctx context.Context, before time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	if err := deleteClaims(ctx, r.store, before); err != nil {
+		r.log.Log(event.StoreDown, "sort", claimSort, "error", err)
+	}
+}
+
+func deleteClaims(ctx context.Context, s store.Store, before time.Time) (err error) {
+	defer func() { err = errors.WithMessage(err, "delete old claims") }()
+	objects, _, err := s.List(ctx, claimSort)
+	if err != nil {
+		return err
+	}
+	limit := rate.NewLimiter(sweepRate, 1)
+	for _, o := range objects {
+		var held Claim
+		if json.Unmarshal(o.Value, &held) != nil || held.At >= before.Unix() {
+			continue
+		}
+		if err = limit.Wait(ctx); err != nil {
+			return err
+		}
+		if err = s.Delete(ctx, o); errors.Is(err, store.ErrUnavailable) {
+			return err
+		}
+	}
+	return nil
+}
--- a/router/entry/writer.go
+++ b/router/entry/writer.go
@@ -117,7 +117,9 @@
 	switch {
 	case o.stream:
 		o.write(chat.Event{Data: []byte(chat.Done)}.Append(nil))
-	case o.head == nil:
+	case o.head == nil: // the caller already has all of the answer but its end
+		o.w.Header().Set("Content-Type", streamType)
+		o.write(chat.Event{Data: []byte(chat.Done)}.Append(nil))
 	case !o.sent:
 		o.w.Header().Set("Content-Length", strconv.Itoa(len(o.buf)))
 		o.header()
