--- /dev/null
+++ b/bench/deploy/process.go
@@ -0,0 +1,84 @@
+package deploy
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"hickoryvane.example/core/conf"
+)
+
+const (
+	// listLag is the delay of the stand-in's list of VMs; the default of 2 s would dominate a session.
+	listLag = "200ms"
+	// objectsName and listName name the stand-ins of the platform.
+	objectsName = "objects"
+	listName    = "vms"
+	// targetSuffix follows the name of a VM in the name of the stand-in beside its agent.
+	targetSuffix = ".target"
+)
+
+// process is one process to start.
+type process struct {
+	name, program string
+	args          []string
+}
+
+// String returns the process as one line: name, program and arguments, separated by tabs.
+func (p process) String() string {
+	return strings.Join(append([]string{p.name, p.program}, p.args...), "\t")
+}
+
+// processes returns all processes in the order in which they are started.
+func (p *Plan) processes(dir string) (list []process) {
+	list = append(list,
+		process{objectsName, "standin", []string{"objects", "--listen", p.store}},
+		process{listName, "standin", []string{"vms", "--listen", p.vmlist, "--lag", listLag}})
+	for i := range p.agents {
+		list = append(list, p.standin(i))
+	}
+	for _, r := range p.routers {
+		list = append(list, process{string(r.Name), "router", []string{"serve", "--settings", filepath.Join(dir, fileOf(string(r.Name)))}})
+	}
+	for i, a := range p.agents {
+		list = append(list, process{string(a.Name), "agent", []string{
+			"serve", "--settings", filepath.Join(dir, fileOf(string(a.Name))), "--kind", string(p.kind(p.targets[i].Service)),
+		}})
+	}
+	return list
+}
+
+// standin returns the stand-in of the target beside agent i. Its seed is its position.
+func (p *Plan) standin(i int) process {
+	t, a := p.targets[i], p.agents[i]
+	name := string(a.Name) + targetSuffix
+	args := []string{"--listen", a.Target, "--seed", strconv.Itoa(i + 1), "--version", string(t.Version)}
+	if p.kind(t.Service) == conf.Plain {
+		return process{name, "standin", append([]string{"plain"}, args...)}
+	}
+	s := speedOf(t.Class)
+	args = append(args, "--prefill", strconv.Itoa(s.prefill), "--decode", strconv.Itoa(s.decode), fmt.Sprintf("--fenced=%t", t.Fenced))
+	if t.Guarded {
+		args = append(args, "--issuers", string(a.Name))
+	}
+	return process{name, "standin", append([]string{"engine"}, args...)}
+}
+
+// addresses returns one line per address: its use, the name of its process and the address, and for targets
+// the service and the version, separated by tabs.
+func (p *Plan) addresses() (lines []string) {
+	add := func(parts ...string) { lines = append(lines, strings.Join(parts, "\t")) }
+	add("store", objectsName, p.store)
+	add("vmlist", listName, p.vmlist)
+	for _, r := range p.routers {
+		add("caller", string(r.Name), r.Listen)
+		add("admin", string(r.Name), r.Admin)
+	}
+	for i, a := range p.agents {
+		t := p.targets[i]
+		add("admin", string(a.Name), a.Admin)
+		add(string(p.kind(t.Service)), string(a.Name)+targetSuffix, a.Target, string(t.Service), string(t.Version))
+	}
+	return lines
+}
