--- /dev/null
+++ b/proof/runs_test.go
@@ -0,0 +1,52 @@
+package proof_test
+
+import (
+	"maps"
+
+	. "github.com/onsi/gomega"
+)
+
+// runs are the dispatches that the targets saw.
+type runs struct {
+	ids, keys map[string]int
+}
+
+// runs adds up what all targets saw. The targets must be running.
+func (s *site) runs() runs {
+	s.t.Helper()
+	sum := runs{map[string]int{}, map[string]int{}}
+	for _, p := range s.of("model", "plain") {
+		var plain struct{ Keys, IDs map[string]int }
+		ids := map[string]int{}
+		if p.use == "plain" {
+			s.Expect(s.read(p.addr, "/runs", &plain)).To(Succeed(), p.name)
+			maps.Copy(ids, plain.IDs)
+		} else {
+			s.Expect(s.read(p.addr, "/runs", &ids)).To(Succeed(), p.name)
+		}
+		for id, n := range ids {
+			sum.ids[id] += n
+		}
+		for key, n := range plain.Keys {
+			sum.keys[key] += n
+		}
+	}
+	return sum
+}
+
+// once checks that no request id and no key ran twice, and that what was refused as "not run" did not run.
+func (s *site) once(replies ...reply) {
+	s.t.Helper()
+	r := s.runs()
+	s.Expect(r.ids).NotTo(ContainElement(BeNumerically(">", 1)), "request ids")
+	s.Expect(r.keys).NotTo(ContainElement(BeNumerically(">", 1)), "keys")
+	for _, a := range replies {
+		p := a.problem()
+		if p.Run == "not run" {
+			s.Expect(r.ids).NotTo(HaveKey(p.ID), "refused as not run")
+			if a.key != "" {
+				s.Expect(r.keys).NotTo(HaveKey(a.key), "refused as not run")
+			}
+		}
+	}
+}
