--- a/bench/cmd_settings.go
+++ b/bench/cmd_settings.go
@@ -18,9 +18,9 @@
 // takes about 60 ports.
 const portStride = 101
 
-func settingsCommand(_, stderr io.Writer) *ff.Command {
+func cmdSettings(s streams) *ff.Command {
 	std := flag.NewFlagSet("settings", flag.ContinueOnError)
-	std.SetOutput(io.Discard) // launch prints the error and the help
+	std.SetOutput(io.Discard) // run prints the error and the help
 	examples := std.String("examples", "", "folder with declarations")
 	out := std.String("out", "", "folder for the settings")
 	return &ff.Command{
@@ -28,11 +28,11 @@
 		ShortHelp: "write the settings of a deployment on loopback", Flags: ff.NewFlagSetFrom("settings", std),
 		Exec: func(context.Context, []string) error {
 			if *examples == "" || *out == "" {
-				return errors.Wrap(launch.ErrWrong, "--examples and --out are needed")
+				return errors.Wrap(errSetting, "--examples and --out are needed")
 			}
 			cfg, problems := conf.Load(*examples)
-			if err := launch.Problems(stderr, problems); err != nil {
-				return err
+			if launch.Problems(s.err, problems) != nil {
+				return errors.Wrapf(errSetting, "%d faults", len(problems))
 			}
 			p, err := deploy.New(cfg, deploy.NewPorts(portStride*os.Getpid()))
 			if err != nil {
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,4 @@
-// Command bench sends load to a deployment and measures it.
+// Command bench sends open-loop load to routers and measures the decision machines.
 package main
 
 import (
@@ -6,17 +6,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-
-	"hickoryvane.example/core/launch"
 )
 
-const help = "load, experiments and settings for tests of hickoryvane"
-
-// commands is the table of commands.
-var commands = []launch.Command{settingsCommand, launch.Version("bench")}
-
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	os.Exit(launch.Run(ctx, "bench", help, commands, os.Args[1:], os.Stdout, os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
