--- a/GNUmakefile
+++ b/GNUmakefile
@@ -27,7 +27,7 @@
 	go test -race $(foreach m,$(modules),./$(m)/...)
 
 demo: build
-	bin/bench demo -examples examples/rekkverk -bin bin
+	demo/run
 
 golden: build
 	go test ./proof/... -args -update
