Membership: a router covers all agents assigned to it

Cause: Subset cut the agents that a router has to cover at the usual number of 12 connections. Ruled out: a slow push or gossip; the log of such an agent shows no peer at all. Change: covered agents are never cut; other agents fill up to the usual number. The number of connections grows only while a region has too few routers. Open: agents of a region without any live router are still connected by chance only.

--- a/core/member/choose.go
+++ b/core/member/choose.go
@@ -72,11 +72,12 @@
 	return far, i > 0
 }
 
-// Subset returns the agents of a pool that this router connects to: at most n, those of its own
-// region first. pool lists the agents of the service; those that are not live are left out. Within
-// the region come first the agents that this router has to cover: each agent is assigned to one live
-// router, so that none is left without a connection while no router is assigned more than n.
-// Independent choices would leave (1-n/N)^R of N agents without any of R routers.
+// Subset returns the agents of a pool that this router connects to, those of its own region first.
+// pool lists the agents of the service; those that are not live are left out. Within the region come
+// first the agents that this router has to cover: each agent is assigned to one live router, because
+// an agent without a connection gets no configuration. There are more than n of them only when a
+// region has too few routers; otherwise the result is filled up to n. Independent choices would leave
+// (1-n/N)^R of N agents without any of R routers.
 func (m *Machine) Subset(service ident.Service, pool []ident.ProcessID, n int) []ident.ProcessID {
 	own := m.regions[m.self.Centre]
 	routers := m.Live(Router, own)
@@ -96,9 +97,9 @@
 		}
 	}
 	key := "subset\x00" + string(m.self.VM) + "\x00" + string(service)
-	out := top(key, cover, n)
-	out = append(out, top(key, near, n-len(out))...)
-	return ids(append(out, top(key, far, n-len(out))...))
+	out := top(key, cover, len(cover))
+	out = append(out, top(key, near, max(0, n-len(out)))...)
+	return ids(append(out, top(key, far, max(0, n-len(out)))...))
 }
 
 // covers reports whether this router is the one assigned to an agent.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -150,6 +150,26 @@
 	g.Expect(covered).To(HaveLen(40))
 }
 
+// Guards against agents that no router connects to, and that therefore get no configuration, when a region has
+// too few routers for the usual number of connections.
+func TestOneRouterCoversItsRegion(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	alone := list[:1:1]
+	for _, e := range list {
+		if e.Role == member.Agent {
+			alone = append(alone, e)
+		}
+	}
+	m := member.New(list[0], regions)
+	m.List(at(0), alone)
+	got := m.Subset("s", pool(list), member.SubsetMax)
+	g.Expect(got).To(HaveLen(20))
+	for _, id := range got {
+		g.Expect(string(id)).To(ContainSubstring("west-b"))
+	}
+}
+
 // Guards against connections that grow with the fleet, that prefer the other region, or that move
 // when an unrelated agent goes.
 func TestSubset(t *testing.T) {
