Router: model requests are not retried on another engine

Cause: cut() and keyed() looked at the route's 'repeat' alone. The examples declare it on their model routes, so a model request whose engine crashed was dispatched to a second engine under a new id (P1), and one with an Idempotency-Key was not claimed at all. The design retries idempotent calls of plain services only. Found by the crash test in proof/: the targets saw 2 dispatches more than there were requests, while 3 ran on the engine that crashed. Ruled out: a second dispatch of the same id; each id was seen once. Change: 'repeat' counts for plain services only.

--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -107,7 +107,11 @@
 }
 
 // keyed reports whether the call must not run again when it is sent again.
-func (c *call) keyed() bool { return c.Key != "" && !c.Route.Repeat }
+func (c *call) keyed() bool { return c.Key != "" && !c.repeats() }
+
+// repeats reports whether the call may run more than once. A model request never does, because each run costs an
+// engine its work, and a request that crashes an engine would crash the next one.
+func (c *call) repeats() bool { return c.Route.Repeat && c.Service.Kind == conf.Plain }
 
 // inStore reports whether the claim of the call is kept in the object API.
 func (c *call) inStore() bool { return c.keyed() && c.Service.Kind == conf.Plain }
--- a/router/entry/stream.go
+++ b/router/entry/stream.go
@@ -126,7 +126,7 @@
 	case e.Run == fault.NotRun && !k.headSent:
 		c.unclaim(k)
 		c.retract(now, k, e)
-	case k.Route.Repeat && !k.headSent:
+	case k.repeats() && !k.headSent:
 		c.repeat(now, k, e)
 	default:
 		c.fail(now, k, e)
