--- a/bench/cmds.go
+++ b/bench/cmds.go
@@ -29,6 +29,7 @@
 	cmdOverload,
 	cmdTrace,
 	cmdSlopes,
+	cmdSettings,
 }
 
 // run executes the command in args and returns the exit code. Errors are printed here only.
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -117,8 +117,8 @@
 // keyed reports whether the call must not run again when it is sent again.
 func (c *call) keyed() bool { return c.Key != "" && !c.repeats() }
 
-// repeats reports whether the call may be tried again after it may have run. A request to an engine may not,
-// whatever its route declares.
+// repeats reports whether the call may run more than once. A model request never does, because each run costs an
+// engine its work, and a request that crashes an engine would crash the next one.
 func (c *call) repeats() bool { return c.Route.Repeat && c.Service.Kind == conf.Plain }
 
 // inStore reports whether the claim of the call is kept in the object API.
