--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// reportInterval is the longest time between two load reports.
-	reportInterval = time.Second
+	// reportInterval is the longest time between two load reports; half of member.SuspectAfter.
+	reportInterval = 1500 * time.Millisecond
 	// reportPause is the shortest time between two load reports.
 	reportPause = 100 * time.Millisecond
 	// orphanTime is the time for which a request without a key runs on after its router was lost.
--- a/agent/node/duty.go
+++ b/agent/node/duty.go
@@ -146,6 +146,7 @@
 	}
 	select {
 	case st = <-out:
+		st.Sent, st.Received = s.links.Bytes()
 		return st, true
 	case <-ctx.Done():
 		return st, false
--- a/core/conf/status.go
+++ b/core/conf/status.go
@@ -39,6 +39,9 @@
 	Generation ident.Generation `json:"generation"`
 	Ready      bool             `json:"ready"`
 	Moves      []MoveStatus     `json:"moves"`
+	// Sent and Received count the bytes of all messages to and from other processes since the start.
+	Sent     ident.Bytes `json:"sent"`
+	Received ident.Bytes `json:"received"`
 }
 
 // MoveStatus is the state of a move as one process knows it, or as read from its record. A record does not hold
--- a/core/member/choose.go
+++ b/core/member/choose.go
@@ -104,8 +104,17 @@
 
 // covers reports whether this router is the one assigned to an agent.
 func (m *Machine) covers(routers []Member, agent ident.ProcessID) bool {
-	first := top("cover\x00"+string(agent), routers, 1)
-	return len(first) > 0 && first[0].VM == m.self.VM
+	key := "cover\x00" + string(agent)
+	mine := ident.Rendezvous(key, string(m.self.VM))
+	found := false
+	for _, r := range routers {
+		w := ident.Rendezvous(key, string(r.VM))
+		if w > mine || w == mine && r.VM < m.self.VM {
+			return false
+		}
+		found = found || r.VM == m.self.VM
+	}
+	return found
 }
 
 // Homes returns the agents that hold the claim of a keyed request, the first two by rendezvous hash
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -88,6 +89,8 @@
 	self    Entry
 	regions Regions
 	all     map[ident.ProcessID]*record
+	// order holds the ids of all in order; nil after one came or went.
+	order []ident.ProcessID
 }
 
 // New returns a membership that holds only the process itself.
@@ -129,7 +132,10 @@
 	}
 	r.heard = now
 	r.said = r.said || leaving
-	return m.update(now)
+	if c, changed := m.refresh(from.VM, r, now); changed {
+		return []Change{c}
+	}
+	return nil
 }
 
 // Watch tells that messages are expected from id from now on, because a connection to it is wanted.
@@ -153,7 +159,7 @@
 	r := m.all[id]
 	if r == nil {
 		r = &record{entry: e, state: Gone, heard: now}
-		m.all[id] = r
+		m.all[id], m.order = r, nil
 	}
 	return r
 }
@@ -162,19 +168,25 @@
 // listed are forgotten.
 func (m *Machine) update(now time.Time) (out []Change) {
 	for id, r := range m.all {
-		was := r.state
-		r.state = m.stateAt(id, r, now)
-		if r.state != was {
-			out = append(out, Change{Member: m.member(r), Was: was})
+		if c, changed := m.refresh(id, r, now); changed {
+			out = append(out, c)
 		}
 		if r.state == Gone && !r.listed {
 			delete(m.all, id)
+			m.order = nil
 		}
 	}
 	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Member.VM, b.Member.VM) })
 	return out
 }
 
+// refresh computes the state of one record.
+func (m *Machine) refresh(id ident.ProcessID, r *record, now time.Time) (c Change, changed bool) {
+	was := r.state
+	r.state = m.stateAt(id, r, now)
+	return Change{Member: m.member(r), Was: was}, r.state != was
+}
+
 // stateAt derives the state of one record. Silence counts for watched members, and for those that
 // only messages vouch for.
 func (m *Machine) stateAt(id ident.ProcessID, r *record, now time.Time) State {
@@ -208,16 +220,31 @@
 // Members returns all known members ordered by VM.
 func (m *Machine) Members() []Member {
 	out := make([]Member, 0, len(m.all))
-	for _, r := range m.all {
-		out = append(out, m.member(r))
+	for _, id := range m.sorted() {
+		out = append(out, m.member(m.all[id]))
 	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
 	return out
 }
 
+// sorted returns the ids of all members in order. They are sorted only after one came or went.
+func (m *Machine) sorted() []ident.ProcessID {
+	if m.order == nil {
+		m.order = slices.Sorted(maps.Keys(m.all))
+	}
+	return m.order
+}
+
 // Live returns the live members of a role and region ordered by VM; an empty role or region means all.
 func (m *Machine) Live(role Role, region ident.Region) []Member {
-	return slices.DeleteFunc(m.Members(), func(p Member) bool {
-		return p.State != Live || role != "" && p.Role != role || region != "" && p.Region != region
-	})
+	var out []Member
+	for _, id := range m.sorted() {
+		r := m.all[id]
+		if r.state != Live || role != "" && r.entry.Role != role {
+			continue
+		}
+		if p := m.member(r); region == "" || p.Region == region {
+			out = append(out, p)
+		}
+	}
+	return out
 }
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -250,6 +250,7 @@
 		c.tasks.second = now
 		c.changed(now, c.member.Tick(now))
 		c.guard.Expire(now)
+		c.duty()
 		c.connect(now)
 		c.forget()
 	}
--- a/router/entry/core_test.go
+++ b/router/entry/core_test.go
@@ -197,3 +197,13 @@
 	b.g.Expect(l).To(Equal(links.ID(5)))
 	b.g.Expect(body).NotTo(BeNil())
 }
+
+// serve takes one call through offer, grant and body, and lets its caller leave.
+func (b *bench) serve(i int) {
+	id := entry.CallID(i + 1)
+	b.begin(id, 0, 0, "")
+	b.dispatch()
+	b.c.Left(b.now, id)
+	b.take()
+	b.sent, b.got = nil, nil
+}
--- a/router/entry/moves.go
+++ b/router/entry/moves.go
@@ -21,7 +21,6 @@
 		c.publish(now, c.moves.Absorb(now, c.facts))
 	}
 	c.publish(now, c.moves.Tick(now))
-	c.duty()
 	if !c.tasks.watching || !c.drainAt.IsZero() {
 		return
 	}
