--- a/agent/node/answers_test.go
+++ b/agent/node/answers_test.go
@@ -144,3 +144,20 @@
 	b.deliver(1, &wire.Body{ID: "q1", Ticket: find[*wire.Grant](b, 1)[0].Ticket})
 	b.g.Expect(b.starts()).To(BeEmpty())
 }
+
+// Guards against a claim that is released although its request runs: the first claim came on a connection that
+// ended after the router had a new one.
+func TestClaimOutlivesAnOlderConnection(t *testing.T) {
+	b := newBench(t)
+	m := wire.Claim{ID: "k", Account: "acme", Attempt: "t1"}
+	b.deliver(1, &m)
+	b.c.Opened(3, wire.Hello{Process: "r1", Role: "router", Boot: 1})
+	named := m
+	named.Agent, named.Boot = "a2", 5
+	b.deliver(3, &named)
+	b.c.Closed(b.now, 1)
+	b.deliver(2, &wire.Claim{ID: "k", Account: "acme", Attempt: "t2"})
+	held := find[*wire.Claimed](b, 2)
+	b.g.Expect(held).To(HaveLen(1))
+	b.g.Expect(held[0].Attempt).To(Equal(ident.RequestID("t1")))
+}
--- a/agent/node/claim.go
+++ b/agent/node/claim.go
@@ -16,11 +16,13 @@
 		c.refuse(p, m.ID, fault.NotRunf(fault.Duplicate, "%s", err))
 		return
 	}
-	mine := c.peers[p].claims
+	for _, other := range c.peers { // an older connection of the router may end later than it was replaced
+		if other.claims[m.ID] == m.Attempt {
+			delete(other.claims, m.ID)
+		}
+	}
 	if held.Attempt == m.Attempt && m.Agent == "" {
-		mine[m.ID] = m.Attempt
-	} else {
-		delete(mine, m.ID)
+		c.peers[p].claims[m.ID] = m.Attempt
 	}
 	c.send(p, held)
 }
--- a/router/entry/begin.go
+++ b/router/entry/begin.go
@@ -69,7 +69,7 @@
 func (c *Core) evict(now time.Time, rank ident.Tier) bool {
 	var worst *call
 	for _, k := range c.calls {
-		if (k.phase != offering && k.phase != claiming) || k.Tier.Rank <= rank {
+		if (k.phase != offering && k.phase != claiming && (k.phase != holding || k.of != nil)) || k.Tier.Rank <= rank {
 			continue
 		}
 		if worst == nil || k.Tier.Rank > worst.Tier.Rank ||
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -48,10 +48,20 @@
 	confirming
 	// committed: the body was written to one agent.
 	committed
+	// holding: an earlier send of the same request is waited for.
+	holding
 	// attaching: an answer of an earlier send is being looked for.
 	attaching
 )
 
+// earlier is the answer of an earlier send.
+type earlier struct {
+	attempt ident.RequestID
+	agent   ident.ProcessID
+	boot    ident.Boot
+	after   ident.Seq
+}
+
 // call is one request of a caller at this router.
 type call struct {
 	Request
@@ -96,11 +106,15 @@
 	headSent bool
 	tokens   ident.Tokens
 	retries  int
+	// before is the end of the last try of an idempotent call that was offered again after it.
+	before *fault.Error
 	// homes are the agents that hold the claim, and asked all that the present attempt was claimed at.
 	homes []ident.ProcessID
 	asked []ident.ProcessID
 	// held are the homes that confirmed the claim in the present phase.
 	held map[ident.ProcessID]bool
+	// of is the answer that a holding call waits for; nil if it is not known yet.
+	of *earlier
 	// resumed is true for a call that only asks for a kept answer; it is never offered.
 	resumed bool
 	// waitUntil bounds claiming, confirming and attaching.
--- a/router/entry/claims.go
+++ b/router/entry/claims.go
@@ -154,9 +154,9 @@
 	}
 	c.withdraw(k)
 	c.releaseHomes(k)
-	if agent == "" {
-		e := &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "an earlier send of this request is waiting", Retry: shedRetry}
-		c.fail(now, k, e)
+	if agent == "" { // it waits for a target, or two sends hold one home each
+		c.rename(k)
+		c.hold(now, k, nil)
 		return
 	}
 	c.look(now, k, attempt, agent, boot, 0)
@@ -167,9 +167,8 @@
 	delete(c.byReq, k.attempt)
 	k.attempt, k.agent, k.boot, k.target, k.sent, k.last = attempt, agent, boot, "", time.Time{}, now
 	if other := c.byReq[attempt]; other != nil && other != k {
-		e := &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "the answer of this request is being read", Retry: shedRetry}
 		k.attempt = ""
-		c.fail(now, k, e)
+		c.hold(now, k, &earlier{attempt: attempt, agent: agent, boot: boot, after: after})
 		return
 	}
 	c.byReq[attempt] = k
@@ -180,6 +179,26 @@
 	c.tell(agent, k.reader.Attach(k.Account.Name, creditMax)) // or when the agent is connected
 }
 
+// hold lets a call wait for an earlier send of its request. With of, another call of this router reads the
+// answer, and this one reads it after that call; without, the claim is tried again. The pause differs between
+// calls, so that two sends do not hinder each other again and again.
+func (c *Core) hold(now time.Time, k *call, of *earlier) {
+	k.phase, k.of = holding, of
+	c.again(now, k, againTime+time.Duration(c.rnd.Int64N(int64(againTime))))
+}
+
+func (c *Core) tickHolding(now time.Time, k *call) {
+	switch {
+	case now.Before(k.next):
+	case k.of != nil:
+		c.look(now, k, k.of.attempt, k.of.agent, k.of.boot, k.of.after)
+	case now.Before(k.deadline):
+		c.claimHomes(now, k)
+	default:
+		c.fail(now, k, &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "an earlier send of this request is waiting", Retry: shedRetry})
+	}
+}
+
 // takeOver runs a keyed call whose earlier send was claimed but certainly never dispatched.
 func (c *Core) takeOver(now time.Time, k *call) {
 	if k.resumed { // a caller that only asked for a kept answer
@@ -271,7 +290,8 @@
 func (c *Core) Resume(now time.Time, id CallID, r Request, attempt ident.RequestID, agent ident.ProcessID, boot ident.Boot, after ident.Seq) {
 	k := &call{Request: r, id: id, resumed: true, began: now, deadline: now.Add(lostTime), open: make(map[ident.ProcessID]ident.TargetID)}
 	if !c.drainAt.IsZero() {
-		c.reject(now, k, fault.NotRunf(fault.Draining, "this router is stopping"))
+		// The request may have run; only the answer is not read here.
+		c.reject(now, k, &fault.Error{Run: fault.Unknown, Reason: fault.Draining, Detail: "this router is stopping"})
 		return
 	}
 	c.calls[id] = k
--- a/router/entry/claims_test.go
+++ b/router/entry/claims_test.go
@@ -166,3 +166,41 @@
 		b.g.Expect(b.got).To(HaveLen(1))
 	}
 }
+
+// Guards against a second send at the same router that gets no answer because the first is still read there, or
+// still waits for a target.
+func TestSecondSendAtTheSameRouterGetsTheAnswer(t *testing.T) {
+	for name, waits := range map[string]bool{"first waits": true, "first runs": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			l, id := b.granted(1)
+			agent := ident.ProcessID("a1")
+			if l == 2 {
+				agent = "a2"
+			}
+			b.agree()
+			b.begin(2, 0, 0, "k")
+			for l, m := range b.claims() {
+				c := &wire.Claimed{ID: m.ID, Attempt: id}
+				if !waits {
+					c.Agent, c.Boot = agent, 7
+				}
+				b.deliver(l, c)
+			}
+			b.g.Expect(b.got).To(BeEmpty())
+			b.deliver(l, &wire.Chunk{ID: id, Boot: 7, Seq: 1, Status: 200, Data: []byte("x")})
+			b.deliver(l, &wire.End{ID: id, Boot: 7, Last: 1, Whole: true})
+			b.g.Expect(b.got).To(HaveLen(3))
+			b.tick(200 * time.Millisecond)
+			if waits {
+				for l, m := range b.claims() {
+					b.deliver(l, &wire.Claimed{ID: m.ID, Attempt: id, Agent: agent, Boot: 7})
+				}
+			}
+			_, a := last[*wire.Attach](b)
+			b.g.Expect(a).NotTo(BeNil())
+			b.g.Expect(a.ID).To(Equal(id))
+			b.g.Expect(a.Seq).To(BeZero())
+		})
+	}
+}
--- a/router/entry/offers.go
+++ b/router/entry/offers.go
@@ -262,6 +262,8 @@
 		if !now.Before(k.waitUntil) {
 			c.expire(now, k)
 		}
+	case holding:
+		c.tickHolding(now, k)
 	case committed:
 		c.tickCommitted(now, k)
 	}
--- a/router/entry/offers_test.go
+++ b/router/entry/offers_test.go
@@ -104,3 +104,14 @@
 	b.g.Expect(b.got).To(HaveLen(1))
 	b.g.Expect(b.got[0].Fault.Reason).To(Equal(fault.Quota))
 }
+
+// Guards against "not run" for an idempotent call whose first try may have run and whose second was refused.
+func TestRepeatedCallIsNotToldNotToHaveRun(t *testing.T) {
+	b := newBench(t)
+	b.begin(1, 1, 1, "")
+	l, body := b.dispatch()
+	b.deliver(l, &wire.End{ID: body.ID, Boot: 7, Run: fault.Unknown, Reason: fault.Target})
+	b.tick(6 * time.Second)
+	b.g.Expect(b.got).To(HaveLen(1))
+	b.g.Expect(b.got[0].Fault.Run).To(Equal(fault.Unknown))
+}
--- a/router/entry/stream.go
+++ b/router/entry/stream.go
@@ -109,7 +109,7 @@
 			e.Reason = end.Reason
 		}
 	}
-	if !k.first.IsZero() && e.Run == fault.Unknown {
+	if k.headSent || !k.first.IsZero() {
 		e.Run = fault.Ran
 	}
 	c.learn(now, k, end, true)
@@ -126,6 +126,7 @@
 // repeat offers an idempotent call again after a pause, if the budget of retries allows it.
 func (c *Core) repeat(now time.Time, k *call, e *fault.Error) {
 	k.retries++
+	k.before = e
 	pause, ok := c.retry.Allow(now, k.retries)
 	if !ok || !now.Add(pause).Before(k.deadline) {
 		c.fail(now, k, e)
@@ -173,6 +174,10 @@
 		c.withdraw(k)
 		c.unclaim(k)
 	}
+	if e.Run == fault.NotRun && k.before != nil { // the last try did not run, but an earlier one may have
+		x := *e
+		x.Run, e = k.before.Run, &x
+	}
 	if e.Retry == 0 && (e.Reason == fault.Shed || e.Reason == fault.Deadline) {
 		e.Retry = shedRetry
 	}
