Queue: count prompts that the engine reads first

Cause: an engine reads prompts in the order of their arrival, but the first-token limit, the learnt prefill speed and the feasibility check knew only the request's own prompt. A question behind an assessment counted as slowness, the window shrank, the learnt speed fell and feasible offers were refused.

Change: the queue counts the prompt tokens that the engine was given and that had no first token yet. They are added in all three places. Prompts of requests that ended without a first token are taken out again, also from the count of requests behind them. The late limit is the target plus twice the best prefill time, because steps that also decode read fewer prompt tokens.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -11,9 +11,10 @@
 // still be made elsewhere, one that lapses cannot.
 const waitMargin = 2
 
-// feasible reports whether a request that starts at the given time meets its deadline.
+// feasible reports whether a request that starts at the given time meets its deadline, behind the prompts
+// that the engine has not read yet.
 func (q *Queue) feasible(start time.Time, it *Item) bool {
-	return !start.Add(q.speed.prefillTime(it.Prompt - it.Cached)).After(it.Deadline)
+	return !start.Add(q.speed.prefillTime(q.unread + it.unread())).After(it.Deadline)
 }
 
 // estimate returns the expected wait of a new offer. It is zero while the window has room and nothing
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -50,6 +50,9 @@
 // Charge returns the length for which the item is charged: prompt and expected output.
 func (it *Item) Charge() ident.Tokens { return max(it.Prompt, 0) + max(it.Output, 0) }
 
+// unread returns the part of the prompt that the engine has to compute.
+func (it *Item) unread() ident.Tokens { return max(it.Prompt-it.Cached, 0) }
+
 // Refusal is an offer that left the queue without a grant; its router is to be told.
 type Refusal struct {
 	Item Item
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -39,8 +39,12 @@
 	// held is the sum of the charges in run; alone is true while a suspected request is in run.
 	held  ident.Tokens
 	alone bool
-	win   window
-	speed speed
+	// unread is the sum of the prompts that the engine was given and that had no first token yet.
+	unread ident.Tokens
+	// starts numbers the requests in the order of their start.
+	starts uint64
+	win    window
+	speed  speed
 }
 
 // Option changes a limit of a Queue.
--- a/core/queue/run.go
+++ b/core/queue/run.go
@@ -6,8 +6,8 @@
 	"hickoryvane.example/core/ident"
 )
 
-// slowFactor is the multiple of the expected prefill time from which a slow first token is learnt at
-// once. A faster one is learnt at the end, when the cached part of the prompt is known.
+// slowFactor is the multiple of the expected prefill time from which a first token is slow. It is learnt
+// at once; a faster one is learnt at the end, when the cached part of the prompt is known.
 const slowFactor = 2
 
 // run is a granted or running request.
@@ -21,6 +21,10 @@
 	last  time.Time
 	// output counts the output tokens so far.
 	output ident.Tokens
+	// order numbers the starts; ahead counts the prompt tokens that the engine had not read at the start
+	// and reads first, because it reads prompts in the order of their arrival.
+	order uint64
+	ahead ident.Tokens
 	// learnt is true when the prefill time was taken in.
 	learnt bool
 }
@@ -31,7 +35,9 @@
 	if r == nil || r.started {
 		return false
 	}
-	r.started, r.start = true, now
+	q.starts++
+	r.started, r.start, r.order, r.ahead = true, now, q.starts, q.unread
+	q.unread += r.unread()
 	return true
 }
 
@@ -42,14 +48,16 @@
 		return
 	}
 	r.first, r.last = now, now
-	took, expected := now.Sub(r.start), q.speed.prefillTime(r.Prompt-r.Cached)
+	q.unread -= r.unread()
+	took, read := now.Sub(r.start), r.ahead+r.unread()
+	expected := q.speed.prefillTime(read)
 	q.win.firsts++
 	if took > q.firstLimit(r) {
 		q.win.late++
 	}
 	if expected > 0 && took > slowFactor*expected {
 		r.learnt = true
-		q.speed.learnPrefill(r.Prompt-r.Cached, took)
+		q.speed.learnPrefill(read, took)
 	}
 }
 
@@ -74,6 +82,7 @@
 		return
 	}
 	q.release(r)
+	q.forget(r)
 	prompt := r.Prompt
 	if o.Prompt > 0 {
 		prompt = o.Prompt
@@ -87,12 +96,29 @@
 	}
 	q.win.ended += r.Charge()
 	if !r.learnt && !r.first.IsZero() {
-		q.speed.learnPrefill(prompt-o.Cached, r.first.Sub(r.start))
+		q.speed.learnPrefill(r.ahead+max(prompt-o.Cached, 0), r.first.Sub(r.start))
 	}
 }
 
-// firstLimit returns the first-token time above which a request counts as late. It is measured against
-// the best prefill speed seen, because the current speed falls with the slowness that is looked for.
+// forget takes the prompt of an ended request without first token from what the engine still has to read,
+// also for the requests behind it. Otherwise a cancelled prompt would make them look fast.
+func (q *Queue) forget(r *run) {
+	if !r.started || !r.first.IsZero() {
+		return
+	}
+	n := r.unread()
+	q.unread -= n
+	for _, o := range q.run {
+		if o.started && o.first.IsZero() && o.order > r.order {
+			o.ahead -= n
+		}
+	}
+}
+
+// firstLimit returns the first-token time above which a request counts as late: the target and, as steps
+// that also decode read fewer prompt tokens, slowFactor times the time in which the engine reads the prompt
+// and those before it. It is measured against the best prefill speed seen, because the current speed falls
+// with the slowness that is looked for.
 func (q *Queue) firstLimit(r *run) time.Duration {
-	return q.win.firstTarget + q.speed.bestPrefillTime(r.Prompt)
+	return q.win.firstTarget + slowFactor*q.speed.bestPrefillTime(r.ahead+r.unread())
 }
