--- a/GNUmakefile
+++ b/GNUmakefile
@@ -35,10 +35,11 @@
 	demo/run
 
 golden: build
-	go test ./proof/... -args -update
+	go test -count=1 ./proof/... -update
 
 slopes: build
 	bin/bench slopes
+	demo/idle
 
 clean:
 	rm -rf bin
