Guard facts name themselves; one way to read a status

Cause: the key of a guard fact and the reading of a status stood twice. Ruled out: nothing. Change: guard.Fact.Key and admin.Ask. Conclusion: clean-up.

--- a/agent/node/agent.go
+++ b/agent/node/agent.go
@@ -31,8 +31,6 @@
 	drainTimeout = 15 * time.Minute
 	// flushTimeout bounds the writing of queued messages at the end.
 	flushTimeout = 2 * time.Second
-	// statusTimeout bounds the wait of an operator for the core.
-	statusTimeout = 2 * time.Second
 	// leaseTimeout bounds the reading of a lease.
 	leaseTimeout = 5 * time.Second
 )
--- a/agent/node/duty.go
+++ b/agent/node/duty.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/admin"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/lease"
@@ -138,17 +139,7 @@
 
 // Status implements admin.Source.
 func (s *source) Status(ctx context.Context) (st conf.Status, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	out := make(chan conf.Status, 1)
-	if s.inbox.Put(ctx, func(_ time.Time, c *Core) { out <- c.status(s.cfg.Centre) }) != nil {
-		return st, false
-	}
-	select {
-	case st = <-out:
-		st.Sent, st.Received = s.links.Bytes()
-		return st, true
-	case <-ctx.Done():
-		return st, false
-	}
+	st, ok = admin.Ask(ctx, s.inbox, func(c *Core) conf.Status { return c.status(s.cfg.Centre) })
+	st.Sent, st.Received = s.links.Bytes()
+	return st, ok
 }
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"hickoryvane.example/core/active"
@@ -116,7 +115,7 @@
 	if err != nil {
 		return
 	}
-	c.facts.Set(now, facts.SortBlock, guardKey(f), b)
+	c.facts.Set(now, facts.SortBlock, f.Key(), b)
 	if f.Sort == guard.Block {
 		c.log(event.Blocked, "print", f.Print)
 	}
@@ -135,8 +134,3 @@
 		c.publishGuard(now, more)
 	}
 }
-
-// guardKey names a guard fact, so that a newer statement replaces an older one about the same thing.
-func guardKey(f guard.Fact) string {
-	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
-}
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -121,17 +121,12 @@
 	}
 	for _, more := range c.guard.Merge(now, g) {
 		if b, err := json.Marshal(more); err == nil {
-			c.facts.Set(now, facts.SortBlock, guardKey(more), b)
+			c.facts.Set(now, facts.SortBlock, more.Key(), b)
 			c.log(event.Blocked, "print", strconv.FormatUint(uint64(more.Print), 16))
 		}
 	}
 }
 
-// guardKey names a guard fact, so that a newer statement replaces an older one about the same thing.
-func guardKey(f guard.Fact) string {
-	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
-}
-
 // mergeList takes the newest list of all watchers.
 func (c *Core) mergeList(now time.Time, f wire.Fact) {
 	if c.tasks.watching {
--- a/router/entry/router.go
+++ b/router/entry/router.go
@@ -33,8 +33,6 @@
 	lameTime = 500 * time.Millisecond
 	// flushTimeout bounds the writing of queued messages at the end.
 	flushTimeout = 2 * time.Second
-	// statusTimeout bounds the wait of an operator for the core.
-	statusTimeout = 2 * time.Second
 	// partsMax bounds the parts of an answer that wait for the handler of a call.
 	partsMax = 8192
 )
@@ -286,17 +284,7 @@
 
 // Status implements admin.Source.
 func (s *source) Status(ctx context.Context) (st conf.Status, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	out := make(chan conf.Status, 1)
-	if s.inbox.Put(ctx, func(_ time.Time, c *Core) { out <- c.status(s.cfg.Centre) }) != nil {
-		return st, false
-	}
-	select {
-	case st = <-out:
-		st.Sent, st.Received = s.links.Bytes()
-		return st, true
-	case <-ctx.Done():
-		return st, false
-	}
+	st, ok = admin.Ask(ctx, s.inbox, func(c *Core) conf.Status { return c.status(s.cfg.Centre) })
+	st.Sent, st.Received = s.links.Bytes()
+	return st, ok
 }
