Tests of mends without one: full memory, charge, eviction while claiming

Ruled out: testing the bounds of unexported maps through the package, as tests are external.

Change: tests of the refusal before the dispatch when the memory is full, of the charge of a call that reads an earlier answer, and of the eviction of a call that waits for its homes.

--- a/agent/node/answers_test.go
+++ b/agent/node/answers_test.go
@@ -161,3 +161,18 @@
 	b.g.Expect(held).To(HaveLen(1))
 	b.g.Expect(held[0].Attempt).To(Equal(ident.RequestID("t1")))
 }
+
+// Guards against a request that is written although its answer cannot be kept.
+func TestFullMemoryRefusesBeforeTheDispatch(t *testing.T) {
+	b := newBench(t, node.WithAnswers(800<<10, time.Minute))
+	b.run(1, "q1")
+	b.offer(1, "q2")
+	grants := find[*wire.Grant](b, 1)
+	b.g.Expect(grants).To(HaveLen(2))
+	b.part("q1", string(make([]byte, 813_500))) // leaves less than an empty answer takes
+	b.deliver(1, &wire.Body{ID: "q2", Ticket: grants[1].Ticket, Credit: 1 << 18})
+	b.g.Expect(b.starts()).To(HaveLen(1))
+	refused := find[*wire.Refuse](b, 1)
+	b.g.Expect(refused).To(HaveLen(1))
+	b.g.Expect(refused[0].Run).To(Equal(fault.NotRun))
+}
--- a/router/entry/claims_test.go
+++ b/router/entry/claims_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/links"
@@ -204,3 +205,38 @@
 		})
 	}
 }
+
+// Guards against a charge for a call that read the answer of an earlier send.
+func TestAnswerOfAnEarlierSendIsNotCharged(t *testing.T) {
+	b := newBench(t)
+	r := entry.Request{
+		Account: config.Accounts[1], Service: config.Services[0], Route: config.Services[0].Routes[0], Tier: config.Tiers[0],
+		Wait: 5 * time.Second, Prompt: 1, Key: "k",
+	}
+	b.c.Begin(b.now, 1, r)
+	b.take()
+	for l, m := range b.claims() {
+		b.deliver(l, &wire.Claimed{ID: m.ID, Attempt: "first", Agent: "a1", Boot: 7})
+	}
+	b.deliver(1, &wire.Chunk{ID: "first", Boot: 7, Seq: 1, Status: 200, Data: []byte("x"), Tokens: 100})
+	b.deliver(1, &wire.End{ID: "first", Boot: 7, Last: 1, Whole: true, Output: 100})
+	b.g.Expect(b.got[len(b.got)-1].Whole).To(BeTrue())
+	b.c.Begin(b.now, 2, r)
+	b.take()
+	b.g.Expect(b.claims()).To(HaveLen(2), "the account has its whole burst")
+}
+
+// Guards against a higher tier that is shed while a lower one waits for its homes.
+func TestClaimingCallIsEvicted(t *testing.T) {
+	b := newBench(t, entry.WithBounds(conf.RouterBounds{Requests: 1}))
+	b.begin(1, 0, 0, "k")
+	b.c.Begin(b.now, 2, entry.Request{
+		Account: config.Accounts[0], Service: config.Services[2], Route: config.Services[2].Routes[0],
+		Tier: config.Tiers[0], Wait: time.Second,
+	})
+	b.take()
+	b.g.Expect(b.got).To(HaveLen(1))
+	b.g.Expect(b.got[0].Fault.Reason).To(Equal(fault.Shed))
+	b.g.Expect(count[*wire.Offer](b)).To(Equal(2))
+	b.g.Expect(count[*wire.Release](b)).To(Equal(2))
+}
