--- a/proof/fail_test.go
+++ b/proof/fail_test.go
@@ -64,7 +64,7 @@
 	s.Expect(code).To(BeZero(), out)
 	s.await(1)
 	s.warm(ask("office", "painters-question", "warm", 1, false))
-	l := s.traffic(workers, question("painters", "painters-question", streamTokens, true))
+	l := s.traffic(workers, false, question("painters", "painters-question", streamTokens, true))
 	l.after(soakCalls)
 	return s, l
 }
--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -30,6 +30,9 @@
 	callTime = 40 * time.Second
 )
 
+// slots bounds the deployments that run at a time; each has about 20 processes.
+var slots = make(chan struct{}, 4)
+
 // place is one line of addresses.txt.
 type place struct{ use, name, addr, service, version string }
 
@@ -52,6 +55,9 @@
 // open starts a deployment. Its end checks that every process stops by SIGTERM.
 func open(t *testing.T, example string) *site {
 	t.Helper()
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
 	s := &site{
 		WithT: NewWithT(t), t: t, decl: t.TempDir(), dir: t.TempDir(), procs: map[string]*proc{},
 		// A kept connection that is lost makes the client send a call again by itself.
