Membership: a restarted process is connected again after it said that it leaves

Cause: after 'Leave' a member stays in the state leaving until a message of a later boot is heard. Routers connect only to live agents, and agents do not dial, so an agent that was stopped by SIGTERM and started again on its VM was connected only if a router dialled in the moment before it dropped the address. Otherwise the agent had no configuration for good. Ruled out: a lost configuration; the agent's log shows no peer after its start. Change: the announcement lapses after 10 s without a message (GoneAfter). The router then dials the listed VM again; an agent that still drains says so again.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -75,7 +75,8 @@
 	state  State
 	boot   ident.Boot
 	listed bool
-	// said is true when the member itself announced that it leaves, in its current boot.
+	// said is true when the member itself announced that it leaves, in its current boot, and was heard since
+	// within GoneAfter.
 	said bool
 	// watched is true while messages are expected from the member at least once a second.
 	watched bool
@@ -163,6 +164,8 @@
 func (m *Machine) update(now time.Time) (out []Change) {
 	for id, r := range m.all {
 		was := r.state
+		// The process of a VM that is still listed is started again; only a connection shows its later boot.
+		r.said = r.said && now.Sub(r.heard) < GoneAfter
 		r.state = m.stateAt(id, r, now)
 		if r.state != was {
 			out = append(out, Change{Member: m.member(r), Was: was})
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -170,6 +170,23 @@
 	}
 }
 
+// Guards against an agent that is never connected again after it announced its stop and was started again on the
+// same VM: only a connection shows its later boot, and no router connects to a leaving agent.
+func TestRestartAfterLeaving(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet()
+	m := member.New(list[0], regions)
+	m.List(at(0), list)
+	p := list[len(list)-2]
+	m.Heard(at(1), p, 1, true)
+	m.Tick(at(10.9))
+	g.Expect(m.State(p.VM)).To(Equal(member.Leaving))
+	m.Tick(at(11))
+	g.Expect(m.State(p.VM)).To(Equal(member.Live))
+	m.Heard(at(12), p, 1, true)
+	g.Expect(m.State(p.VM)).To(Equal(member.Leaving))
+}
+
 // Guards against connections that grow with the fleet, that prefer the other region, or that move
 // when an unrelated agent goes.
 func TestSubset(t *testing.T) {
