--- a/GNUmakefile
+++ b/GNUmakefile
@@ -26,7 +26,7 @@
 
 test: build
 	@if [ -n "$(red)" ]; then echo "left out, see KNOWN-RED.txt:"; printf '  %s\n' $(red); fi
-	go test $(skip) $(foreach m,$(modules),./$(m)/...)
+	go test -count=1 $(skip) $(foreach m,$(modules),./$(m)/...)
 
 race: build
 	go test -race $(skip) $(foreach m,$(modules),./$(m)/...)
@@ -35,10 +35,11 @@
 	demo/run
 
 golden: build
-	go test ./proof/... -args -update
+	go test -count=1 ./proof/... -update
 
 slopes: build
 	bin/bench slopes
+	demo/idle
 
 clean:
 	rm -rf bin
--- a/agent/node/agent.go
+++ b/agent/node/agent.go
@@ -31,8 +31,6 @@
 	drainTimeout = 15 * time.Minute
 	// flushTimeout bounds the writing of queued messages at the end.
 	flushTimeout = 2 * time.Second
-	// statusTimeout bounds the wait of an operator for the core.
-	statusTimeout = 2 * time.Second
 	// leaseTimeout bounds the reading of a lease.
 	leaseTimeout = 5 * time.Second
 )
@@ -95,6 +93,7 @@
 	g.Go(ctx, "probe", a.probe)
 	if e, ok := a.target.(*target.Engine); ok {
 		g.Go(ctx, "cache", func(ctx context.Context) error { return a.follow(ctx, e) })
+		g.Go(ctx, "version", func(ctx context.Context) error { return a.report(ctx, e) })
 	}
 	a.log.Log(event.Started, "role", "agent", "process", a.cfg.Name, "admin", ln.Addr())
 	first := <-g.Ends()
--- a/agent/node/duty.go
+++ b/agent/node/duty.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/admin"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/lease"
@@ -19,6 +20,8 @@
 	probeInterval = 250 * time.Millisecond
 	// probeFails is the number of failed probes in sequence after which the target counts as down.
 	probeFails = 4
+	// loadInterval is the time between two reads of the target's load report, which names its version.
+	loadInterval = time.Second
 	// cacheInterval is the time between two reads of the target's cache events.
 	cacheInterval = 500 * time.Millisecond
 )
@@ -82,6 +85,26 @@
 	}
 }
 
+// report tells the core which version an engine runs.
+func (a *Agent) report(ctx context.Context, e *target.Engine) error {
+	tick := time.NewTicker(loadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		l, err := e.Load(ctx)
+		if err != nil || l.Version == "" {
+			continue // the probe tells about an engine that is down
+		}
+		if a.inbox.Put(ctx, func(now time.Time, c *Core) { c.Reported(now, l.Version) }) != nil {
+			return nil
+		}
+	}
+}
+
 func contiguous(seq ident.Seq, events []target.CacheEvent) bool {
 	for _, e := range events {
 		if e.Seq != seq+1 {
@@ -116,16 +139,7 @@
 
 // Status implements admin.Source.
 func (s *source) Status(ctx context.Context) (st conf.Status, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	out := make(chan conf.Status, 1)
-	if s.inbox.Put(ctx, func(_ time.Time, c *Core) { out <- c.status(s.cfg.Centre) }) != nil {
-		return st, false
-	}
-	select {
-	case st = <-out:
-		return st, true
-	case <-ctx.Done():
-		return st, false
-	}
+	st, ok = admin.Ask(ctx, s.inbox, func(c *Core) conf.Status { return c.status(s.cfg.Centre) })
+	st.Sent, st.Received = s.links.Bytes()
+	return st, ok
 }
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"hickoryvane.example/core/active"
@@ -58,6 +57,8 @@
 			c.configure(now, f)
 		case facts.SortBlock:
 			c.mergeGuard(now, f)
+		case active.SortList:
+			c.listed(now, f)
 		case facts.SortFence:
 			c.learnFence(f)
 		case facts.SortBad, facts.SortEnd, facts.SortEvidence, active.SortRecord:
@@ -86,6 +87,20 @@
 	c.report.due = true
 }
 
+// listed takes the platform's list of VMs, as a router spread it, and looks for its own VM.
+func (c *Core) listed(now time.Time, f wire.Fact) {
+	l, err := active.DecodeList(f.Value)
+	if err != nil || l.At < c.listAt {
+		return
+	}
+	c.listAt = l.At
+	for _, e := range l.List {
+		if e.VM == c.self {
+			c.Leaving(now, e.Leaving)
+		}
+	}
+}
+
 // learnFence takes the highest fencing number of a lease.
 func (c *Core) learnFence(f wire.Fact) {
 	var n ident.Fence
@@ -100,7 +115,7 @@
 	if err != nil {
 		return
 	}
-	c.facts.Set(now, facts.SortBlock, guardKey(f), b)
+	c.facts.Set(now, facts.SortBlock, f.Key(), b)
 	if f.Sort == guard.Block {
 		c.log(event.Blocked, "print", f.Print)
 	}
@@ -119,8 +134,3 @@
 		c.publishGuard(now, more)
 	}
 }
-
-// guardKey names a guard fact, so that a newer statement replaces an older one about the same thing.
-func guardKey(f guard.Fact) string {
-	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
-}
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -48,10 +48,20 @@
 	confirming
 	// committed: the body was written to one agent.
 	committed
+	// holding: an earlier send of the same request is waited for.
+	holding
 	// attaching: an answer of an earlier send is being looked for.
 	attaching
 )
 
+// earlier is the answer of an earlier send.
+type earlier struct {
+	attempt ident.RequestID
+	agent   ident.ProcessID
+	boot    ident.Boot
+	after   ident.Seq
+}
+
 // call is one request of a caller at this router.
 type call struct {
 	Request
@@ -74,7 +84,10 @@
 	next time.Time
 	// refusal is the most telling refusal so far.
 	refusal *fault.Error
-	lowered bool
+	// lowered are targets that were asked to evict a lower tier for this call.
+	lowered []ident.TargetID
+	// widened is true after a second pair of offers was sent.
+	widened bool
 	// agent, boot and target are those of the taken grant or of the attached answer.
 	agent  ident.ProcessID
 	boot   ident.Boot
@@ -94,12 +107,21 @@
 	headSent bool
 	tokens   ident.Tokens
 	retries  int
-	// homes are the agents that hold the claim; confirms those that have not answered yet.
-	homes    []ident.ProcessID
-	confirms map[ident.ProcessID]bool
-	held     int
+	// before is the end of the last try of an idempotent call that was offered again after it.
+	before *fault.Error
+	// homes are the agents that hold the claim, and asked all that the present attempt was claimed at.
+	homes []ident.ProcessID
+	asked []ident.ProcessID
+	// held are the homes that confirmed the claim in the present phase.
+	held map[ident.ProcessID]bool
+	// of is the answer that a holding call waits for; nil if it is not known yet.
+	of *earlier
+	// resumed is true for a call that only asks for a kept answer; it is never offered.
+	resumed bool
 	// waitUntil bounds claiming, confirming and attaching.
 	waitUntil time.Time
+	// stale is true when the claim of an earlier send is older than trustTime.
+	stale bool
 	// replace is the attempt whose claim in the object API is replaced, because it never ran.
 	replace ident.RequestID
 	// peer is the connection on which the taken grant arrived.
@@ -116,6 +138,9 @@
 // inStore reports whether the claim of the call is kept in the object API.
 func (c *call) inStore() bool { return c.keyed() && c.Service.Kind == conf.Plain }
 
+// mayOffer reports whether the call may be offered again after its attempt ended.
+func (c *call) mayOffer() bool { return !c.headSent && !c.resumed }
+
 func (c *call) pickRequest() pick.Request {
 	return pick.Request{
 		ID: c.attempt, Service: c.Service.Name, Version: c.version, Tier: c.Tier.Rank,
@@ -148,8 +173,10 @@
 func weight(r fault.Reason) int {
 	switch r {
 	case fault.Crashes:
+		return 4
+	case fault.Shed: // other agents may hold a lower tier, whatever the remaining ones say
 		return 3
-	case fault.Shed, fault.Deadline:
+	case fault.Deadline:
 		return 2
 	case fault.Bad, fault.Draining, fault.Target:
 		return 1
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -18,6 +19,7 @@
 	"hickoryvane.example/core/links"
 	"hickoryvane.example/core/member"
 	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/orders"
 	"hickoryvane.example/core/pick"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/retry"
@@ -25,14 +27,19 @@
 )
 
 const (
+	// pauseTime is the time without any input after which the router itself was paused; it gets a tick
+	// every 50 ms.
+	pauseTime = time.Second
 	// creditMax is the number of answer bytes that an agent may send ahead of the caller's reading.
 	creditMax ident.Bytes = 256 << 10
 	// lostTime is the time in which an answer is looked for after its agent was lost.
 	lostTime = 10 * time.Second
-	// claimTime bounds the wait for the homes of a keyed request.
+	// claimTime bounds the wait for the homes of a keyed request; after it the homes are chosen again.
 	claimTime = time.Second
 	// confirmTime bounds the wait for a claim after a grant; it is shorter than a grant's ticket.
 	confirmTime = 800 * time.Millisecond
+	// widenPart is the part of the wait after which a second pair of offers is sent.
+	widenPart = 4
 	// againTime is the pause before targets that refused are asked again.
 	againTime = 50 * time.Millisecond
 	// refusedTime is the time for which a target that refused is not picked for other calls.
@@ -45,6 +52,9 @@
 	beatTime = time.Second
 	// idleTime is the time for which a connection outside the subset is kept after its last use.
 	idleTime = 30 * time.Second
+	// trustTime is the age of a claim up to which an agent's statement that it never dispatched the request
+	// is believed. It is shorter than ledger.Retention by more than clocks differ.
+	trustTime = 10 * time.Minute
 	// claimBurst is the number of claims in the object API that may be made at once.
 	claimBurst = 10
 	// silentTime is the time without any chunk after which a dispatched request counts as lost.
@@ -73,17 +83,20 @@
 	// boots holds the last run of each agent that was connected.
 	boots map[ident.ProcessID]ident.Boot
 	calls map[CallID]*call
-	// byReq finds the call of a frame; claims finds the calls that wait for a home.
+	// byReq finds the call of a frame.
 	byReq  map[ident.RequestID]*call
-	claims map[ident.RequestID]map[CallID]*call
 	bounds conf.RouterBounds
+	seeds  []string
 
 	choosers map[ident.Move]*moves.Chooser
 	enders   map[ident.Move]*moves.Ender
+	orders   *orders.Machine
 	tasks    tasks
 	// limit bounds the claims in the object API.
 	limit   *rate.Limiter
 	drainAt time.Time
+	// awake is the time of the last input.
+	awake   time.Time
 	acts    []Action
 	choices []pick.Choice
 }
@@ -94,6 +107,7 @@
 	demand   time.Time
 	beat     time.Time
 	second   time.Time
+	sweep    time.Time
 	absorbed time.Time
 	// dirty is true when facts about moves changed since absorbed.
 	dirty    bool
@@ -101,6 +115,8 @@
 	want     map[string]bool
 	// used holds the last use of agents outside the subset.
 	used map[ident.ProcessID]time.Time
+	// watched holds the processes whose silence is taken as a sign of their loss.
+	watched map[ident.ProcessID]bool
 	// list is the list of VMs that this router spread last.
 	list string
 	// listAt is the time of the newest list that a watcher spread, in Unix milliseconds.
@@ -111,6 +127,9 @@
 type peer struct {
 	hello  wire.Hello
 	target ident.TargetID
+	// asked lists, by key, the attempts whose claims the peer has not answered yet, in the order of sending.
+	// An answer names the attempt that holds the claim, not the one that asked.
+	asked map[ident.RequestID][]ident.RequestID
 }
 
 // Meter records measurements of finished calls.
@@ -146,6 +165,9 @@
 // WithMeter sets the receiver of measurements.
 func WithMeter(m Meter) Option { return func(c *Core) { c.meter = m } }
 
+// WithSeeds sets the addresses that the router connects to until it knows other routers.
+func WithSeeds(addrs []string) Option { return func(c *Core) { c.seeds = addrs } }
+
 // WithBounds sets what the router holds at most.
 func WithBounds(b conf.RouterBounds) Option { return func(c *Core) { c.bounds = b } }
 
@@ -163,17 +185,17 @@
 		member:   member.New(self, member.Regions{self.Centre: region}),
 		moves:    active.New(),
 		lease:    lease.New(controlLease, id, boot),
+		orders:   orders.New(controlLease),
 		meter:    noMeter{},
 		peers:    make(map[links.ID]*peer),
 		byID:     make(map[ident.ProcessID]links.ID),
 		boots:    make(map[ident.ProcessID]ident.Boot),
 		calls:    make(map[CallID]*call),
 		byReq:    make(map[ident.RequestID]*call),
-		claims:   make(map[ident.RequestID]map[CallID]*call),
 		limit:    rate.NewLimiter(0, claimBurst),
 		choosers: make(map[ident.Move]*moves.Chooser),
 		enders:   make(map[ident.Move]*moves.Ender),
-		tasks:    tasks{want: make(map[string]bool), used: make(map[ident.ProcessID]time.Time)},
+		tasks:    tasks{want: make(map[string]bool), used: make(map[ident.ProcessID]time.Time), watched: make(map[ident.ProcessID]bool)},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -217,6 +239,7 @@
 
 // Tick applies the passing of time; it is called at least every 50 ms.
 func (c *Core) Tick(now time.Time) {
+	c.wake(now)
 	for _, k := range c.calls {
 		c.tickCall(now, k)
 	}
@@ -227,8 +250,27 @@
 		c.tasks.second = now
 		c.changed(now, c.member.Tick(now))
 		c.guard.Expire(now)
+		c.duty()
 		c.connect(now)
+		c.forget()
+	}
+}
+
+// forget drops what is held about agents and moves that are gone.
+func (c *Core) forget() {
+	maps.DeleteFunc(c.boots, func(id ident.ProcessID, _ ident.Boot) bool {
+		_, up := c.byID[id]
+		return !up && c.member.State(id) == member.Gone
+	})
+	running := make(map[ident.Move]bool)
+	if x := c.force.Index(); x != nil {
+		for _, s := range x.Config().Services {
+			if m := c.moves.Running(s.Name); m != nil {
+				running[m.Move().Name] = true
+			}
+		}
 	}
+	maps.DeleteFunc(c.choosers, func(m ident.Move, _ *moves.Chooser) bool { return !running[m] })
 }
 
 func (c *Core) act(a Action) { c.acts = append(c.acts, a) }
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -99,6 +99,8 @@
 			c.mergeGuard(now, f)
 		case facts.SortBad, facts.SortEnd, facts.SortEvidence, active.SortRecord:
 			c.tasks.dirty = true
+		case active.SortLoaded:
+			c.orders.Reported(ident.TargetID(f.Key), ident.Version(f.Value))
 		case active.SortList:
 			c.mergeList(now, f)
 		}
@@ -119,31 +121,18 @@
 	}
 	for _, more := range c.guard.Merge(now, g) {
 		if b, err := json.Marshal(more); err == nil {
-			c.facts.Set(now, facts.SortBlock, guardKey(more), b)
+			c.facts.Set(now, facts.SortBlock, more.Key(), b)
 			c.log(event.Blocked, "print", strconv.FormatUint(uint64(more.Print), 16))
 		}
 	}
 }
 
-// guardKey names a guard fact, so that a newer statement replaces an older one about the same thing.
-func guardKey(f guard.Fact) string {
-	return string(f.Sort) + "/" + strconv.FormatUint(uint64(f.Print), 16) + "/" + string(f.Target)
-}
-
-// listFact is the value of a fact of sort active.SortList.
-type listFact struct {
-	// At is the Unix time in milliseconds at which the watcher read the list.
-	At   int64          `json:"at"`
-	List []member.Entry `json:"list"`
-}
-
 // mergeList takes the newest list of all watchers.
 func (c *Core) mergeList(now time.Time, f wire.Fact) {
 	if c.tasks.watching {
 		return // this router reads the list itself
 	}
-	var l listFact
-	if json.Unmarshal(f.Value, &l) == nil && l.At >= c.tasks.listAt {
+	if l, err := active.DecodeList(f.Value); err == nil && l.At >= c.tasks.listAt {
 		c.tasks.listAt = l.At
 		c.Listed(now, l.List)
 	}
@@ -157,9 +146,7 @@
 		return
 	}
 	c.tasks.list = string(b)
-	if v, err := json.Marshal(listFact{At: now.UnixMilli(), List: list}); err == nil {
-		c.facts.Set(now, active.SortList, string(c.region), v)
-	}
+	c.facts.Set(now, active.SortList, string(c.region), active.List{At: now.UnixMilli(), List: list}.Encode())
 }
 
 // ConfigRead takes in a configuration that this router read from the object API.
@@ -217,6 +204,7 @@
 	}
 	c.publish(now, c.moves.Configure(now, cfg))
 	c.tasks.dirty = true
+	c.declareOrders(now, cfg)
 	c.connect(now)
 	return true
 }
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -12,16 +12,17 @@
 	"hickoryvane.example/core/wire"
 )
 
-// peersMax bounds the other routers of the region that a router dials; its gossip needs no more.
-const peersMax = 3
-
 // Opened takes in a new connection.
 func (c *Core) Opened(now time.Time, l links.ID, h wire.Hello, dialed string) {
+	c.wake(now)
 	old, again := c.byID[h.Process]
 	if again && c.peers[old].hello.Boot > h.Boot {
 		return // an old process that is about to end
 	}
-	c.peers[l] = &peer{hello: h}
+	if again { // what was sent on the old connection may be lost
+		c.Closed(now, old)
+	}
+	c.peers[l] = &peer{hello: h, asked: make(map[ident.RequestID][]ident.RequestID)}
 	c.byID[h.Process] = l
 	c.log(event.PeerUp, "peer", h.Process, "role", h.Role)
 	c.force.Ask(h.Process)
@@ -44,9 +45,8 @@
 			k.lostUntil, k.last = time.Time{}, now
 			c.tell(id, k.reader.Attach(k.Account.Name, creditMax))
 		}
-		if k.phase == claiming && k.held == 0 && slices.Contains(k.homes, id) && !k.confirms[id] {
-			k.confirms[id] = true
-			c.tell(id, &wire.Claim{ID: k.key, Account: k.Account.Name, Attempt: k.attempt})
+		if k.phase == claiming && slices.Contains(k.homes, id) && !k.held[id] {
+			c.ask(k, id)
 		}
 	}
 }
@@ -83,9 +83,8 @@
 			c.spread(now, k)
 		}
 	}
-	if k.confirms[id] {
-		delete(k.confirms, id)
-		c.proceed(now, k)
+	if k.phase == claiming { // a home that starts anew has to be asked again
+		delete(k.held, id)
 	}
 	if k.agent == id && k.phase == committed {
 		k.lostUntil = now.Add(lostTime)
@@ -94,6 +93,7 @@
 
 // Message takes in a message of a peer.
 func (c *Core) Message(now time.Time, l links.ID, m wire.Message) {
+	c.wake(now)
 	p := c.peers[l]
 	if p == nil {
 		return
@@ -108,7 +108,7 @@
 	case *wire.End:
 		c.end(now, l, m)
 	case *wire.Claimed:
-		c.claimed(now, p.hello.Process, m)
+		c.claimed(now, p, m)
 	case *wire.Load:
 		c.load(now, l, m)
 	case *wire.Cache:
@@ -118,6 +118,8 @@
 	case *wire.Facts:
 		c.heard(now, l, "", false)
 		c.gossip(now, p.hello.Process, m)
+	case *wire.Ordered:
+		c.ordered(m)
 	case *wire.Leave:
 		c.heard(now, l, "", true)
 	}
@@ -160,107 +162,11 @@
 
 // Listed takes in a version of the platform's list of VMs.
 func (c *Core) Listed(now time.Time, list []member.Entry) {
+	c.wake(now)
 	c.changed(now, c.member.List(now, list))
 	c.connect(now)
 }
 
-// connect chooses the processes that this router keeps connections to: a bounded number of agents per pool,
-// a few routers of its region, its counterparts in other regions, and those used a short time ago.
-func (c *Core) connect(now time.Time) {
-	want := make(map[string]bool)
-	add := func(id ident.ProcessID) {
-		for _, m := range c.member.Members() {
-			if m.VM == id && m.Address != "" && id != c.self && m.State != member.Gone {
-				want[m.Address] = true
-				c.member.Watch(now, id)
-			}
-		}
-	}
-	if x := c.force.Index(); x != nil {
-		for _, s := range x.Config().Services {
-			for _, id := range c.member.Subset(s.Name, c.poolAgents(s.Name), c.subset()) {
-				add(id)
-			}
-		}
-	}
-	for id := range c.byID { // a silent or leaving process may still hold answers
-		if st := c.member.State(id); st == member.Suspected || st == member.Leaving {
-			add(id)
-		}
-	}
-	for _, id := range c.nextRouters() {
-		add(id)
-	}
-	far, _ := c.member.Counterparts()
-	for _, id := range far {
-		add(id)
-	}
-	for id, at := range c.tasks.used {
-		if now.Sub(at) >= idleTime && !c.busy(id) {
-			delete(c.tasks.used, id)
-			continue
-		}
-		add(id)
-	}
-	c.want(want)
-}
-
-func (c *Core) want(want map[string]bool) {
-	if len(want) == len(c.tasks.want) {
-		same := true
-		for a := range want {
-			same = same && c.tasks.want[a]
-		}
-		if same {
-			return
-		}
-	}
-	c.tasks.want = want
-	addrs := make([]string, 0, len(want))
-	for a := range want {
-		addrs = append(addrs, a)
-	}
-	slices.Sort(addrs)
-	c.act(Want{Addresses: addrs})
-}
-
-// busy reports whether a call needs the connection to a process.
-func (c *Core) busy(id ident.ProcessID) bool {
-	for _, k := range c.calls {
-		if k.agent == id || slices.Contains(k.homes, id) {
-			return true
-		}
-	}
-	return false
-}
-
-// keep asks for connections to processes outside the subset.
-func (c *Core) keep(now time.Time, ids []ident.ProcessID) {
-	for _, id := range ids {
-		c.tasks.used[id] = now
-		if _, ok := c.byID[id]; !ok {
-			c.connect(now)
-		}
-	}
-}
-
-// nextRouters returns the routers after this one in the order of names, which connects all of a region.
-func (c *Core) nextRouters() (out []ident.ProcessID) {
-	all := c.member.Live(member.Router, c.region)
-	i := slices.IndexFunc(all, func(m member.Member) bool { return m.VM == c.self })
-	for n := 1; n <= min(peersMax, len(all)-1); n++ {
-		out = append(out, all[(i+n+len(all))%len(all)].VM)
-	}
-	return out
-}
-
-func (c *Core) subset() int {
-	if c.bounds.Agents > 0 {
-		return c.bounds.Agents
-	}
-	return member.SubsetMax
-}
-
 // poolAgents returns the agents of a service's targets.
 func (c *Core) poolAgents(s ident.Service) []ident.ProcessID {
 	x := c.force.Index()
--- a/router/entry/stream.go
+++ b/router/entry/stream.go
@@ -73,12 +73,12 @@
 	k.tokens += m.Tokens
 	if !k.headSent && m.Seq == 1 || !k.headSent && k.phase == attaching {
 		k.headSent = true
-		if m.Status == 0 {
-			m.Status = 200
-			m.Type = streamType
+		status, typ := m.Status, m.Type
+		if status == 0 {
+			status, typ = 200, streamType
 		}
 		c.act(Reply{Call: k.id, Part: Part{Head: &Head{
-			Status: m.Status, Type: m.Type, Request: k.attempt, Agent: k.agent, Boot: k.boot,
+			Status: status, Type: typ, Request: k.attempt, Agent: k.agent, Boot: k.boot,
 			Account: k.Account.Name, Service: k.Service.Name, Version: k.version,
 		}}})
 	}
@@ -118,15 +118,14 @@
 			e.Reason = end.Reason
 		}
 	}
-	if k.first.IsZero() == false && e.Run == fault.Unknown {
+	if k.headSent || !k.first.IsZero() {
 		e.Run = fault.Ran
 	}
 	c.learn(now, k, end, true)
 	switch {
-	case e.Run == fault.NotRun && !k.headSent:
-		c.unclaim(k)
+	case e.Run == fault.NotRun && k.mayOffer():
 		c.retract(now, k, e)
-	case k.repeats() && !k.headSent:
+	case k.repeats() && k.mayOffer():
 		c.repeat(now, k, e)
 	default:
 		c.fail(now, k, e)
@@ -136,6 +135,7 @@
 // repeat offers an idempotent call again after a pause, if the budget of retries allows it.
 func (c *Core) repeat(now time.Time, k *call, e *fault.Error) {
 	k.retries++
+	k.before = e
 	pause, ok := c.retry.Allow(now, k.retries)
 	if !ok || !now.Add(pause).Before(k.deadline) {
 		c.fail(now, k, e)
@@ -143,7 +143,6 @@
 	}
 	k.tried = append(k.tried, k.target)
 	c.rename(k)
-	k.agent, k.target, k.ticket, k.reader, k.lostUntil = "", "", 0, nil, time.Time{}
 	k.phase = offering
 	c.again(now, k, pause)
 }
@@ -184,6 +183,10 @@
 		c.withdraw(k)
 		c.unclaim(k)
 	}
+	if e.Run == fault.NotRun && k.before != nil { // the last try did not run, but an earlier one may have
+		x := *e
+		x.Run, e = k.before.Run, &x
+	}
 	if e.Retry == 0 && (e.Reason == fault.Shed || e.Reason == fault.Deadline) {
 		e.Retry = shedRetry
 	}
@@ -200,16 +203,18 @@
 func (c *Core) finish(now time.Time, k *call, reason string) {
 	delete(c.calls, k.id)
 	delete(c.byReq, k.attempt)
-	c.forgetClaim(k)
-	used := k.tokens
-	if !k.first.IsZero() {
-		used += k.Prompt
+	var used ident.Tokens
+	if !k.sent.IsZero() && !k.first.IsZero() { // an answer of an earlier send was charged to that send
+		used = k.tokens + k.Prompt
 	}
 	c.quota.Correct(now, k.Account.Name, used-k.Prompt-k.Output)
 	c.measure(now, k, reason)
 }
 
 func (c *Core) measure(now time.Time, k *call, reason string) {
+	if k.resumed { // the request was measured at the router that ran it
+		return
+	}
 	m := Measure{
 		Account: k.Account.Name, Service: k.Service.Name, Tier: k.Tier.Rank, Total: now.Sub(k.began),
 		Prompt: k.Prompt, Output: k.tokens, Reason: reason, Link: k.link,
