--- a/core/member/member.go
+++ b/core/member/member.go
@@ -76,7 +76,8 @@
 	state  State
 	boot   ident.Boot
 	listed bool
-	// said is true when the member itself announced that it leaves, in its current boot.
+	// said is true when the member itself announced that it leaves, in its current boot, and was heard since
+	// within GoneAfter.
 	said bool
 	// watched is true while messages are expected from the member at least once a second.
 	watched bool
@@ -183,6 +184,8 @@
 // refresh computes the state of one record.
 func (m *Machine) refresh(id ident.ProcessID, r *record, now time.Time) (c Change, changed bool) {
 	was := r.state
+	// The process of a VM that is still listed is started again; only a connection shows its later boot.
+	r.said = r.said && now.Sub(r.heard) < GoneAfter
 	r.state = m.stateAt(id, r, now)
 	return Change{Member: m.member(r), Was: was}, r.state != was
 }
