Queue: fewer early refusals, unread prompts bounded

Change: a new offer has to meet its deadline with half of the expected wait instead of twice, and the reading of prompts that the engine holds overlaps with that wait. No offer is granted while the engine holds prompts that take it longer to read than the first-token target, as it would read further ones in the order of arrival. Calls to plain services (output of 1) are left out of the count of unread prompts, as they are served side by side.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -6,15 +6,24 @@
 	"hickoryvane.example/core/ident"
 )
 
-// waitMargin is the multiple of the expected wait within which a new offer has to meet its deadline. Waits
-// scatter widely: if exponentially, one of seven exceeds twice the mean. An offer that is refused at once can
-// still be made elsewhere, one that lapses cannot.
-const waitMargin = 2
-
-// feasible reports whether a request that starts at the given time meets its deadline, behind the prompts
-// that the engine has not read yet.
-func (q *Queue) feasible(start time.Time, it *Item) bool {
-	return !start.Add(q.speed.prefillTime(q.unread + it.unread())).After(it.Deadline)
+// waitPart is the part of the expected wait within which a new offer has to meet its deadline. An offer waits
+// at two agents and takes the first grant, and the mean drain speed of all tiers is lower than that of the
+// highest tier alone. docs/BENCH.md has the goodput with 0, 0.5, 1 and 2: with 2 requests of the highest tier
+// were refused by eight agents on arrival, with 0 too many lapsed.
+const waitPart = 0.5
+
+// feasible reports whether a request that starts now meets its deadline, behind the prompts that the engine
+// has not read yet.
+func (q *Queue) feasible(now time.Time, it *Item) bool {
+	return !now.Add(q.speed.prefillTime(q.unread + it.unread())).After(it.Deadline)
+}
+
+// reachable reports whether a new offer can meet its deadline. The engine reads the prompts that it holds
+// while the offer waits.
+func (q *Queue) reachable(now time.Time, it *Item) bool {
+	wait := time.Duration(waitPart * float64(q.estimate(it)))
+	start := now.Add(max(wait, q.speed.prefillTime(q.unread)))
+	return !start.Add(q.speed.prefillTime(it.unread())).After(it.Deadline)
 }
 
 // estimate returns the expected wait of a new offer. It is zero while the window has room and nothing
--- a/core/queue/grant.go
+++ b/core/queue/grant.go
@@ -87,10 +87,14 @@
 }
 
 // room reports whether the window has room. A request larger than the token window runs on an empty engine.
+// There is none while the engine holds prompts that take it longer to read than the target of the first
+// token: it would read further prompts in the order of their arrival, and not of their tiers.
 func (q *Queue) room(n ident.Tokens) bool {
 	switch {
 	case len(q.run) == 0:
 		return true
+	case q.speed.prefillTime(q.unread) > q.win.firstTarget:
+		return false
 	case len(q.run) >= q.win.requests:
 		q.win.requestBound = true
 		return false
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -53,6 +53,15 @@
 // unread returns the part of the prompt that the engine has to compute.
 func (it *Item) unread() ident.Tokens { return max(it.Prompt-it.Cached, 0) }
 
+// inOrder returns the prompt tokens for which later prompts wait in the engine. Plain services serve calls
+// side by side; their calls are offered with an output of 1.
+func (it *Item) inOrder() ident.Tokens {
+	if it.Output <= 1 {
+		return 0
+	}
+	return it.unread()
+}
+
 // Refusal is an offer that left the queue without a grant; its router is to be told.
 type Refusal struct {
 	Item Item
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -92,7 +92,7 @@
 	}
 	it.Arrived = now
 	it.Weight = max(it.Weight, 1)
-	if !q.feasible(now.Add(waitMargin*q.estimate(&it)), &it) {
+	if !q.reachable(now, &it) {
 		return nil, fault.NotRunf(fault.Deadline, "deadline cannot be met")
 	}
 	for q.full() {
--- a/core/queue/run.go
+++ b/core/queue/run.go
@@ -37,7 +37,7 @@
 	}
 	q.starts++
 	r.started, r.start, r.order, r.ahead = true, now, q.starts, q.unread
-	q.unread += r.unread()
+	q.unread += r.inOrder()
 	return true
 }
 
@@ -48,7 +48,7 @@
 		return
 	}
 	r.first, r.last = now, now
-	q.unread -= r.unread()
+	q.unread -= r.inOrder()
 	took, read := now.Sub(r.start), r.ahead+r.unread()
 	expected := q.speed.prefillTime(read)
 	q.win.firsts++
@@ -106,7 +106,7 @@
 	if !r.started || !r.first.IsZero() {
 		return
 	}
-	n := r.unread()
+	n := r.inOrder()
 	q.unread -= n
 	for _, o := range q.run {
 		if o.started && o.first.IsZero() && o.order > r.order {
@@ -115,6 +115,15 @@
 	}
 }
 
+// Ahead returns the prompt tokens that the engine read, or reads, between the start of a running request and
+// that request's own prompt; zero if it does not run.
+func (q *Queue) Ahead(id ident.RequestID) ident.Tokens {
+	if r := q.run[id]; r != nil {
+		return r.ahead
+	}
+	return 0
+}
+
 // firstLimit returns the first-token time above which a request counts as late: the target and, as steps
 // that also decode read fewer prompt tokens, slowFactor times the time in which the engine reads the prompt
 // and those before it. It is measured against the best prefill speed seen, because the current speed falls
