Moves: trial requests reach all hardware classes

Cause: routers picked targets of the new version by estimate only, so the slowest class got 0 of 42 assessments in 20 min, while core/moves rightly waits for outcomes on each class with traffic.

Change: a machine names the classes on which a route is not proved (Unproved). A picker gives these the first choice in turns that go round all classes; others are picked by estimate. Evidence of the replay divides times by all tokens that the engine read. While the new version has nearly all requests, and so the load of both, answers count as slow from twice the usual bound on. A class without traffic holds up nothing.

--- a/core/moves/machine.go
+++ b/core/moves/machine.go
@@ -163,6 +163,15 @@
 	return e, true
 }
 
+// Unproved returns the hardware classes to which requests of the new version on a route are to go, because
+// they have not enough good outcomes yet.
+func (m *Machine) Unproved(r ident.Route) []ident.Class {
+	if u, ok := m.judged.Unproved[r]; ok {
+		return u
+	}
+	return m.classes
+}
+
 // Share returns the part of a route's requests for the new version at most.
 func (m *Machine) Share(r ident.Route) float64 {
 	switch {
--- a/core/moves/share.go
+++ b/core/moves/share.go
@@ -57,6 +57,8 @@
 type Judgement struct {
 	// Stages per route with traffic; a route without traffic is at Trial.
 	Stages map[ident.Route]Stage
+	// Unproved are the classes of a route that have not enough good outcomes for its next stage.
+	Unproved map[ident.Route][]ident.Class
 	// Bad is true when the new version is bad; Reason, Route and Class tell why and where.
 	Bad    bool
 	Reason Reason
@@ -78,7 +80,7 @@
 
 // Judge derives shares and verdict. Processes with the same facts come to the same judgement.
 func Judge(ev Evidence, p Plan) Judgement {
-	j := Judgement{Stages: map[ident.Route]Stage{}}
+	j := Judgement{Stages: map[ident.Route]Stage{}, Unproved: map[ident.Route][]ident.Class{}}
 	var why Reason
 	var at cell
 	j.Score, why, at = ev.badness()
@@ -88,7 +90,7 @@
 	}
 	full := len(ev.routes()) > 0
 	for _, r := range ev.routes() {
-		j.Stages[r] = ev.stage(r, p)
+		j.Stages[r], j.Unproved[r] = ev.stage(r, p)
 		full = full && (j.Stages[r] == Full || ev.rare(r))
 	}
 	j.Proved = full && j.Score < suspicion && ev.soaked() >= p.soak()
@@ -103,13 +105,13 @@
 }
 
 // stage replays the closed epochs of a route: its stage grows by at most one per epoch, when all
-// cells have the good outcomes needed and none is under suspicion. It does not fall.
-func (ev *Evidence) stage(r ident.Route, p Plan) Stage {
+// cells have the good outcomes needed and none is under suspicion. It does not fall. The classes without
+// these outcomes are returned as well.
+func (ev *Evidence) stage(r ident.Route, p Plan) (stage Stage, unproved []ident.Class) {
 	cells := ev.tested(r, p)
 	if len(cells) == 0 {
-		return Trial
+		return Trial, p.Classes
 	}
-	stage := Trial
 	good, need := make([]float64, len(cells)), make([][len(needs)]float64, len(cells))
 	for i, k := range cells {
 		need[i] = ev.need(k, p)
@@ -130,7 +132,23 @@
 			stage = min(ready, stage+s.steps())
 		}
 	}
-	return stage
+	reached := map[ident.Class]Stage{}
+	for i, k := range cells {
+		reached[k.class] = passed(good[i], need[i])
+	}
+	return stage, p.behind(stage, reached)
+}
+
+// behind returns the classes that hold a route at its stage. At first these are also classes without traffic,
+// so that the version is tried on all of them; later a class without traffic does not count.
+func (p Plan) behind(stage Stage, reached map[ident.Class]Stage) (out []ident.Class) {
+	for _, c := range p.Classes {
+		at, tested := reached[c]
+		if stage < Full && at <= stage && (tested || stage == Trial) {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 // steps is the number of stages by which a route may grow within a span.
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -27,6 +27,12 @@
 	marginAdd   = 0.02
 )
 
+// loadBins raises the bin from which an answer is slow while the new version has nearly all requests: by two
+// bins, a factor of 2. The new version's targets then carry the load of both versions. Without it, a
+// good version was taken back in the recorded trace brunner-good-outage, where the end could not be recorded
+// for 13 min at the full stage.
+const loadBins = 2
+
 // ratios are the odds ratios tested for. A rate that is less than about twice the old one drives no
 // sum upwards: that is the difference between versions which is accepted.
 var ratios = []float64{4, 12, 40}
@@ -110,15 +116,23 @@
 		bin--
 	}
 	for _, s := range ev.spans(k) {
-		p := ev.cells[k][s]
-		all = append(all, events{
-			float64(p.old.above(0)), float64(p.old.above(bin)),
-			float64(p.new.above(0)), float64(p.new.above(bin)),
-		})
+		e := ev.cells[k][s].slow(bin)
+		if e.oldN < controlPart*e.newN {
+			e = ev.cells[k][s].slow(min(bin+loadBins, binCount-1))
+		}
+		all = append(all, e)
 	}
 	return all
 }
 
+// slow returns the answers of both versions, and those from a bin on.
+func (p *pair) slow(bin int) events {
+	return events{
+		float64(p.old.above(0)), float64(p.old.above(bin)),
+		float64(p.new.above(0)), float64(p.new.above(bin)),
+	}
+}
+
 // badness returns the highest score over all cells and its cause. Slowness is compared within one
 // hardware class only, as classes differ in speed.
 func (ev *Evidence) badness() (worst float64, why Reason, at cell) {
--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -27,6 +27,12 @@
 	}
 	c := round{p: p, now: now, r: &r}
 	far := len(pl.far) > 0 && p.link.open(now, crossing(&r))
+	if len(r.Unproved) > 0 && len(r.Tried) == 0 {
+		c.trial(pl, far)
+	}
+	if c.n > 0 {
+		return c.best(dst)
+	}
 	c.sample(pl.own, samples)
 	for _, t := range pl.longest(r.Blocks) {
 		if t != nil && t.slot >= 0 && (far || !t.remote) && c.n > 0 {
@@ -65,7 +71,7 @@
 // consider adds a target unless it is excluded, was considered before, or, when gated, its trust does
 // not admit it this time.
 func (c *round) consider(t *target, gated bool) {
-	if c.n >= candidatesMax || c.now.Before(t.until) || slices.Contains(c.r.Tried, t.ID) {
+	if c.n >= candidatesMax || c.excluded(t) {
 		return
 	}
 	for i := range c.n {
@@ -80,6 +86,11 @@
 	c.n++
 }
 
+// excluded reports whether a target refused lately or was tried.
+func (c *round) excluded(t *target) bool {
+	return c.now.Before(t.until) || slices.Contains(c.r.Tried, t.ID)
+}
+
 // best appends the candidates with the lowest estimates.
 func (c *round) best(dst []Choice) []Choice {
 	first, second := -1, -1
--- a/core/pick/pool.go
+++ b/core/pick/pool.go
@@ -27,6 +27,7 @@
 	size int
 	// holders names targets that hold a block.
 	holders map[ident.Block][holdersMax]*target
+	spread  spread
 	// prefill and drain are typical speeds, for targets of which nothing is learnt.
 	prefill float64
 	drain   float64
@@ -36,7 +37,7 @@
 func (p *Picker) join(t *target) {
 	k := poolKey{t.Service, t.Version}
 	if p.pools[k] == nil {
-		p.pools[k] = &pool{holders: map[ident.Block][holdersMax]*target{}}
+		p.pools[k] = &pool{holders: map[ident.Block][holdersMax]*target{}, spread: spread{}}
 	}
 	t.pool = p.pools[k]
 	t.pool.size++
--- a/core/pick/types.go
+++ b/core/pick/types.go
@@ -13,6 +13,8 @@
 	Region  ident.Region
 	Service ident.Service
 	Version ident.Version
+	// Class is the hardware class.
+	Class ident.Class
 }
 
 // Request is what the choice depends on.
@@ -20,6 +22,7 @@
 	ID      ident.RequestID
 	Service ident.Service
 	Version ident.Version
+	Route   ident.Route
 	Tier    ident.Tier
 	Prompt  ident.Tokens
 	// Output is the expected number of output tokens.
@@ -28,6 +31,9 @@
 	Bytes ident.Bytes
 	// Blocks are the hashes of the prompt's blocks.
 	Blocks []ident.Block
+	// Unproved are the hardware classes on which the version, which is on trial, has to be proved on the route.
+	// Each of them gets the first choice for an even part of the route's requests.
+	Unproved []ident.Class
 	// Tried are targets that are not to be chosen again.
 	Tried []ident.TargetID
 }
--- a/core/queue/unread_test.go
+++ b/core/queue/unread_test.go
@@ -181,3 +181,13 @@
 	_, err = q.Push(now, it)
 	g.Expect(err).To(HaveField("Reason", fault.Deadline))
 }
+
+// Guards against evidence that takes a question behind an assessment for a slow answer.
+func TestAheadTellsWhatIsReadBefore(t *testing.T) {
+	g := NewWithT(t)
+	r := newReader(g, 10*time.Second)
+	long, short := r.send(g, 4000), r.send(g, 100)
+	g.Expect([]ident.Tokens{r.q.Ahead(long), r.q.Ahead(short), r.q.Ahead("x")}).To(Equal([]ident.Tokens{0, 4000, 0}))
+	r.read(long, 4000)
+	g.Expect(r.q.Ahead(short)).To(Equal(ident.Tokens(4000)))
+}
--- a/core/trace/late.go
+++ b/core/trace/late.go
@@ -140,6 +140,7 @@
 func pickTarget(a *agent) pick.Target {
 	return pick.Target{
 		ID: a.e.Name, Agent: a.id, Region: a.e.region, Service: a.e.Service, Version: a.e.Version,
+		Class: a.e.Class,
 	}
 }
 
--- a/core/trace/rollout.go
+++ b/core/trace/rollout.go
@@ -89,14 +89,27 @@
 	return l.current[j.Service]
 }
 
+// unproved returns the classes on which the new version is not proved, if the request runs on that version.
+func (l *late) unproved(r *router, j *job) []ident.Class {
+	for _, x := range l.rollouts {
+		if x.move.Service == j.Service && x.end == nil && j.version == x.move.To {
+			return x.machines[slices.Index(l.routers, r)].Unproved(j.Route)
+		}
+	}
+	return nil
+}
+
 // evidence counts the outcome of a request at a moving service.
 func (a *agent) evidence(j *job, whole bool, crash uint64) {
 	t := a.trial
 	if t == nil || t.x.end != nil {
 		return
 	}
-	// Times are made comparable by the prompt's length relative to the route's usual one.
-	took := time.Duration(float64(a.firsts[j]) * a.l.w.usual[j.Route] / float64(j.Prompt))
+	// Times are made comparable by the tokens read relative to the route's usual prompt. Without the prompts
+	// that the engine read before, one assessment made all questions behind it slow answers, and a good version
+	// was taken back.
+	read := j.Prompt + a.queue.Ahead(j.ID)
+	took := time.Duration(float64(a.firsts[j]) * a.l.w.usual[j.Route] / float64(read))
 	o := moves.Outcome{Route: j.Route, Print: j.Print, Failed: !whole, Took: took, Crash: crash, Excused: j.Fatal}
 	t.recorder.Add(a.l.w.now, o)
 	if t.isNew && t.local.Add(o) {
--- a/core/trace/router.go
+++ b/core/trace/router.go
@@ -108,6 +108,7 @@
 	return pick.Request{
 		ID: j.ID, Service: j.Service, Version: j.version, Tier: j.Tier, Prompt: j.Prompt, Output: j.Output,
 		Bytes: ident.Bytes(j.Prompt * ident.TokenBytes), Blocks: j.blocks, Tried: p.tried,
+		Route: j.Route, Unproved: r.l.unproved(r, j),
 	}
 }
 
