A peer with an older configuration gets the newer one when it connects

Ruled out: pushing to all agents on every round; it repeats up to 1 MB. Change: router and agent state their generation and send the newer configuration once, when the connection opens.

--- a/agent/node/agent.go
+++ b/agent/node/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickoryvane.example/agent/target"
@@ -49,6 +50,8 @@
 	meter  *meter.Meter
 	inbox  *ring.Ring[input]
 	links  *links.Links
+	// generation is the one in force, for handshakes.
+	generation atomic.Uint64
 	// runs counts the goroutines that read answers from the target; they end with the context of Run.
 	runs sync.WaitGroup
 	// stops holds the functions that stop reading an answer, by request; only the core's goroutine uses it.
@@ -142,6 +145,7 @@
 
 // perform does what the core asked for.
 func (a *Agent) perform(ctx context.Context) {
+	a.generation.Store(uint64(a.core.Generation()))
 	for _, act := range a.core.Take() {
 		switch act := act.(type) {
 		case Send:
@@ -260,5 +264,5 @@
 }
 
 func (a *Agent) hello() wire.Hello {
-	return wire.Hello{Process: a.cfg.Name, Role: string(member.Agent), Boot: a.boot, Centre: a.cfg.Centre}
+	return wire.Hello{Process: a.cfg.Name, Role: string(member.Agent), Boot: a.boot, Centre: a.cfg.Centre, Generation: ident.Generation(a.generation.Load())}
 }
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -197,6 +197,9 @@
 	c.log(event.PeerUp, "peer", h.Process)
 	c.report.due = true
 	c.sendCache(p)
+	if f, ok := c.facts.Get(facts.SortConfig, conf.ConfigName); ok && h.Generation < c.force.Generation() {
+		c.send(p, &wire.Facts{Facts: []wire.Fact{f}}) // a router that starts while the object API is down
+	}
 }
 
 // Closed takes in the loss of a connection. Offers that wait are forgotten, because their router
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -46,6 +46,18 @@
 	c.beat(now)
 }
 
+// newer returns the configuration in force for a peer that said at its handshake that it has an older one,
+// so that it need not wait for a round of gossip; an empty message otherwise.
+func (c *Core) newer(h wire.Hello) *wire.Facts {
+	m := &wire.Facts{}
+	if h.Generation < c.force.Generation() {
+		if f, ok := c.facts.Get(facts.SortConfig, conf.ConfigName); ok {
+			m.Facts = append(m.Facts, f)
+		}
+	}
+	return m
+}
+
 // beat sends a sign of life to the other routers, as a round of gossip reaches only a few of them.
 func (c *Core) beat(now time.Time) {
 	if now.Sub(c.tasks.beat) < beatTime {
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -26,6 +26,7 @@
 	c.byID[h.Process] = l
 	c.log(event.PeerUp, "peer", h.Process, "role", h.Role)
 	c.force.Ask(h.Process)
+	c.send(l, c.newer(h))
 	c.heard(now, l, dialed, false)
 	if h.Role != string(member.Agent) {
 		return
--- a/router/entry/router.go
+++ b/router/entry/router.go
@@ -62,6 +62,8 @@
 	refused func(fault.Reason)
 	// index is the configuration in force, for the handlers of calls.
 	index atomic.Pointer[conf.Index]
+	// generation is the one in force, for handshakes.
+	generation atomic.Uint64
 	// held counts the bytes of bodies held for callers.
 	held     atomic.Int64
 	lastCall atomic.Uint64
@@ -196,6 +198,7 @@
 		}
 	}
 	if x := r.core.Index(); x != r.index.Load() {
+		r.generation.Store(uint64(x.Generation()))
 		r.index.Store(x)
 		if r.configured != nil {
 			r.configured(x)
@@ -269,7 +272,7 @@
 }
 
 func (r *Router) hello() wire.Hello {
-	return wire.Hello{Process: r.cfg.Name, Role: string(member.Router), Boot: r.boot, Centre: r.cfg.Centre}
+	return wire.Hello{Process: r.cfg.Name, Role: string(member.Router), Boot: r.boot, Centre: r.cfg.Centre, Generation: ident.Generation(r.generation.Load())}
 }
 
 // source serves the admin address.
