Moves: the soak counts from the last suspicion on

Change: only spans after the last one under suspicion count as soak.

Tests of core/moves and core/trace pass with their bounds unchanged.

A focused test of the rule is missing.

--- a/core/moves/share.go
+++ b/core/moves/share.go
@@ -93,7 +93,7 @@
 		j.Stages[r], j.Unproved[r] = ev.stage(r, p)
 		full = full && (j.Stages[r] == Full || ev.rare(r))
 	}
-	j.Proved = full && j.Score < suspicion && ev.soaked() >= p.soak()
+	j.Proved = full && j.Score < suspicion && ev.soaked(p) >= p.soak()
 	return j
 }
 
@@ -224,12 +224,33 @@
 	return t.requests() / secs
 }
 
-// soaked returns for how long the new version had nearly all requests, without the running epoch.
-func (ev *Evidence) soaked() (d time.Duration) {
-	for s, p := range ev.cells[cell{}] {
-		if s.Start != ev.newest && float64(p.new.Requests) >= soakShare*p.requests() {
+// soaked returns for how long the new version had nearly all requests, without the running epoch and without
+// the time up to the last suspicion: failures that only show under full load need time to add up.
+func (ev *Evidence) soaked(p Plan) (d time.Duration) {
+	after := ev.suspected(p)
+	for s, q := range ev.cells[cell{}] {
+		if s.Start != ev.newest && int64(s.Start) > after && float64(q.new.Requests) >= soakShare*q.requests() {
 			d += s.duration()
 		}
 	}
 	return d
 }
+
+// suspected returns the start of the newest span after which a score was at or above suspicion, or -1.
+func (ev *Evidence) suspected(p Plan) int64 {
+	newest := int64(-1)
+	all := sums(ev.failures(cell{}))
+	for i, s := range ev.spans(cell{}) {
+		if all[i] >= suspicion {
+			newest = int64(s.Start)
+		}
+	}
+	for _, r := range ev.routes() {
+		for s, score := range ev.doubts(r, ev.tested(r, p)) {
+			if score >= suspicion {
+				newest = max(newest, int64(s.Start))
+			}
+		}
+	}
+	return newest
+}
