--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -111,6 +111,8 @@
 	// last is the time of the newest part.
 	last   time.Time
 	tokens ident.Tokens
+	// ahead counts the prompt tokens that the engine read before the request's own; set at its end.
+	ahead ident.Tokens
 	// left is true when the caller left; its outcome is no evidence about the target.
 	left bool
 	// readers are the connections on which the answer is read. A request without a key is stopped when
--- a/agent/node/verdict.go
+++ b/agent/node/verdict.go
@@ -105,7 +105,8 @@
 		Excused: o.left || c.guard.Check(now, o.Print) == guard.Blocked,
 	}
 	if !o.first.IsZero() {
-		oc.Took = o.first.Sub(o.began) * usualPrompt / time.Duration(max(o.Prompt, usualPrompt))
+		// An engine reads prompts in their order, so a question behind an assessment is not a slow answer.
+		oc.Took = o.first.Sub(o.began) * usualPrompt / time.Duration(max(o.Prompt+o.ahead, usualPrompt))
 	}
 	if out.Lost {
 		oc.Crash = c.verdict.crash
--- a/router/entry/begin.go
+++ b/router/entry/begin.go
@@ -106,7 +106,9 @@
 		c.choosers[mv.Name] = ch
 	}
 	k.version = ch.Assign(k.Account.Name, k.Session, k.Route.Name, k.Version)
-	k.trial = k.version == mv.To
+	if k.trial = k.version == mv.To; k.trial {
+		k.unproved = m.Unproved(k.Route.Name)
+	}
 }
 
 // fallback gives a call whose version refuses it to the old version of the running move.
@@ -118,7 +120,7 @@
 		return
 	}
 	if k.version == m.Move().To {
-		k.version, k.trial = m.Move().From, false
+		k.version, k.trial, k.unproved = m.Move().From, false, nil
 		k.tried, k.lowered, k.refusal = k.tried[:0], k.lowered[:0], nil
 	}
 }
--- a/router/entry/call.go
+++ b/router/entry/call.go
@@ -74,6 +74,8 @@
 	began    time.Time
 	deadline time.Time
 	version  ident.Version
+	// unproved are the hardware classes on which the new version has to be proved; only with trial.
+	unproved []ident.Class
 	// trial is true when version is the new version of a running move.
 	trial bool
 	// open are the outstanding offers by agent.
@@ -86,8 +88,8 @@
 	refusal *fault.Error
 	// lowered are targets that were asked to evict a lower tier for this call.
 	lowered []ident.TargetID
-	// widened is true after a second pair of offers was sent.
-	widened bool
+	// widened counts the further pairs of offers that were sent.
+	widened int
 	// agent, boot and target are those of the taken grant or of the attached answer.
 	agent  ident.ProcessID
 	boot   ident.Boot
@@ -145,6 +147,7 @@
 	return pick.Request{
 		ID: c.attempt, Service: c.Service.Name, Version: c.version, Tier: c.Tier.Rank,
 		Prompt: c.Prompt, Output: c.Output, Bytes: ident.Bytes(len(c.Body)), Blocks: c.Blocks, Tried: c.tried,
+		Route: c.Route.Name, Unproved: c.unproved,
 	}
 }
 
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -38,8 +38,10 @@
 	claimTime = time.Second
 	// confirmTime bounds the wait for a claim after a grant; it is shorter than a grant's ticket.
 	confirmTime = 800 * time.Millisecond
-	// widenPart is the part of the wait after which a second pair of offers is sent.
-	widenPart = 4
+	// widenPart is the part of the wait after which a further pair of offers is sent, widenMax times. In the
+	// replay, without further offers, requests waited for their whole deadline at two slow agents.
+	widenPart = 5
+	widenMax  = 3
 	// againTime is the pause before targets that refused are asked again.
 	againTime = 50 * time.Millisecond
 	// refusedTime is the time for which a target that refused is not picked for other calls.
--- a/router/entry/offers.go
+++ b/router/entry/offers.go
@@ -63,12 +63,12 @@
 	return len(k.open) > 0 || len(c.choices) > 0 && c.lower(now, k)
 }
 
-// widen sends a second pair of offers when the first was not granted within a quarter of the wait.
+// widen sends a further pair of offers when none was granted within a fifth, two and three fifths of the wait.
 func (c *Core) widen(now time.Time, k *call) {
-	if k.widened || now.Sub(k.began) < k.Wait/widenPart {
+	if k.widened == widenMax || now.Sub(k.began) < time.Duration(k.widened+1)*k.Wait/widenPart {
 		return
 	}
-	k.widened = true
+	k.widened++
 	r := k.pickRequest()
 	r.Tried = slices.Clone(k.tried)
 	for _, t := range k.open {
--- a/router/entry/offers_test.go
+++ b/router/entry/offers_test.go
@@ -48,12 +48,12 @@
 }
 
 // Guards against a call that waits at two slow targets until its deadline while others have room.
-func TestSecondPairAfterAQuarterOfTheWait(t *testing.T) {
+func TestFurtherPairAfterAFifthOfTheWait(t *testing.T) {
 	b := newBench(t)
 	b.begin(1, 2, 0, "")
 	first, _ := b.offers()
 	b.g.Expect(first).To(HaveLen(2))
-	b.tick(1200 * time.Millisecond)
+	b.tick(960 * time.Millisecond)
 	b.g.Expect(count[*wire.Offer](b)).To(BeZero())
 	b.tick(100 * time.Millisecond)
 	second, _ := b.offers()
--- a/router/entry/peers.go
+++ b/router/entry/peers.go
@@ -199,6 +199,6 @@
 	}
 	region, _ := x.Region(t.Centre)
 	p.target = t.Name
-	c.picker.Put(now, pick.Target{ID: t.Name, Agent: id, Region: region, Service: t.Service, Version: t.Version})
+	c.picker.Put(now, pick.Target{ID: t.Name, Agent: id, Region: region, Service: t.Service, Version: t.Version, Class: t.Class})
 	c.picker.Suspect(now, t.Name, c.member.State(id) != member.Live)
 }
