--- a/core/answer/prop_test.go
+++ b/core/answer/prop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"os"
 	"testing"
 
@@ -12,14 +11,11 @@
 
 	"hickoryvane.example/core/answer"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/wire"
 )
 
-// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(prop.Run(m)) }
 
 // receiver is what the property needs of a Reader.
 type receiver interface {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -10,6 +10,7 @@
 
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/lease"
+	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
 )
@@ -311,6 +312,6 @@
 // Guards against a test of fencing that cannot fail.
 func TestFencingFaultsAreCaught(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(catches(t, fencing(plant{blind: true}))).To(BeTrue(), "an agent that did not read the lease")
-	g.Expect(catches(t, fencing(plant{early: true}))).To(BeTrue(), "a candidate that waits too short")
+	g.Expect(prop.Catches(t, fencing(plant{blind: true}))).To(BeTrue(), "an agent that did not read the lease")
+	g.Expect(prop.Catches(t, fencing(plant{early: true}))).To(BeTrue(), "a candidate that waits too short")
 }
--- a/core/ledger/prop_test.go
+++ b/core/ledger/prop_test.go
@@ -1,7 +1,6 @@
 package ledger_test
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
@@ -12,13 +11,10 @@
 
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/ledger"
+	"hickoryvane.example/core/prop"
 )
 
-// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(prop.Run(m)) }
 
 // book is what the property needs of a ledger.
 type book interface {
--- /dev/null
+++ b/core/prop/prop.go
@@ -0,0 +1,50 @@
+// Package prop supports property tests: a fixed seed, and properties that are expected to fail.
+package prop
+
+import (
+	"flag"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// defaults are the flags of rapid for tests with the same verdict on every run. A flag given on the command
+// line goes first.
+var defaults = map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.shrinktime": "1s"}
+
+// Run runs the tests of a package with the defaults and returns their exit code.
+func Run(m *testing.M) int {
+	flag.Parse()
+	for k, v := range defaults {
+		if f := flag.Lookup(k); f != nil && f.Value.String() == f.DefValue {
+			_ = flag.Set(k, v) // the values are well-formed
+		}
+	}
+	return m.Run()
+}
+
+// sink takes the failure of a property that is expected to fail.
+type sink struct {
+	testing.TB
+	failed bool
+}
+
+func (s *sink) Logf(string, ...any)   {}
+func (s *sink) Errorf(string, ...any) { s.failed = true }
+func (s *sink) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
+func (s *sink) FailNow()              { s.failed = true; runtime.Goexit() }
+func (s *sink) Fail()                 { s.failed = true }
+func (s *sink) Failed() bool          { return s.failed }
+
+// Catches reports whether the property fails, as it must when a fault is planted in it.
+func Catches(t *testing.T, property func(*rapid.T)) bool {
+	s := &sink{TB: t}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(s, property)
+	}()
+	<-done
+	return s.failed
+}
--- a/core/queue/prop_test.go
+++ b/core/queue/prop_test.go
@@ -1,7 +1,6 @@
 package queue_test
 
 import (
-	"flag"
 	"os"
 	"strconv"
 	"testing"
@@ -13,14 +12,11 @@
 
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/queue"
 )
 
-// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(prop.Run(m)) }
 
 const (
 	maxItems  = 4
