Events 104 and 601 are written

Cause: the catalogue had them as reserved. Ruled out: an event per tick; only the first readiness and changes are logged. Conclusion: 105 alone stays reserved, as the program prints its error.

--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -105,11 +105,14 @@
 
 // tasks holds the times of recurring work.
 type tasks struct {
-	facts    time.Time
-	demand   time.Time
-	beat     time.Time
-	second   time.Time
-	sweep    time.Time
+	facts  time.Time
+	demand time.Time
+	beat   time.Time
+	second time.Time
+	sweep  time.Time
+	// ready is true after the router was ready once; shares holds the shares that were logged.
+	ready    bool
+	shares   map[ident.Move]float64
 	absorbed time.Time
 	// dirty is true when facts about moves changed since absorbed.
 	dirty    bool
@@ -197,7 +200,7 @@
 		limit:    rate.NewLimiter(0, claimBurst),
 		choosers: make(map[ident.Move]*moves.Chooser),
 		enders:   make(map[ident.Move]*moves.Ender),
-		tasks:    tasks{want: make(map[string]bool), used: make(map[ident.ProcessID]time.Time), watched: make(map[ident.ProcessID]bool)},
+		tasks:    tasks{want: make(map[string]bool), shares: make(map[ident.Move]float64), used: make(map[ident.ProcessID]time.Time), watched: make(map[ident.ProcessID]bool)},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -253,6 +256,7 @@
 		c.changed(now, c.member.Tick(now))
 		c.guard.Expire(now)
 		c.duty()
+		c.note()
 		c.connect(now)
 		c.forget()
 	}
