--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -73,6 +73,8 @@
 	// up is false while the target does not answer.
 	up      bool
 	leaving bool
+	// ready is true after the agent was ready once.
+	ready bool
 	// listAt is the time of the newest list of VMs, in Unix milliseconds.
 	listAt  int64
 	drainAt time.Time
@@ -309,6 +311,10 @@
 	c.judge(now)
 	c.grant(now)
 	c.reportTick(now)
+	if c.Ready() && !c.ready {
+		c.ready = true
+		c.log(event.Ready, "generation", c.force.Generation())
+	}
 }
 
 func (c *Core) cancelOrphans(now time.Time) {
--- a/core/prop/prop.go
+++ b/core/prop/prop.go
@@ -4,19 +4,21 @@
 import (
 	"flag"
 	"runtime"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
-// defaults are the flags of rapid for tests with the same verdict on every run. A flag given on the command
-// line goes first.
-var defaults = map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.shrinktime": "1s"}
+// defaults are the flags of rapid for tests with the same verdict on every run.
+var defaults = []string{"rapid.seed=1", "rapid.nofailfile=true", "rapid.shrinktime=1s"}
 
-// Run runs the tests of a package with the defaults and returns their exit code.
-func Run(m *testing.M) int {
+// Run runs the tests of a package with the defaults and further flags of the form NAME=VALUE, and returns
+// their exit code. A flag given on the command line goes first.
+func Run(m *testing.M, flags ...string) int {
 	flag.Parse()
-	for k, v := range defaults {
+	for _, kv := range append(flags, defaults...) {
+		k, v, _ := strings.Cut(kv, "=")
 		if f := flag.Lookup(k); f != nil && f.Value.String() == f.DefValue {
 			_ = flag.Set(k, v) // the values are well-formed
 		}
