Property test of one end per move keeps its 1,000 checks

Cause: the same clean-up had dropped the 1,000 checks that package moves set for its property test; it still passed with rapid's 100. Change: prop.Run gets rapid.checks=1000 in core/moves.

--- a/core/moves/main_test.go
+++ b/core/moves/main_test.go
@@ -7,4 +7,4 @@
 	"hickoryvane.example/core/prop"
 )
 
-func TestMain(m *testing.M) { os.Exit(prop.Run(m)) }
+func TestMain(m *testing.M) { os.Exit(prop.Run(m, "rapid.checks=1000")) }
