Read-through: an unused constant, and comments of load reports and digests

Cause: a last reading found a constant that nothing used, and comments of wire messages that no longer described what queue and gossip send. Ruled out: joining the alike import lists and event loops of router and agent; they differ in every case that matters. Change: the constant is gone; the comments give units and meaning as built. Conclusion: no change of behaviour.

--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -30,8 +30,6 @@
 	orphanTime = 30 * time.Second
 	// drainKeep is the time for which ended answers are kept for their readers during a stop.
 	drainKeep = 10 * time.Second
-	// fullRetry is the time after which a refused offer may be sent again.
-	fullRetry = time.Second
 	// failStatus is the least HTTP status that counts as a failure of the target.
 	failStatus = 500
 	// usualPrompt is the prompt length up to which the time to the first byte is taken as it is;
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -207,7 +207,8 @@
 	Held    ident.Tokens
 	// Window is the number of requests that the engine is given at a time.
 	Window int
-	// Prefill and Decode are the learnt speeds in tokens per second.
+	// Prefill is the learnt prompt speed of one request; Decode is the speed at which charged tokens (prompt
+	// and expected output) end while the window is full. Both are in tokens per second.
 	Prefill float64
 	Decode  float64
 	// Floor is the lowest tier that waits; ident.Tier 255 when nothing waits.
@@ -291,7 +292,8 @@
 	_struct bool `codec:",toarray"`
 
 	Facts []Fact
-	// Digest is true when Marks lists all that the sender holds; the receiver answers with what is missing there.
+	// Digest is true when Marks holds hashes of buckets, or full lists of buckets that differ; the receiver
+	// answers with what is missing there. Without it, a mark states that the sender holds this version.
 	Digest bool
 	Marks  []Mark
 }
@@ -330,8 +332,6 @@
 	Detail string
 }
 
-// Kind implementations.
-
 // Kind implements Message.
 func (*Hello) Kind() Kind { return KindHello }
 
