--- a/core/conf/decode.go
+++ b/core/conf/decode.go
@@ -179,6 +179,8 @@
 		return "a whole number"
 	case v.CanUint():
 		return "a whole number from 0 to " + strconv.FormatUint(math.MaxUint64>>(64-v.Type().Bits()), 10)
+	case v.CanFloat():
+		return "a number"
 	case v.Kind() == reflect.Bool:
 		return "true or false"
 	case v.Kind() == reflect.String:
--- a/core/conf/limits.go
+++ b/core/conf/limits.go
@@ -60,7 +60,7 @@
 }
 
 func (r *report) field(v reflect.Value, f Field, key string) {
-	if f.Need && v.IsZero() && !v.CanInt() && !v.CanUint() {
+	if f.Need && v.IsZero() && !v.CanInt() && !v.CanUint() && !v.CanFloat() {
 		r.add(key, "is missing")
 		return
 	}
@@ -143,6 +143,9 @@
 	if !ok {
 		return
 	}
+	if v.CanFloat() && (v.Float() < float64(low) || v.Float() > float64(high)) {
+		r.add(key, "is %g; must be %d to %d", v.Float(), low, high)
+	}
 	if v.CanUint() && int64(v.Uint()) > high {
 		r.add(key, "is %d; must be %d to %d", v.Uint(), low, high)
 	}
--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -35,6 +35,38 @@
 	Agents int `json:"agents" unit:"connections" default:"12" limit:"1..64"`
 }
 
+// Direct holds the settings of a router that dispatches to targets itself.
+type Direct struct {
+	// Name is the process id.
+	Name   ident.ProcessID  `json:"name" need:"yes" form:"name"`
+	Region ident.Region     `json:"region" need:"yes" form:"name"`
+	Centre ident.DataCentre `json:"centre" need:"yes" form:"name"`
+	// Centres names the data centres with their regions.
+	Centres []Centre `json:"centres" need:"yes" limit:"1..64"`
+	// Listen is the address for callers, Ready the one for the readiness probe, Admin the one for metrics
+	// and status, Beacon the one for the datagrams of other routers.
+	Listen string `json:"listen" need:"yes" form:"address"`
+	Ready  string `json:"ready" need:"yes" form:"address"`
+	Admin  string `json:"admin" need:"yes" form:"address"`
+	Beacon string `json:"beacon" need:"yes" form:"address"`
+	// Store is the address of the platform's store.
+	Store string `json:"store" need:"yes" form:"address"`
+	// Memory is the memory that the process may use.
+	Memory int `json:"memory" unit:"MB" need:"yes" limit:"32..65536"`
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace Millis `json:"grace" unit:"ms" default:"8000" limit:"500..600000"`
+	// Ratio and Spare limit the repeats of all routers within Span: Ratio times the requests plus Spare.
+	Ratio float64 `json:"ratio" need:"yes" limit:"0..1"`
+	Spare int     `json:"spare" unit:"repeats" default:"0" limit:"0..100000"`
+	Span  Millis  `json:"span" unit:"ms" default:"10000" limit:"1000..600000"`
+}
+
+// Centre is a data centre.
+type Centre struct {
+	Name   ident.DataCentre `json:"name" need:"yes" form:"name"`
+	Region ident.Region     `json:"region" need:"yes" form:"name"`
+}
+
 // Agent holds the settings of an agent.
 type Agent struct {
 	// Name is the process id, which is also the name of the VM in declarations and in the platform's list.
@@ -103,5 +135,5 @@
 
 // Settings is one of the settings of a process.
 type Settings interface {
-	Router | Agent | Operator | Standin
+	Router | Direct | Agent | Operator | Standin
 }
--- a/core/fault/problem.go
+++ b/core/fault/problem.go
@@ -43,9 +43,18 @@
 
 // Write sends e as a problem document. The header must not have been sent yet.
 func Write(w http.ResponseWriter, e *Error, id string) {
+	write(w, e, id, strconv.Itoa(int(math.Ceil(e.Retry.Seconds()))))
+}
+
+// WriteFine is Write for callers that take a Retry-After in fractions of a second.
+func WriteFine(w http.ResponseWriter, e *Error, id string) {
+	write(w, e, id, strconv.FormatFloat(math.Ceil(e.Retry.Seconds()*1000)/1000, 'f', -1, 64))
+}
+
+func write(w http.ResponseWriter, e *Error, id, after string) {
 	w.Header().Set("Content-Type", ContentType)
 	if e.Retry > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.Retry.Seconds()))))
+		w.Header().Set("Retry-After", after)
 	}
 	w.WriteHeader(e.Status())
 	_ = json.NewEncoder(w).Encode(ProblemOf(e, id)) // the caller may be gone
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,156 @@
+// Package fleet decides which registered targets may be used. Registrations come from a list and a watch
+// of the platform's store, which loses entries while it is away.
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Return is the time after an outage of the store within which lapsed entries come back. The platform
+// states about two seconds; an entry that is missing after it is gone.
+const Return = 2100 * time.Millisecond
+
+// Target is the registration of one target.
+type Target struct {
+	ID      ident.TargetID
+	Service ident.Service
+	// Address is an IP number and a port.
+	Address string
+	Centre  ident.DataCentre
+	Version ident.Version
+	// Slots is the number of requests that the target runs at a time, at least 1.
+	Slots int
+	// Leaving targets get no new requests.
+	Leaving bool
+	// Born is the start of the target's process; a later one knows nothing of what came before.
+	Born ident.Boot
+}
+
+// Change says what happened to a target.
+type Change uint8
+
+// Changes.
+const (
+	// Up means that the target is new or was started again.
+	Up Change = iota
+	// Leaving means that the target gets no new requests.
+	Leaving
+	// Gone means that the target is no longer registered.
+	Gone
+)
+
+var changeNames = [...]string{Up: "up", Leaving: "leaving", Gone: "gone"}
+
+// String returns the name used in log lines.
+func (c Change) String() string { return changeNames[c] }
+
+// Event is a change of one target.
+type Event struct {
+	Target Target
+	Change Change
+}
+
+// Fleet is the knowledge of one router. It is not safe for concurrent use.
+type Fleet struct {
+	targets map[ident.TargetID]*entry
+	// away is true while the store cannot be reached; back is the time of the last return.
+	away bool
+	back time.Time
+}
+
+type entry struct {
+	Target
+	// missing is the time since which the entry is absent from the store; zero while it is there.
+	missing time.Time
+}
+
+// New returns a fleet without targets.
+func New() *Fleet { return &Fleet{targets: map[ident.TargetID]*entry{}} }
+
+// Away records that the store cannot be reached.
+func (f *Fleet) Away() { f.away = true }
+
+// Listed takes in a whole list of registrations read at now.
+func (f *Fleet) Listed(now time.Time, list []Target) (out []Event) {
+	if f.away {
+		f.away, f.back = false, now
+	}
+	seen := make(map[ident.TargetID]bool, len(list))
+	for _, t := range list {
+		seen[t.ID] = true
+		out = append(out, f.Put(t)...)
+	}
+	for _, id := range f.ids() {
+		if !seen[id] {
+			out = append(out, f.Drop(now, id)...)
+		}
+	}
+	return out
+}
+
+// Put takes in one registration.
+func (f *Fleet) Put(t Target) []Event {
+	e, ok := f.targets[t.ID]
+	if !ok {
+		f.targets[t.ID] = &entry{Target: t}
+		if t.Leaving {
+			return []Event{{t, Leaving}}
+		}
+		return []Event{{t, Up}}
+	}
+	old := e.Target
+	e.Target, e.missing = t, time.Time{}
+	switch {
+	case t.Leaving && !old.Leaving:
+		return []Event{{t, Leaving}}
+	case t != old && !t.Leaving:
+		return []Event{{t, Up}}
+	}
+	return nil
+}
+
+// Drop takes in the removal of a registration. An entry that may have lapsed during an outage of the
+// store is kept until Return has passed; Expire ends it.
+func (f *Fleet) Drop(now time.Time, id ident.TargetID) []Event {
+	e, ok := f.targets[id]
+	if !ok {
+		return nil
+	}
+	if !e.Leaving && (f.away || now.Sub(f.back) < Return) {
+		if e.missing.IsZero() {
+			e.missing = now
+		}
+		return nil
+	}
+	delete(f.targets, id)
+	return []Event{{e.Target, Gone}}
+}
+
+// Expire ends the entries that did not come back in time after an outage.
+func (f *Fleet) Expire(now time.Time) (out []Event) {
+	if f.away || now.Sub(f.back) < Return {
+		return nil
+	}
+	for _, id := range f.ids() {
+		if e := f.targets[id]; !e.missing.IsZero() {
+			delete(f.targets, id)
+			out = append(out, Event{e.Target, Gone})
+		}
+	}
+	return out
+}
+
+// Len returns the number of known targets.
+func (f *Fleet) Len() int { return len(f.targets) }
+
+func (f *Fleet) ids() []ident.TargetID {
+	ids := make([]ident.TargetID, 0, len(f.targets))
+	for id := range f.targets {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -15,15 +15,17 @@
 	Cap = time.Second
 	// Spare is the interval in which one retry is allowed even when the share is used up.
 	Spare = time.Second
-	// slots and slot define the recent time: 10 s in steps of 1 s.
+	// Span is the recent time in which requests and retries are counted, in slots steps.
+	Span  = 10 * time.Second
 	slots = 10
-	slot  = time.Second
 )
 
 // Retry is the budget of one router. It is not safe for concurrent use.
 type Retry struct {
 	rnd   *rand.Rand
 	share float64
+	slack float64
+	slot  time.Duration
 	base  time.Duration
 	limit time.Duration
 	// requests and retries count per slot; at is the slot number of the newest.
@@ -40,6 +42,12 @@
 // WithShare sets the largest number of retries per recent request.
 func WithShare(share float64) Option { return func(r *Retry) { r.share = share } }
 
+// WithSlack sets the number of retries within the span that are allowed beside the share.
+func WithSlack(n float64) Option { return func(r *Retry) { r.slack = n } }
+
+// WithSpan sets the recent time in which requests and retries are counted.
+func WithSpan(d time.Duration) Option { return func(r *Retry) { r.slot = d / slots } }
+
 // WithDelays sets the upper bounds of the first and of every delay.
 func WithDelays(base, limit time.Duration) Option {
 	return func(r *Retry) { r.base, r.limit = base, limit }
@@ -47,7 +55,7 @@
 
 // New returns an unused budget.
 func New(rnd *rand.Rand, opts ...Option) *Retry {
-	r := &Retry{rnd: rnd, share: Share, base: Base, limit: Cap}
+	r := &Retry{rnd: rnd, share: Share, slot: Span / slots, base: Base, limit: Cap}
 	for _, o := range opts {
 		o(r)
 	}
@@ -60,13 +68,16 @@
 	r.requests[r.at%slots]++
 }
 
+// SetSlack changes the number of WithSlack.
+func (r *Retry) SetSlack(n float64) { r.slack = n }
+
 // Allow reports whether the call may be tried once more and counts the retry if so. The first retry of
 // a call has attempt 1. The caller waits for delay, which lies between half of and the whole bound
 // Base x 2^(attempt-1), at most Cap.
 func (r *Retry) Allow(now time.Time, attempt int) (delay time.Duration, ok bool) {
 	r.advance(now)
 	spare := r.last.IsZero() || now.Sub(r.last) >= Spare
-	if !spare && float64(sum(r.retries)+1) > r.share*float64(sum(r.requests)) {
+	if !spare && float64(sum(r.retries)+1) > r.share*float64(sum(r.requests))+r.slack {
 		return 0, false
 	}
 	r.last = now
@@ -85,7 +96,7 @@
 
 // advance clears the slots between the newest one and now.
 func (r *Retry) advance(now time.Time) {
-	n := now.UnixNano() / int64(slot)
+	n := now.UnixNano() / int64(r.slot)
 	if n <= r.at {
 		return
 	}
--- /dev/null
+++ b/core/sched/place.go
@@ -0,0 +1,78 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Where a request is placed.
+//
+// Load pattern: long prompts beside short questions on targets whose speeds differ several times over. A
+// prompt delays the first events of all that are read after it, so a request goes where the least unread
+// prompt text is ahead of it, weighed with the speed and load of the target, and with the distance.
+
+const (
+	// centrePenalty and regionPenalty are the times that a target in another data centre or region must
+	// be better by. They stand for the traffic between data centres and over the narrow region link.
+	centrePenalty = 20 * time.Millisecond
+	regionPenalty = 150 * time.Millisecond
+	// slotCost is the time that a slot of a target of mean speed counts for; slower targets cost more.
+	slotCost = 100 * time.Millisecond
+	// silence is the shortest time without a first event after which a target gets no new jobs while
+	// others have room; silenceTimes is the multiple of the expected time.
+	silence      = 800 * time.Millisecond
+	silenceTimes = 4
+)
+
+// choose returns the best target with room for the job, or nil.
+func (p *Pool) choose(now time.Time, j *Job) (best *target, expected time.Duration) {
+	var bestScore time.Duration
+	bestRank := 0
+	for _, t := range p.order {
+		if t.leaving || now.Before(t.rest) || t.room() <= 0 {
+			continue
+		}
+		rank := p.doubt(now, t, j)
+		score := p.score(t, j)
+		if best == nil || rank < bestRank || rank == bestRank && score < bestScore {
+			best, bestScore, bestRank = t, score, rank
+			expected = t.expected(j)
+		}
+	}
+	return best, expected
+}
+
+// doubt ranks targets by what speaks against them: 0 nothing, 1 silence, 2 an earlier failure of the job.
+func (p *Pool) doubt(now time.Time, t *target, j *Job) int {
+	switch {
+	case slices.Contains(j.Avoid, t.ID):
+		return 2
+	case t.silent(now):
+		return 1
+	}
+	return 0
+}
+
+// score is the expected time to the first event, with the cost of the slot and of the distance.
+func (p *Pool) score(t *target, j *Job) time.Duration {
+	d := t.expected(j)
+	slow := 1.0
+	if p.gap > 0 && t.gap > 0 {
+		slow = float64(t.gap) / float64(p.gap)
+	}
+	load := float64(len(t.runs)+t.others) / float64(t.Slots)
+	d += time.Duration(float64(slotCost) * slow * (0.5 + load))
+	return d + p.distance(t.Centre, t.Region)
+}
+
+func (p *Pool) distance(c ident.DataCentre, r ident.Region) time.Duration {
+	switch {
+	case c == p.centre:
+		return 0
+	case r == p.region:
+		return centrePenalty
+	}
+	return regionPenalty
+}
--- /dev/null
+++ b/core/sched/pool.go
@@ -0,0 +1,187 @@
+// Package sched decides, for the targets of one service, in which order requests wait at a router, which
+// are turned away, and where the others are placed. Targets know no tiers and admit requests as they
+// arrive, so requests wait at the routers, and only as many are sent to a target as it runs at a time.
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Job is a request that waits for a target or runs on one.
+type Job struct {
+	ID   ident.RequestID
+	Tier ident.Tier
+	// At is the arrival at this router.
+	At time.Time
+	// Due is the latest time of the first event of an answer that is on time.
+	Due time.Time
+	// End is the time after which no answer is of use. End is not before Due.
+	End time.Time
+	// Begun is true when a part of the answer was delivered; the job goes first and is never refused
+	// before End.
+	Begun bool
+	// Prompt and Output are the expected sizes; both zero for plain services.
+	Prompt, Output ident.Tokens
+	// Avoid lists targets that failed the request.
+	Avoid []ident.TargetID
+}
+
+// Target is a member of the pool.
+type Target struct {
+	ID     ident.TargetID
+	Centre ident.DataCentre
+	Region ident.Region
+	// Slots is the number of requests that run at a time, at least 1.
+	Slots int
+}
+
+// Placement sends a job to a target.
+type Placement struct {
+	Job    *Job
+	Target ident.TargetID
+	// Load is the number of requests at the target by this router and by the others, the job left out.
+	Mine, Others int
+	// Expected is the estimated time to the first event.
+	Expected time.Duration
+}
+
+// Refusal turns a job away; it has not run.
+type Refusal struct {
+	Job *Job
+	// Ahead is the number of waiting jobs that go first.
+	Ahead int
+	// Expected is the estimated time until the job would have been placed.
+	Expected time.Duration
+	// After is the time after which a new try makes sense.
+	After time.Duration
+}
+
+// Pool holds the waiting and running jobs of one router for one service. It is not safe for concurrent use.
+type Pool struct {
+	centre  ident.DataCentre
+	region  ident.Region
+	targets map[ident.TargetID]*target
+	// order lists the targets by id, so that decisions do not depend on the order of a map.
+	order   []*target
+	waiting []*Job
+	peers   map[ident.ProcessID]report
+	starts  rate
+	// gap is the mean time between events over the targets.
+	gap time.Duration
+}
+
+// New returns an empty pool for a router in the given data centre and region.
+func New(c ident.DataCentre, r ident.Region) *Pool {
+	return &Pool{centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}}
+}
+
+// Put adds a target or changes it. With fresh it was started again, and nothing learnt of it holds.
+func (p *Pool) Put(t Target, fresh bool) {
+	old, ok := p.targets[t.ID]
+	if ok && !fresh {
+		old.Target, old.leaving = t, false
+		return
+	}
+	n := newTarget(t)
+	if ok {
+		n.runs = old.runs
+		n.unread = old.unread
+		p.order = slices.DeleteFunc(p.order, func(x *target) bool { return x == old })
+	}
+	p.targets[t.ID] = n
+	at, _ := slices.BinarySearchFunc(p.order, n, byID)
+	p.order = slices.Insert(p.order, at, n)
+	p.count()
+}
+
+// Leave stops new placements on a target; its running jobs end as usual.
+func (p *Pool) Leave(id ident.TargetID) {
+	if t, ok := p.targets[id]; ok {
+		t.leaving = true
+		p.prune(t)
+	}
+}
+
+// Add makes a job wait.
+func (p *Pool) Add(j *Job) {
+	p.waiting = append(p.waiting, j)
+}
+
+// Remove takes a job out of the waiting ones; it reports whether the job waited.
+func (p *Pool) Remove(j *Job) bool {
+	i := slices.Index(p.waiting, j)
+	if i < 0 {
+		return false
+	}
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	return true
+}
+
+// Waiting returns the number of waiting jobs.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// First records the first event of the job's answer.
+func (p *Pool) First(now time.Time, id ident.TargetID, j *Job) {
+	if t, ok := p.targets[id]; ok {
+		t.first(now, j)
+	}
+}
+
+// Outcome is the end of a job at a target.
+type Outcome struct {
+	// Failed is true when the target failed; not when it refused the job, or the caller left.
+	Failed bool
+	// Unreachable is true when no connection could be opened.
+	Unreachable bool
+	// Full is true when the target refused the job, which then has not run.
+	Full bool
+	// Gap is the mean time between two events; zero if there were not enough.
+	Gap time.Duration
+}
+
+// Done records that a job no longer runs at a target.
+func (p *Pool) Done(now time.Time, id ident.TargetID, j *Job, o Outcome) {
+	t, ok := p.targets[id]
+	if !ok {
+		return
+	}
+	t.done(now, j, o)
+	p.learnGap()
+	p.prune(t)
+}
+
+// Next places waiting jobs on targets with room, and turns away those that cannot be served in time.
+func (p *Pool) Next(now time.Time) (placed []Placement, refused []Refusal) {
+	if len(p.waiting) == 0 {
+		return nil, nil
+	}
+	p.sort(now)
+	kept := p.waiting[:0]
+	for _, j := range p.waiting {
+		if t, expected := p.choose(now, j); t != nil {
+			placed = append(placed, Placement{Job: j, Target: t.ID, Mine: len(t.runs), Others: t.others, Expected: expected})
+			t.start(now, j)
+			p.starts.add(now)
+			continue
+		}
+		if r, ok := p.refuse(now, j, len(kept)); ok {
+			refused = append(refused, r)
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+	return placed, refused
+}
+
+// prune forgets a leaving target without running jobs.
+func (p *Pool) prune(t *target) {
+	if t.leaving && len(t.runs) == 0 {
+		delete(p.targets, t.ID)
+		p.order = slices.DeleteFunc(p.order, func(x *target) bool { return x == t })
+	}
+}
--- /dev/null
+++ b/core/sched/shed.go
@@ -0,0 +1,80 @@
+package sched
+
+import (
+	"time"
+)
+
+// Which requests are turned away, and when they may come back.
+//
+// Load pattern: more requests than the targets run, for seconds. A request is turned away as soon as the
+// work ahead of it shows that it will not be placed while its caller is still patient, not after it has
+// waited that long; the caller can then come back when the queue is expected to have drained.
+
+const (
+	// patience is the part of a caller's time for which a late request waits: the caller can use the rest
+	// for a second try and for the answer itself.
+	patience = 0.125
+	// afterMin and afterMax bound the time after which a caller may come back. The lower bound is a few
+	// network round trips, the upper one the longest overload that is expected to pass by itself.
+	afterMin = 100 * time.Millisecond
+	afterMax = 10 * time.Second
+	// endMargin is the time before End at which a waiting job is given up, so that its refusal arrives.
+	endMargin = 100 * time.Millisecond
+	// rateSpan is the span over which starts are counted, in steps of rateStep. It is shorter than a
+	// burst, and long enough for some starts.
+	rateSpan  = 20
+	rateStep  = 100 * time.Millisecond
+	startsMin = 1.0
+)
+
+// refuse decides whether a job that found no target is turned away. ahead jobs go first.
+func (p *Pool) refuse(now time.Time, j *Job, ahead int) (r Refusal, ok bool) {
+	expected := p.expected(now, ahead)
+	if now.Add(endMargin).Before(j.End) && (j.Begun || !now.Add(expected).After(j.limit())) {
+		return r, false
+	}
+	return Refusal{Job: j, Ahead: ahead, Expected: expected, After: min(max(expected, afterMin), afterMax)}, true
+}
+
+// limit returns the time until which the job may wait.
+func (j *Job) limit() time.Time {
+	limit := j.At.Add(time.Duration(patience * float64(j.End.Sub(j.At))))
+	if limit.Before(j.Due) {
+		limit = j.Due
+	}
+	return limit
+}
+
+// expected estimates the time until a job is placed that has the given number of jobs ahead.
+func (p *Pool) expected(now time.Time, ahead int) time.Duration {
+	return time.Duration(float64(ahead+1) / max(p.starts.perSecond(now), startsMin) * float64(time.Second))
+}
+
+// rate counts events over a sliding span.
+type rate struct {
+	steps [rateSpan]int
+	at    int64
+}
+
+func (r *rate) add(now time.Time) {
+	r.advance(now)
+	r.steps[r.at%rateSpan]++
+}
+
+func (r *rate) perSecond(now time.Time) float64 {
+	r.advance(now)
+	n := 0
+	for _, c := range r.steps {
+		n += c
+	}
+	return float64(n) / (rateSpan * rateStep).Seconds()
+}
+
+// advance clears the steps between the newest one and now.
+func (r *rate) advance(now time.Time) {
+	n := now.UnixNano() / int64(rateStep)
+	for i := max(r.at+1, n-rateSpan+1); i <= n; i++ {
+		r.steps[i%rateSpan] = 0
+	}
+	r.at = max(r.at, n)
+}
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -59,6 +59,7 @@
 	KindOrder:    func() Message { return &Order{} },
 	KindOrdered:  func() Message { return &Ordered{} },
 	KindLeave:    func() Message { return &Leave{} },
+	KindBeacon:   func() Message { return &Beacon{} },
 }
 
 // Encode returns the encoding of m, or ErrSize.
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -33,6 +33,7 @@
 	KindOrder
 	KindOrdered
 	KindLeave
+	KindBeacon
 )
 
 // Message is one of the types of this package.
@@ -394,3 +395,6 @@
 
 // Kind implements Message.
 func (*Leave) Kind() Kind { return KindLeave }
+
+// Kind implements Message.
+func (*Beacon) Kind() Kind { return KindBeacon }
--- /dev/null
+++ b/router/direct/beacon.go
@@ -0,0 +1,246 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
+)
+
+const (
+	// RoutersSort is the kind of the objects in which routers register.
+	RoutersSort = "routers"
+	// beaconFirst is the interval between beacons with one other router. It grows with the number of
+	// routers, so that a router receives at most beaconsMax beacons a second.
+	beaconFirst = 50 * time.Millisecond
+	beaconsMax  = 100
+	// beaconSize bounds a datagram, in bytes.
+	beaconSize = 60_000
+	// deafAfter is the silence after which a router counts as lost in log lines, and as gone for the retry
+	// budget after peerKeep. The registration of a router that is silent for peerForget is deleted.
+	deafAfter  = time.Second
+	peerKeep   = 30 * time.Second
+	peerForget = 60 * time.Second
+	// quietEvery thins beacons to a router that is silent: one in quietEvery is sent.
+	quietEvery = 10
+)
+
+// peer is another router.
+type peer struct {
+	addr *net.UDPAddr
+	rev  store.Rev
+	boot ident.Boot
+	seq  ident.Seq
+	// heard is the receipt of the last beacon, or the time at which the registration was first read.
+	heard time.Time
+	up    bool
+}
+
+// registration is the value of a router's object.
+type registration struct {
+	Address string     `json:"address"`
+	Boot    ident.Boot `json:"boot"`
+}
+
+// beacons sends and receives the state of routers.
+func (r *Router) beacons(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "beacons") }()
+	addr, err := net.ResolveUDPAddr("udp4", r.cfg.Beacon)
+	if err != nil {
+		return err
+	}
+	sock, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() { done <- r.receive(sock) }()
+	r.announce(ctx, sock)
+	_ = sock.Close() // ends receive
+	<-done
+	return nil
+}
+
+// announce sends beacons until ctx ends.
+func (r *Router) announce(ctx context.Context, sock *net.UDPConn) {
+	t := time.NewTimer(beaconFirst)
+	defer t.Stop()
+	for seq := ident.Seq(1); ; seq++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		b, to := r.beacon(seq)
+		for _, a := range to {
+			_, _ = sock.WriteToUDP(b, a) // the next beacon replaces a lost one
+		}
+		t.Reset(max(beaconFirst, time.Duration(len(to))*time.Second/beaconsMax))
+	}
+}
+
+// beacon returns the encoded state and the routers to send it to.
+func (r *Router) beacon(seq ident.Seq) (b []byte, to []*net.UDPAddr) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.peers) == 0 {
+		return nil, nil
+	}
+	m := &wire.Beacon{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Prints: r.told(now)}
+	if p := r.plan.Load(); p != nil {
+		m.Generation = p.Generation
+	}
+	for s, p := range r.pools {
+		for _, l := range p.Loads() {
+			m.Loads = append(m.Loads, wire.BeaconLoad{Service: s, Target: l.Target, Running: l.Running, Unread: l.Unread})
+		}
+	}
+	for a, n := range r.tally.Used() {
+		m.Used = append(m.Used, wire.BeaconUse{Account: a, Tokens: n})
+	}
+	b, err := wire.Encode(m)
+	if err != nil || len(b) > beaconSize {
+		r.log.Log(event.BadFrame, "peer", r.cfg.Name, "bytes", len(b), "error", err)
+		return nil, nil
+	}
+	for id, p := range r.peers {
+		silent := now.Sub(p.heard) >= deafAfter
+		if silent && p.up {
+			p.up = false
+			r.log.Log(event.PeerDown, "peer", id, "silent", now.Sub(p.heard))
+		}
+		if !silent || uint64(seq)%quietEvery == 0 {
+			to = append(to, p.addr)
+		}
+	}
+	return b, to
+}
+
+// receive takes in beacons until the socket is closed.
+func (r *Router) receive(sock *net.UDPConn) error {
+	buf := make([]byte, beaconSize)
+	for {
+		n, from, err := sock.ReadFromUDP(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			continue // an ICMP error of an earlier datagram
+		}
+		m, err := wire.Decode(buf[:n])
+		b, ok := m.(*wire.Beacon)
+		if err != nil || !ok {
+			r.log.Log(event.BadFrame, "peer", from, "error", err)
+			continue
+		}
+		r.merge(time.Now(), b)
+	}
+}
+
+// merge takes in the state of another router.
+func (r *Router) merge(now time.Time, b *wire.Beacon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[b.Process]
+	if !ok || b.Boot < p.boot || b.Boot == p.boot && b.Seq <= p.seq {
+		return
+	}
+	if !p.up {
+		p.up = true
+		r.log.Log(event.PeerUp, "peer", b.Process, "boot", b.Boot, "generation", b.Generation)
+	}
+	p.boot, p.seq, p.heard = b.Boot, b.Seq, now
+	loads := map[ident.Service][]sched.Load{}
+	for _, l := range b.Loads {
+		loads[l.Service] = append(loads[l.Service], sched.Load{Target: l.Target, Running: l.Running, Unread: l.Unread})
+	}
+	for s, pool := range r.pools {
+		pool.Merge(now, b.Process, loads[s])
+		r.next(now, pool)
+	}
+	used := make(map[ident.AccountID]ident.Tokens, len(b.Used))
+	for _, u := range b.Used {
+		used[u.Account] = u.Tokens
+	}
+	r.tally.Merge(now, b.Process, b.Boot, used)
+	r.heard(now, b.Prints)
+}
+
+// known returns the number of routers that may be running, this one included; r.mu is held.
+func (r *Router) known(now time.Time) int {
+	n := 1
+	for _, p := range r.peers {
+		if now.Sub(p.heard) < peerKeep {
+			n++
+		}
+	}
+	return n
+}
+
+// enrol takes in the registration of a router; r.mu is held.
+func (r *Router) enrol(now time.Time, o store.Object) error {
+	if o.Name == string(r.cfg.Name) {
+		return nil
+	}
+	var g registration
+	if err := json.Unmarshal(o.Value, &g); err != nil {
+		return err
+	}
+	addr, err := net.ResolveUDPAddr("udp4", g.Address)
+	if err != nil {
+		return err
+	}
+	id := ident.ProcessID(o.Name)
+	p, ok := r.peers[id]
+	if !ok {
+		p = &peer{heard: now}
+		r.peers[id] = p
+	}
+	p.addr, p.rev = addr, o.Rev
+	return nil
+}
+
+// register writes this router's object until it is there.
+func (r *Router) register(ctx context.Context) error {
+	v, err := json.Marshal(registration{Address: r.cfg.Beacon, Boot: r.boot})
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err = r.enter(ctx, v); err == nil {
+			return nil
+		}
+		r.log.Log(event.StoreDown, "sort", RoutersSort, "error", err)
+		pause(ctx, watchPause)
+	}
+	return nil
+}
+
+// enter creates the object, or replaces that of an earlier process of the same name.
+func (r *Router) enter(ctx context.Context, v []byte) error {
+	o := store.Object{Sort: RoutersSort, Name: string(r.cfg.Name), Value: v}
+	_, err := r.store.Create(ctx, o)
+	if !errors.Is(err, store.ErrExists) {
+		return err
+	}
+	old, err := r.store.Get(ctx, RoutersSort, o.Name)
+	if err != nil {
+		return err
+	}
+	var g registration
+	if json.Unmarshal(old.Value, &g) == nil && g.Address == r.cfg.Beacon {
+		return nil // the address is all that others need
+	}
+	o.Rev = old.Rev
+	_, err = r.store.Update(ctx, o)
+	return err
+}
--- /dev/null
+++ b/router/direct/call.go
@@ -0,0 +1,203 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/guard"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/route"
+	"hickoryvane.example/core/sched"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	Call
+	r       *http.Request
+	at, end time.Time
+	route   *route.Route
+	service ident.Service
+	account *route.Account
+	tokens  ident.Tokens
+	body    []byte
+	print   ident.Print
+	job     *sched.Job
+	uri     string
+}
+
+// ServeHTTP implements http.Handler for callers.
+func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	c := &call{Call: r.dialect.Call(req.Header), r: req, at: time.Now(), uri: req.RequestURI}
+	w.Header()["Date"] = nil
+	if r.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if f := r.admit(w, c); f != nil {
+		r.refuse(w, c, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), c.end)
+	defer cancel()
+	r.serve(ctx, w, c)
+}
+
+// admit reads the request and decides whether it may wait for a target.
+func (r *Router) admit(w http.ResponseWriter, c *call) *fault.Error {
+	p := r.plan.Load()
+	switch {
+	case p == nil:
+		return retryAfter(fault.NotRunf(fault.Config, "no configuration is known yet"), time.Second)
+	case r.closing.Load():
+		return retryAfter(fault.NotRunf(fault.Draining, "this process stops"), 10*time.Millisecond)
+	}
+	path, _, _ := strings.Cut(c.uri, "?")
+	if c.route = p.Match(c.r.Host, path); c.route == nil {
+		return fault.NotRunf(fault.Route, "no route matches in generation %d", p.Generation)
+	}
+	if f := c.identify(p); f != nil {
+		return f
+	}
+	if f := c.read(w, p); f != nil {
+		return f
+	}
+	c.service = c.route.Service(float64(xxhash.Sum64String(string(c.ID))>>11) / (1 << 53))
+	c.print = ident.PrintOf(c.service, append([]byte(c.r.Method+" "+c.uri+" "+c.Key+"\n"), c.body...))
+	c.schedule()
+	return r.charge(c)
+}
+
+// identify finds the account of the caller's key.
+func (c *call) identify(p *route.Plan) *fault.Error {
+	if c.Key != "" {
+		c.account = p.Account(c.Key)
+	}
+	if c.account == nil && p.Keyed() && !c.route.Public {
+		return fault.NotRunf(fault.Auth, "the key is not known in generation %d", p.Generation)
+	}
+	return nil
+}
+
+// read takes in the whole body, so that the request can be placed again.
+func (c *call) read(w http.ResponseWriter, p *route.Plan) (f *fault.Error) {
+	limit := int64(p.Limits.Body)
+	if limit <= 0 {
+		limit = bodyDefault
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(c.at.Add(c.patience())) // not supported by test recorders
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	b, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	switch {
+	case err != nil:
+		f = fault.NotRunf(fault.Left, "the body ended early: %v", err)
+		f.Code = http.StatusBadRequest
+		return f
+	case int64(len(b)) > limit:
+		f = fault.NotRunf(fault.Invalid, "the body is larger than %d bytes", limit)
+		f.Code = http.StatusRequestEntityTooLarge
+		return f
+	}
+	c.body = b
+	return nil
+}
+
+// bodyDefault bounds a body in bytes when the configuration does not.
+const bodyDefault = 4 << 20
+
+// patience is the time in which the answer is of use to the caller.
+func (c *call) patience() time.Duration {
+	d := c.Deadline
+	if d <= 0 {
+		d = deadlineDefault
+	}
+	if t := c.route.Timeout; t > 0 {
+		d = min(d, t)
+	}
+	return d
+}
+
+// schedule makes the job of the request.
+func (c *call) schedule() {
+	c.end = c.at.Add(c.patience())
+	tier := c.route.Tier
+	if c.account != nil && c.account.Ranked {
+		tier = c.account.Tier
+	}
+	due := c.at.Add(c.route.Aim)
+	if c.route.Aim <= 0 || due.After(c.end) {
+		due = c.end
+	}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, At: c.at, Due: due, End: c.end, Prompt: c.Prompt, Output: c.Output}
+}
+
+// charge takes the request's tokens from its account and looks for a fingerprint that crashes targets.
+func (r *Router) charge(c *call) *fault.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.guard.Check(c.at, c.print) == guard.Blocked {
+		f := fault.NotRunf(fault.Crashes, "requests with this content crashed targets")
+		f.Code = http.StatusServiceUnavailable
+		return f
+	}
+	if c.account == nil {
+		return nil
+	}
+	if c.tokens = c.account.Plain; c.Sized {
+		c.tokens = c.Prompt + c.Output
+	}
+	return r.tally.Take(c.at, c.account.Name, c.tokens)
+}
+
+// giveBack returns the tokens of a request that did not run.
+func (r *Router) giveBack(c *call) {
+	if c.account == nil || c.tokens == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tally.Give(time.Now(), c.account.Name, c.tokens)
+	c.tokens = 0
+}
+
+func retryAfter(f *fault.Error, d time.Duration) *fault.Error {
+	f.Retry = d
+	return f
+}
+
+// name returns the account of the call for log lines and metrics.
+func (c *call) name() ident.AccountID {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+// refuse answers with an error of the router's own and logs it.
+func (r *Router) refuse(w http.ResponseWriter, c *call, f *fault.Error) {
+	now := time.Now()
+	if f.Run == fault.NotRun {
+		r.giveBack(c)
+	}
+	fields := []any{"id", c.ID, "status", f.Status(), "reason", f.Reason, "run", f.Run, "detail", f.Detail, "ms", now.Sub(c.at).Milliseconds(), "after", f.Retry}
+	if c.route != nil {
+		fields = append(fields, "route", c.route.Name, "account", c.name(), "service", c.service)
+	}
+	if p := r.plan.Load(); p != nil {
+		fields = append(fields, "generation", p.Generation)
+	}
+	r.log.Log(event.TurnedAway, fields...)
+	r.meter.Refused(f.Reason)
+	if f.Reason == fault.Quota {
+		r.meter.Quota(c.name())
+	}
+	fault.WriteFine(w, f, string(c.ID))
+}
--- /dev/null
+++ b/router/direct/direct.go
@@ -0,0 +1,262 @@
+// Package direct is a router that dispatches requests to targets itself, without agents: for platforms
+// whose targets register in the object API and have no VM for an agent.
+//
+// Decisions are taken by the state machines of module core (sched, fleet, quota, retry, guard) under one
+// lock; this package moves bytes and tells them what happened.
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/guard"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/meter"
+	"hickoryvane.example/core/quota"
+	"hickoryvane.example/core/retry"
+	"hickoryvane.example/core/route"
+	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/store"
+)
+
+// Catalogue reads the objects that the platform keeps in its store.
+type Catalogue interface {
+	// Config names the object that holds the configuration.
+	Config() (sort, name string)
+	// Targets names the kind under which targets register.
+	Targets() (sort string)
+	// Plan decodes the configuration.
+	Plan(o store.Object) (*route.Plan, error)
+	// Target decodes a registration. An error means that the entry names no target to use.
+	Target(o store.Object) (fleet.Target, error)
+}
+
+// Dialect reads and writes the headers that the platform's callers and targets use.
+type Dialect interface {
+	// Call reads the headers of a caller's request.
+	Call(h http.Header) Call
+	// Forward sets the system's own headers on a request for a target and removes the caller's.
+	Forward(h http.Header, f Forward)
+	// Answer reads the head of a target's answer.
+	Answer(status int, h http.Header) Answer
+}
+
+// Call is what a caller states in the headers of a request.
+type Call struct {
+	ID  ident.RequestID
+	Key string
+	// Deadline is the time that the caller waits; zero if it states none.
+	Deadline time.Duration
+	// Sized is true when the caller states token counts. Prompt is the length of the prompt, Output the
+	// largest length of the answer, and Hint the caller's estimate of it, zero if it has none.
+	Sized                bool
+	Prompt, Output, Hint ident.Tokens
+}
+
+// Forward is what the system states to a target.
+type Forward struct {
+	// Left is the time in which the answer is of use.
+	Left    time.Duration
+	Target  ident.TargetID
+	Account ident.AccountID
+	// After is the id of the last event that the caller has; empty at the first target.
+	After string
+}
+
+// Answer is what the head of a target's answer states.
+type Answer struct {
+	// ID is the request that is answered; empty if the target does not say.
+	ID ident.RequestID
+	// NotRun is true when the target states that it has not run the request and will not.
+	NotRun bool
+	// Other is true when another target has the address; the request has not run.
+	Other bool
+}
+
+const (
+	// deadlineDefault is used for callers and routes without a time limit.
+	deadlineDefault = 30 * time.Second
+	// tickEvery is the interval at which waiting requests are looked at without an event.
+	tickEvery = 20 * time.Millisecond
+)
+
+// Router is the process. Its methods are safe for concurrent use.
+type Router struct {
+	cfg       conf.Direct
+	boot      ident.Boot
+	store     store.Store
+	catalogue Catalogue
+	dialect   Dialect
+	log       *event.Logger
+	spool     *event.Spool
+	meter     *meter.Meter
+	regions   map[ident.DataCentre]ident.Region
+	conns     *conns
+	plan      atomic.Pointer[route.Plan]
+	// listed is true once the targets were read; stopping and closing mark the steps of a shutdown.
+	listed, stopping, closing atomic.Bool
+	running                   atomic.Int64
+
+	mu      sync.Mutex
+	pools   map[ident.Service]*sched.Pool
+	waits   map[*sched.Job]chan decision
+	fleet   *fleet.Fleet
+	targets map[ident.TargetID]fleet.Target
+	tally   *quota.Tally
+	retries map[ident.Service]*retry.Retry
+	guard   *guard.Guard
+	losses  map[ident.TargetID][]loss
+	peers   map[ident.ProcessID]*peer
+	crashes []crashSeen
+	rnd     *rand.Rand
+}
+
+// decision is the end of a request's wait.
+type decision struct {
+	placed  sched.Placement
+	target  fleet.Target
+	refused *sched.Refusal
+}
+
+// Option sets one property of a Router.
+type Option func(*Router)
+
+// WithSpool lets the router report lines that the spool dropped, and run it.
+func WithSpool(s *event.Spool) Option { return func(r *Router) { r.spool = s } }
+
+// New returns a router that does not serve yet; see Run.
+func New(cfg conf.Direct, st store.Store, c Catalogue, d Dialect, l *event.Logger, m *meter.Meter, opts ...Option) *Router {
+	now := time.Now()
+	r := &Router{
+		cfg: cfg, boot: ident.BootAt(now), store: st, catalogue: c, dialect: d, log: l, meter: m,
+		regions: map[ident.DataCentre]ident.Region{}, conns: newConns(),
+		pools: map[ident.Service]*sched.Pool{}, waits: map[*sched.Job]chan decision{}, fleet: fleet.New(),
+		targets: map[ident.TargetID]fleet.Target{}, tally: quota.NewTally(),
+		retries: map[ident.Service]*retry.Retry{}, guard: guard.New(),
+		losses: map[ident.TargetID][]loss{}, peers: map[ident.ProcessID]*peer{},
+		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
+	}
+	for _, c := range cfg.Centres {
+		r.regions[c.Name] = c.Region
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Ready reports whether callers may be sent here.
+func (r *Router) Ready() bool { return r.plan.Load() != nil && r.listed.Load() && !r.stopping.Load() }
+
+// pool returns the pool of a service; r.mu is held.
+func (r *Router) pool(s ident.Service) *sched.Pool {
+	p, ok := r.pools[s]
+	if !ok {
+		p = sched.New(r.cfg.Centre, r.cfg.Region)
+		r.pools[s] = p
+	}
+	return p
+}
+
+// wait queues a job and returns the decision on it, or the error of ctx.
+func (r *Router) wait(ctx context.Context, s ident.Service, j *sched.Job) (decision, error) {
+	ch := make(chan decision, 1)
+	r.mu.Lock()
+	p := r.pool(s)
+	r.waits[j] = ch
+	p.Add(j)
+	r.next(time.Now(), p)
+	r.mu.Unlock()
+	select {
+	case d := <-ch:
+		return d, nil
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.Remove(j) {
+		delete(r.waits, j)
+		return decision{}, ctx.Err()
+	}
+	return <-ch, nil // the decision was taken at the same time
+}
+
+// next hands out the decisions of a pool; r.mu is held.
+func (r *Router) next(now time.Time, p *sched.Pool) {
+	placed, refused := p.Next(now)
+	for _, d := range placed {
+		r.waits[d.Job] <- decision{placed: d, target: r.targets[d.Target]}
+		delete(r.waits, d.Job)
+	}
+	for _, d := range refused {
+		r.waits[d.Job] <- decision{refused: &d}
+		delete(r.waits, d.Job)
+	}
+}
+
+// first records the first event of an answer.
+func (r *Router) first(s ident.Service, t ident.TargetID, j *sched.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pool(s).First(time.Now(), t, j)
+}
+
+// done records the end of a request at a target.
+func (r *Router) done(s ident.Service, t ident.TargetID, j *sched.Job, o sched.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, p := time.Now(), r.pool(s)
+	p.Done(now, t, j, o)
+	if o.Unreachable {
+		r.confirm(now, t)
+	}
+	r.next(now, p)
+}
+
+// tick looks at waiting requests, and at registrations that did not come back.
+func (r *Router) tick(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	var second time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := time.Now()
+		r.mu.Lock()
+		for _, p := range r.pools {
+			if p.Waiting() > 0 {
+				r.next(now, p)
+			}
+		}
+		events := r.fleet.Expire(now)
+		r.apply(events)
+		whole := now.Sub(second) >= time.Second
+		if whole {
+			second = now
+			for _, p := range r.pools {
+				p.Expire(now)
+			}
+			r.guard.Expire(now)
+		}
+		r.mu.Unlock()
+		r.logFleet(events)
+		if whole {
+			r.conns.sweep(now)
+			if r.spool != nil {
+				if n := r.spool.Dropped(); n > 0 {
+					r.log.Log(event.LinesDropped, "lines", n)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/router/direct/events.go
@@ -0,0 +1,51 @@
+package direct
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// eventMax bounds one event of a stream, in bytes.
+const eventMax = 1 << 20
+
+// events reads a stream event by event.
+type events struct {
+	r *bufio.Reader
+	// last is the id of the last whole event.
+	last string
+	n    int
+}
+
+func newEvents(r io.Reader) *events { return &events{r: bufio.NewReaderSize(r, readBuffer)} }
+
+// next returns the next whole event with its final empty line. At the end of a whole stream it returns the
+// bytes after the last event, if any, and io.EOF. What came of an unfinished event is not returned with
+// any other error.
+func (e *events) next() (event []byte, err error) {
+	id := ""
+	for {
+		line, err := e.r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case err == bufio.ErrBufferFull && len(event) < eventMax:
+			continue
+		case err != nil:
+			return event, err
+		}
+		trimmed := bytes.TrimRight(line, "\r\n")
+		if v, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(v))
+		}
+		if len(trimmed) == 0 {
+			if id != "" {
+				e.last = id
+			}
+			e.n++
+			return event, nil
+		}
+	}
+}
+
+// more reports whether more bytes were read already.
+func (e *events) more() bool { return e.r.Buffered() > 0 }
--- /dev/null
+++ b/router/direct/run.go
@@ -0,0 +1,180 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/admin"
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/group"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/retry"
+)
+
+const (
+	// headerTimeout bounds the head of a request; headerMax bounds its size in bytes. Both are above the
+	// limits that configurations set.
+	headerTimeout = 10 * time.Second
+	headerMax     = 64 << 10
+	// idleTimeout is the rest after which a caller's connection is closed, above what configurations set.
+	idleTimeout = 2 * time.Minute
+	// rotateTime is the time after the start of a shutdown in which the balancer stops sending new
+	// connections: two missed probes, one second apart, and some delay.
+	rotateTime = 2500 * time.Millisecond
+	// exitMargin is the time before the end of the grace period at which the process ends.
+	exitMargin = 400 * time.Millisecond
+	// retryPart is the part of the retry budget that is used; the rest covers callers that reach a target
+	// twice by themselves.
+	retryPart = 0.8
+)
+
+// Run serves until stop ends, then shuts down gracefully. Errors of listening are returned.
+func (r *Router) Run(stop context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "run router") }()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	g := group.New()
+	if r.spool != nil {
+		sctx, sstop := context.WithCancel(context.WithoutCancel(stop))
+		defer func() {
+			r.log.Log(event.Stopped, "error", err)
+			sstop()
+			_ = g.Wait() // the ends of the others were read
+		}()
+		g.Go(sctx, "log", r.spool.Run)
+	}
+	r.log.Log(event.Started, "name", r.cfg.Name, "boot", r.boot, "listen", r.cfg.Listen, "centre", r.cfg.Centre, "store", r.cfg.Store)
+	work := group.New()
+	if err = r.serveAux(ctx, work); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", r.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{
+		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, IdleTimeout: idleTimeout,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+	}
+	work.Go(ctx, "callers", func(context.Context) error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	r.duties(ctx, work)
+	select {
+	case <-stop.Done():
+		r.shutdown(ctx, srv)
+	case e := <-work.Ends():
+		work.Seen()
+		err = errors.WithMessage(e.Err, e.Name)
+	}
+	cancel()
+	_ = srv.Close() // the grace period is over
+	if werr := work.Wait(); err == nil {
+		err = werr
+	}
+	return err
+}
+
+// serveAux serves the readiness probe and the metrics.
+func (r *Router) serveAux(ctx context.Context, g *group.Group) error {
+	probe := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", r.meter.Handler())
+	for addr, h := range map[string]http.Handler{r.cfg.Ready: probe, r.cfg.Admin: mux} {
+		ln, err := admin.Listen(addr)
+		if err != nil {
+			return err
+		}
+		g.Go(ctx, "serve "+addr, func(ctx context.Context) error { return admin.Serve(ctx, ln, h) })
+	}
+	return nil
+}
+
+// duties starts the goroutines that follow the store and the other routers.
+func (r *Router) duties(ctx context.Context, g *group.Group) {
+	for _, f := range []feed{r.configFeed(), r.targetFeed(), r.routerFeed()} {
+		g.Go(ctx, "follow "+f.sort, func(ctx context.Context) error { return r.follow(ctx, f) })
+	}
+	g.Go(ctx, "beacons", r.beacons)
+	g.Go(ctx, "tick", r.tick)
+	g.Go(ctx, "register", func(ctx context.Context) error {
+		_ = r.register(ctx)
+		<-ctx.Done()
+		return nil
+	})
+}
+
+// shutdown lets requests end. New ones are taken until the balancer sends none, then refused as not run.
+func (r *Router) shutdown(ctx context.Context, srv *http.Server) {
+	r.stopping.Store(true)
+	r.mu.Lock()
+	grace := r.cfg.Grace.Duration()
+	r.mu.Unlock()
+	r.log.Log(event.Stopping, "running", r.running.Load(), "grace", grace)
+	end := time.Now().Add(grace - exitMargin)
+	pause(ctx, min(rotateTime, grace/2))
+	r.closing.Store(true)
+	sctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := srv.Shutdown(sctx); err != nil {
+		r.log.Log(event.Cut, "running", r.running.Load(), "error", err)
+	}
+}
+
+// Reload takes over the limits of changed settings. Addresses and names stay until the next start.
+func (r *Router) Reload(cfg conf.Direct) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.Grace, r.cfg.Ratio, r.cfg.Spare, r.cfg.Span = cfg.Grace, cfg.Ratio, cfg.Spare, cfg.Span
+	clear(r.retries) // they are made anew with the new limits
+	r.log.Log(event.Reloaded, "grace", cfg.Grace.Duration(), "ratio", cfg.Ratio, "spare", cfg.Spare, "span", cfg.Span.Duration())
+}
+
+// request counts a request for the retry budget.
+func (r *Router) request(s ident.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retry(s).Request(time.Now())
+}
+
+// budget reports whether a request may be sent once more, and charges it.
+func (r *Router) budget(now time.Time, s ident.Service) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.retry(s)
+	b.SetSlack(retryPart * float64(r.cfg.Spare) / float64(r.known(now)))
+	_, ok := b.Allow(now, 1)
+	return ok
+}
+
+// retry returns the budget of a service; r.mu is held.
+func (r *Router) retry(s ident.Service) *retry.Retry {
+	b, ok := r.retries[s]
+	if !ok {
+		b = retry.New(r.rnd, retry.WithShare(retryPart*r.cfg.Ratio), retry.WithSpan(r.cfg.Span.Duration()))
+		r.retries[s] = b
+	}
+	return b
+}
+
+// logPlaced writes the inputs of a placement.
+func (r *Router) logPlaced(c *call, d decision, try int) {
+	now := time.Now()
+	r.meter.Queueing(c.job.Tier, c.name(), c.service, now.Sub(c.at))
+	r.meter.Length(c.job.Tier, c.name(), c.service, c.Prompt+c.Output)
+	r.log.Log(event.Placed, "id", c.ID, "route", c.route.Name, "account", c.name(), "tier", c.job.Tier,
+		"target", d.target.ID, "mine", d.placed.Mine, "others", d.placed.Others, "expected", d.placed.Expected.Milliseconds(),
+		"waited", now.Sub(c.at).Milliseconds(), "prompt", c.Prompt, "left", c.end.Sub(now).Milliseconds(), "try", try)
+}
