Quota: a refused request gives no tokens back; draining survives a new configuration

A new configuration put every known target back into its pool, draining ones included (target left at 28.31 s, request sent there at 30.83 s). Ruled out: delay of beacons (level jumped at the router that refused), oversized requests (used at most 29,729 tokens each against 46,000 above the limit). Change: tokens are noted only after they were taken; draining targets are left out of slots().

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -25,7 +25,8 @@
 	route   *route.Route
 	service ident.Service
 	account *route.Account
-	tokens  ident.Tokens
+	// tokens were taken from the account, which had level left.
+	tokens, level ident.Tokens
 	body    []byte
 	print   ident.Print
 	job     *sched.Job
@@ -151,10 +152,16 @@
 	if c.account == nil {
 		return nil
 	}
-	if c.tokens = c.account.Plain; c.Sized {
-		c.tokens = c.Prompt + c.Output
+	n := c.account.Plain
+	if c.Sized {
+		n = c.Prompt + c.Output
 	}
-	return r.tally.Take(c.at, c.account.Name, c.tokens)
+	f := r.tally.Take(c.at, c.account.Name, n)
+	if f == nil {
+		c.tokens = n
+	}
+	c.level = r.tally.Level(c.at, c.account.Name)
+	return f
 }
 
 // giveBack returns the tokens of a request that did not run.
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -176,5 +176,5 @@
 	r.meter.Length(c.job.Tier, c.name(), c.service, c.Prompt+c.Output)
 	r.log.Log(event.Placed, "id", c.ID, "route", c.route.Name, "account", c.name(), "tier", c.job.Tier,
 		"target", d.target.ID, "mine", d.placed.Mine, "others", d.placed.Others, "expected", d.placed.Expected.Milliseconds(),
-		"waited", now.Sub(c.at).Milliseconds(), "prompt", c.Prompt, "left", c.end.Sub(now).Milliseconds(), "try", try)
+		"waited", now.Sub(c.at).Milliseconds(), "prompt", c.Prompt, "tokens", c.tokens, "level", c.level, "left", c.end.Sub(now).Milliseconds(), "try", try)
 }
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -131,7 +131,7 @@
 // slots applies the declared slots of services to their targets; r.mu is held.
 func (r *Router) slots(p *route.Plan) {
 	for _, t := range r.targets {
-		if s := p.Services[t.Service]; s.Slots > 0 {
+		if s := p.Services[t.Service]; s.Slots > 0 && !t.Leaving {
 			r.pool(t.Service).Put(r.member(t, p), false)
 		}
 	}
@@ -217,6 +217,7 @@
 			continue
 		}
 		pool.Leave(t.ID)
+		r.targets[t.ID] = t
 		if e.Change == fleet.Gone {
 			delete(r.targets, t.ID)
 		}
