--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -55,6 +55,9 @@
 	Memory int `json:"memory" unit:"MB" need:"yes" limit:"32..65536"`
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace Millis `json:"grace" unit:"ms" default:"8000" limit:"500..600000"`
+	// Stable is the time after a disturbance from which changes have to be in force in time again. A lost
+	// call of the store has to be noticed within it.
+	Stable Millis `json:"stable" unit:"ms" default:"3000" limit:"1500..600000"`
 	// Ratio and Spare limit the repeats of all routers within Span: Ratio times the requests plus Spare.
 	Ratio float64 `json:"ratio" need:"yes" limit:"0..1"`
 	Spare int     `json:"spare" unit:"repeats" default:"0" limit:"0..100000"`
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -40,6 +40,7 @@
 	TargetDown      ID = 505
 	TargetGone      ID = 506
 	TargetInvalid   ID = 507
+	TargetMissing   ID = 508
 	MoveStage       ID = 601
 	MoveBad         ID = 602
 	MoveEnded       ID = 603
@@ -85,6 +86,7 @@
 	{TargetDown, log.WarnLevel, "target does not answer"},
 	{TargetGone, log.InfoLevel, "target is no longer registered"},
 	{TargetInvalid, log.WarnLevel, "registration of a target cannot be read"},
+	{TargetMissing, log.InfoLevel, "registration of a target was removed without notice"},
 	{MoveStage, log.InfoLevel, "move changed its share"},
 	{MoveBad, log.WarnLevel, "version judged bad"},
 	{MoveEnded, log.InfoLevel, "move ended"},
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -10,8 +10,9 @@
 )
 
 // Return is the time after an outage of the store within which lapsed entries come back. The platform
-// states about two seconds; an entry that is missing after it is gone.
-const Return = 2100 * time.Millisecond
+// states about two seconds; an entry that is missing after it is gone. An outage need not be noticed
+// before its removals arrive, so every removal that was not announced is held that long.
+const Return = 2 * time.Second
 
 // Target is the registration of one target.
 type Target struct {
@@ -38,11 +39,14 @@
 	Up Change = iota
 	// Leaving means that the target gets no new requests.
 	Leaving
+	// Missing means that the registration was removed without notice; the target is used only where no
+	// other has room.
+	Missing
 	// Gone means that the target is no longer registered.
 	Gone
 )
 
-var changeNames = [...]string{Up: "up", Leaving: "leaving", Gone: "gone"}
+var changeNames = [...]string{Up: "up", Leaving: "leaving", Missing: "missing", Gone: "gone"}
 
 // String returns the name used in log lines.
 func (c Change) String() string { return changeNames[c] }
@@ -101,27 +105,28 @@
 		}
 		return []Event{{t, Up}}
 	}
-	old := e.Target
+	old, back := e.Target, !e.missing.IsZero()
 	e.Target, e.missing = t, time.Time{}
 	switch {
 	case t.Leaving && !old.Leaving:
 		return []Event{{t, Leaving}}
-	case t != old && !t.Leaving:
+	case (back || t != old) && !t.Leaving:
 		return []Event{{t, Up}}
 	}
 	return nil
 }
 
-// Drop takes in the removal of a registration. An entry that may have lapsed during an outage of the
-// store is kept until Return has passed; Expire ends it.
+// Drop takes in the removal of a registration. An entry that was not leaving may have lapsed during an
+// outage of the store; Expire ends it once Return has passed.
 func (f *Fleet) Drop(now time.Time, id ident.TargetID) []Event {
 	e, ok := f.targets[id]
 	if !ok {
 		return nil
 	}
-	if !e.Leaving && (f.away || now.Sub(f.back) < Return) {
+	if !e.Leaving {
 		if e.missing.IsZero() {
 			e.missing = now
+			return []Event{{e.Target, Missing}}
 		}
 		return nil
 	}
@@ -129,13 +134,13 @@
 	return []Event{{e.Target, Gone}}
 }
 
-// Expire ends the entries that did not come back in time after an outage.
+// Expire ends the entries that did not come back in time.
 func (f *Fleet) Expire(now time.Time) (out []Event) {
 	if f.away || now.Sub(f.back) < Return {
 		return nil
 	}
 	for _, id := range f.ids() {
-		if e := f.targets[id]; !e.missing.IsZero() {
+		if e := f.targets[id]; !e.missing.IsZero() && now.Sub(e.missing) >= Return {
 			delete(f.targets, id)
 			out = append(out, Event{e.Target, Gone})
 		}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -44,9 +44,12 @@
 	return best, expected
 }
 
-// doubt ranks targets by what speaks against them: 0 nothing, 1 silence, 2 an earlier failure of the job.
+// doubt ranks targets by what speaks against them: 0 nothing, 1 silence, 2 an earlier failure of the job,
+// 3 a registration that is missing.
 func (p *Pool) doubt(now time.Time, t *target, j *Job) int {
 	switch {
+	case t.doubted:
+		return 3
 	case slices.Contains(j.Avoid, t.ID):
 		return 2
 	case t.silent(now):
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -14,6 +14,8 @@
 type Job struct {
 	ID   ident.RequestID
 	Tier ident.Tier
+	// Rank is the tier of the route; it decides among accounts of one tier.
+	Rank ident.Tier
 	// At is the arrival at this router.
 	At time.Time
 	// Due is the latest time of the first event of an answer that is on time.
@@ -68,21 +70,23 @@
 	order   []*target
 	waiting []*Job
 	peers   map[ident.ProcessID]report
+	// starts counts all placements, classes those of each class.
 	starts  rate
+	classes map[class]*rate
 	// gap is the mean time between events over the targets.
 	gap time.Duration
 }
 
 // New returns an empty pool for a router in the given data centre and region.
 func New(c ident.DataCentre, r ident.Region) *Pool {
-	return &Pool{centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}}
+	return &Pool{centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*rate{}}
 }
 
 // Put adds a target or changes it. With fresh it was started again, and nothing learnt of it holds.
 func (p *Pool) Put(t Target, fresh bool) {
 	old, ok := p.targets[t.ID]
 	if ok && !fresh {
-		old.Target, old.leaving = t, false
+		old.Target, old.leaving, old.doubted = t, false, false
 		return
 	}
 	n := newTarget(t)
@@ -105,6 +109,13 @@
 	}
 }
 
+// Doubt makes a target the last choice until Put or Leave.
+func (p *Pool) Doubt(id ident.TargetID) {
+	if t, ok := p.targets[id]; ok {
+		t.doubted = true
+	}
+}
+
 // Add makes a job wait.
 func (p *Pool) Add(j *Job) {
 	p.waiting = append(p.waiting, j)
@@ -158,26 +169,45 @@
 	if len(p.waiting) == 0 {
 		return nil, nil
 	}
-	p.sort(now)
+	need := p.least()
+	p.sort(now, need)
 	kept := p.waiting[:0]
+	var last class
+	same := 0
 	for _, j := range p.waiting {
+		k := classOf(now, need, j)
+		if k != last {
+			last, same = k, 0
+		}
 		if t, expected := p.choose(now, j); t != nil {
 			placed = append(placed, Placement{Job: j, Target: t.ID, Mine: len(t.runs), Others: t.others, Expected: expected})
 			t.start(now, j)
-			p.starts.add(now)
+			p.started(now, k)
 			continue
 		}
-		if r, ok := p.refuse(now, j, len(kept)); ok {
+		if r, ok := p.refuse(now, j, k, len(kept), same); ok {
 			refused = append(refused, r)
 			continue
 		}
 		kept = append(kept, j)
+		same++
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
 	return placed, refused
 }
 
+// started counts a placement.
+func (p *Pool) started(now time.Time, k class) {
+	p.starts.add(now)
+	r, ok := p.classes[k]
+	if !ok {
+		r = &rate{}
+		p.classes[k] = r
+	}
+	r.add(now)
+}
+
 // prune forgets a leaving target without running jobs.
 func (p *Pool) prune(t *target) {
 	if t.leaving && len(t.runs) == 0 {
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -27,9 +27,10 @@
 	startsMin = 1.0
 )
 
-// refuse decides whether a job that found no target is turned away. ahead jobs go first.
-func (p *Pool) refuse(now time.Time, j *Job, ahead int) (r Refusal, ok bool) {
-	expected := p.expected(now, ahead)
+// refuse decides whether a job that found no target is turned away. ahead jobs go first, same of them of
+// the job's own class.
+func (p *Pool) refuse(now time.Time, j *Job, k class, ahead, same int) (r Refusal, ok bool) {
+	expected := p.expected(now, k, ahead, same)
 	if now.Add(endMargin).Before(j.End) && (j.Begun || !now.Add(expected).After(j.limit())) {
 		return r, false
 	}
@@ -45,9 +46,17 @@
 	return limit
 }
 
-// expected estimates the time until a job is placed that has the given number of jobs ahead.
-func (p *Pool) expected(now time.Time, ahead int) time.Duration {
-	return time.Duration(float64(ahead+1) / max(p.starts.perSecond(now), startsMin) * float64(time.Second))
+// expected estimates the time until a job is placed. Behind jobs of higher classes, of which more arrive
+// all the time, a class gets only what these leave, which is the rate of its recent starts.
+func (p *Pool) expected(now time.Time, k class, ahead, same int) time.Duration {
+	n, starts := ahead+1, p.starts.perSecond(now)
+	if ahead > same {
+		n, starts = same+1, 0
+		if r := p.classes[k]; r != nil {
+			starts = r.perSecond(now)
+		}
+	}
+	return time.Duration(float64(n) / max(starts, startsMin) * float64(time.Second))
 }
 
 // rate counts events over a sliding span.
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -41,6 +41,8 @@
 type target struct {
 	Target
 	leaving bool
+	// doubted targets are the last choice.
+	doubted bool
 	runs    []run
 	// unread is the prompt text of own jobs without a first event.
 	unread ident.Tokens
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"hickoryvane.example/core/ident"
 )
 
 // The order in which requests wait.
@@ -12,27 +14,34 @@
 // time is worth more to its caller than one that is late in any case, so late requests use what the others
 // leave. Among requests of the same chance, the higher tier goes first, then the earlier arrival.
 
-// sort brings the waiting jobs into the order in which they are placed.
-func (p *Pool) sort(now time.Time) {
-	need := p.least()
-	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
-		return cmp.Or(
-			cmp.Compare(rank(now, need, a), rank(now, need, b)),
-			cmp.Compare(a.Tier, b.Tier),
-			a.At.Compare(b.At),
-		)
-	})
+// class is what decides the order of waiting jobs before their arrival does. Lower values go first.
+type class struct {
+	// chance is 0 for jobs whose answer has begun, 1 for those that can be on time, 2 for late ones.
+	chance     uint8
+	tier, rank ident.Tier
+}
+
+func (a class) compare(b class) int {
+	return cmp.Or(cmp.Compare(a.chance, b.chance), cmp.Compare(a.tier, b.tier), cmp.Compare(a.rank, b.rank))
 }
 
-// rank is 0 for jobs whose answer has begun, 1 for those that can be on time, 2 for late ones.
-func rank(now time.Time, need time.Duration, j *Job) int {
+// classOf returns the class of a job that needs the given time to its first event.
+func classOf(now time.Time, need time.Duration, j *Job) class {
+	k := class{chance: 1, tier: j.Tier, rank: j.Rank}
 	switch {
 	case j.Begun:
-		return 0
-	case !late(now, need, j):
-		return 1
+		k.chance = 0
+	case late(now, need, j):
+		k.chance = 2
 	}
-	return 2
+	return k
+}
+
+// sort brings the waiting jobs into the order in which they are placed.
+func (p *Pool) sort(now time.Time, need time.Duration) {
+	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
+		return cmp.Or(classOf(now, need, a).compare(classOf(now, need, b)), a.At.Compare(b.At))
+	})
 }
 
 // late reports whether the job cannot be on time any more.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -27,10 +27,10 @@
 	account *route.Account
 	// tokens were taken from the account, which had level left.
 	tokens, level ident.Tokens
-	body    []byte
-	print   ident.Print
-	job     *sched.Job
-	uri     string
+	body          []byte
+	print         ident.Print
+	job           *sched.Job
+	uri           string
 }
 
 // ServeHTTP implements http.Handler for callers.
@@ -137,7 +137,7 @@
 	if c.route.Aim <= 0 || due.After(c.end) {
 		due = c.end
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, At: c.at, Due: due, End: c.end, Prompt: c.Prompt, Output: c.Output}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, Rank: c.route.Tier, At: c.at, Due: due, End: c.end, Prompt: c.Prompt, Output: c.Output}
 }
 
 // charge takes the request's tokens from its account and looks for a fingerprint that crashes targets.
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -216,6 +216,10 @@
 			r.next(now, pool)
 			continue
 		}
+		if e.Change == fleet.Missing {
+			pool.Doubt(t.ID)
+			continue
+		}
 		pool.Leave(t.ID)
 		r.targets[t.ID] = t
 		if e.Change == fleet.Gone {
@@ -230,6 +234,8 @@
 		switch e.Change {
 		case fleet.Leaving:
 			id = event.TargetLeaving
+		case fleet.Missing:
+			id = event.TargetMissing
 		case fleet.Gone:
 			id = event.TargetGone
 		}
