--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,6 +1,6 @@
 # Targets: build, lint, test, race, demo, golden, slopes, clean.
 
-programs = router agent hickoryvane standin bench
+programs = router agent hickoryvane standin bench platform
 modules  = core $(programs) proof
 
 # Tests that are known to fail, one for each line of KNOWN-RED.txt that starts with Test; they are left out.
--- a/core/conf/docs_test.go
+++ b/core/conf/docs_test.go
@@ -50,7 +50,7 @@
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "CONFIG.md"))
 	g.Expect(err).NotTo(HaveOccurred())
 	for heading, v := range map[string]any{
-		"Declarations": conf.Config{}, "Router": conf.Router{}, "Agent": conf.Agent{}, "Operator": conf.Operator{}, "Stand-in": conf.Standin{},
+		"Declarations": conf.Config{}, "Router": conf.Router{}, "Direct": conf.Direct{}, "Agent": conf.Agent{}, "Operator": conf.Operator{}, "Stand-in": conf.Standin{},
 	} {
 		table := rows(string(page), heading)
 		fields := conf.Fields(v)
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -24,6 +24,7 @@
 	StoreUp         ID = 304
 	ConfigInvalid   ID = 305
 	StoreBehind     ID = 306
+	Relayed         ID = 307
 	Refused         ID = 401
 	Cut             ID = 402
 	Blocked         ID = 403
@@ -70,6 +71,7 @@
 	{StoreUp, log.InfoLevel, "object API is available again"},
 	{ConfigInvalid, log.ErrorLevel, "configuration from the object API is invalid"},
 	{StoreBehind, log.InfoLevel, "history of the object API is lost, list read again"},
+	{Relayed, log.InfoLevel, "state of the object API read from a peer"},
 	{Refused, log.DebugLevel, "request refused"},
 	{Cut, log.WarnLevel, "answer cut"},
 	{Blocked, log.WarnLevel, "request fingerprint blocked"},
--- /dev/null
+++ b/core/event/spool_test.go
@@ -0,0 +1,37 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/event"
+)
+
+// Guards against a log that blocks a request: without a reader, lines beyond the bound are counted.
+func TestSpoolNeverBlocks(t *testing.T) {
+	g := NewWithT(t)
+	s := event.NewSpool(&bytes.Buffer{})
+	for range event.SpoolLines + 5 {
+		n, err := s.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(Equal(5))
+	}
+	g.Expect(s.Dropped()).To(BeEquivalentTo(5))
+	g.Expect(s.Dropped()).To(BeZero())
+}
+
+// Guards against lines that are lost when the process stops.
+func TestSpoolWritesWhatIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	s := event.NewSpool(&out)
+	_, _ = s.Write([]byte("a\n"))
+	_, _ = s.Write([]byte("b\n"))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(s.Run(ctx)).To(Succeed())
+	g.Expect(out.String()).To(Equal("a\nb\n"))
+}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -54,3 +54,19 @@
 		g.Expect(len(seen)).To(BeNumerically(">", 15))
 	}
 }
+
+// Guards against a slack that is not used, or that is used beyond the share of the span.
+func TestSlackAllowsRetriesBesideTheShare(t *testing.T) {
+	g := NewWithT(t)
+	r := retry.New(rand.New(rand.NewPCG(1, 2)), retry.WithShare(0), retry.WithSlack(3), retry.WithSpan(5*time.Second))
+	now := time.Unix(1_700_000_000, 0)
+	allowed := 0
+	for range 10 {
+		if _, ok := r.Allow(now, 1); ok {
+			allowed++
+		}
+	}
+	g.Expect(allowed).To(Equal(3))
+	_, ok := r.Allow(now.Add(6*time.Second), 1)
+	g.Expect(ok).To(BeTrue(), "the span has passed")
+}
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -18,24 +18,66 @@
 	Unread  ident.Tokens
 }
 
+// Report is the state of one router for the others.
+type Report struct {
+	From   ident.ProcessID
+	Region ident.Region
+	// Demand is the mean number of jobs that ran or waited; Waiting is the number that waits.
+	Demand  float64
+	Waiting int
+	// Loads leaves out targets at which nothing runs.
+	Loads []Load
+}
+
 type report struct {
-	at    time.Time
-	loads []Load
+	Report
+	at      time.Time
+	running map[ident.TargetID]int
 }
 
-// Loads returns what this router has at the targets, without targets that have nothing.
-func (p *Pool) Loads() (out []Load) {
+// Report returns the state of this router.
+func (p *Pool) Report(now time.Time) Report {
+	p.average(now)
+	r := Report{From: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting)}
 	for _, t := range p.order {
 		if len(t.runs) > 0 {
-			out = append(out, Load{Target: t.ID, Running: len(t.runs), Unread: t.unread})
+			r.Loads = append(r.Loads, Load{Target: t.ID, Running: len(t.runs), Unread: t.unread})
+		}
+	}
+	return r
+}
+
+// Loads returns what this router has at the targets, without targets that have nothing.
+func (p *Pool) Loads() []Load { return p.Report(p.averaged).Loads }
+
+// downTold is the time for which other routers are told that a target was found down; each of them then
+// leaves it alone for as long.
+const downTold = 400 * time.Millisecond
+
+// Down returns the targets that this router found down a short time ago.
+func (p *Pool) Down(now time.Time) (out []ident.TargetID) {
+	for _, t := range p.order {
+		if !t.downAt.IsZero() && now.Sub(t.downAt) < downTold {
+			out = append(out, t.ID)
 		}
 	}
 	return out
 }
 
+// FoundDown takes in that another router found a target down.
+func (p *Pool) FoundDown(now time.Time, id ident.TargetID) {
+	if t, ok := p.targets[id]; ok {
+		t.rest = later(t.rest, now.Add(downTold))
+	}
+}
+
 // Merge takes in the report of another router.
-func (p *Pool) Merge(now time.Time, from ident.ProcessID, loads []Load) {
-	p.peers[from] = report{at: now, loads: loads}
+func (p *Pool) Merge(now time.Time, r Report) {
+	running := make(map[ident.TargetID]int, len(r.Loads))
+	for _, l := range r.Loads {
+		running[l.Target] = l.Running
+	}
+	p.peers[r.From] = report{Report: r, at: now, running: running}
 	p.Expire(now)
 }
 
@@ -46,7 +88,9 @@
 			delete(p.peers, id)
 		}
 	}
+	p.average(now)
 	p.count()
+	p.divide(now)
 }
 
 // count adds up the reports per target.
@@ -54,8 +98,12 @@
 	for _, t := range p.order {
 		t.others, t.othersUnread = 0, 0
 	}
+	p.eager = 1
 	for _, r := range p.peers {
-		for _, l := range r.loads {
+		if r.Waiting > 0 {
+			p.eager++
+		}
+		for _, l := range r.Loads {
 			if t, ok := p.targets[l.Target]; ok {
 				t.others += l.Running
 				t.othersUnread += l.Unread
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -31,7 +31,7 @@
 	var bestScore time.Duration
 	bestRank := 0
 	for _, t := range p.order {
-		if t.leaving || now.Before(t.rest) || t.room() <= 0 {
+		if t.leaving || now.Before(t.rest) || !p.open(now, t) {
 			continue
 		}
 		rank := p.doubt(now, t, j)
@@ -79,3 +79,12 @@
 	}
 	return regionPenalty
 }
+
+// Duration estimates the length of a stream of the given number of tokens, stride of which are in an event.
+// ok is false while the pool has seen no stream.
+func (p *Pool) Duration(tokens ident.Tokens, stride int) (d time.Duration, ok bool) {
+	if p.gap <= 0 || stride <= 0 {
+		return 0, false
+	}
+	return p.least() + time.Duration(int64(tokens)/int64(stride)+1)*p.gap, true
+}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -63,6 +63,7 @@
 
 // Pool holds the waiting and running jobs of one router for one service. It is not safe for concurrent use.
 type Pool struct {
+	self    ident.ProcessID
 	centre  ident.DataCentre
 	region  ident.Region
 	targets map[ident.TargetID]*target
@@ -73,13 +74,24 @@
 	// starts counts all placements, classes those of each class.
 	starts  rate
 	classes map[class]*rate
+	// lag is the interval between reports; eager is the number of routers with waiting jobs, this one
+	// included; demand is the mean number of own jobs as of averaged; divided is the time of the last
+	// division of slots, and sharers the number of other routers in it.
+	lag      time.Duration
+	eager    int
+	demand   float64
+	averaged time.Time
+	divided  time.Time
+	sharers  int
 	// gap is the mean time between events over the targets.
 	gap time.Duration
 }
 
-// New returns an empty pool for a router in the given data centre and region.
-func New(c ident.DataCentre, r ident.Region) *Pool {
-	return &Pool{centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*rate{}}
+// New returns an empty pool for the router self in the given data centre and region.
+func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
+	return &Pool{
+		self: self, lag: lagStart, eager: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*rate{},
+	}
 }
 
 // Put adds a target or changes it. With fresh it was started again, and nothing learnt of it holds.
@@ -99,6 +111,7 @@
 	at, _ := slices.BinarySearchFunc(p.order, n, byID)
 	p.order = slices.Insert(p.order, at, n)
 	p.count()
+	p.divided = time.Time{}
 }
 
 // Leave stops new placements on a target; its running jobs end as usual.
@@ -147,6 +160,8 @@
 	Failed bool
 	// Unreachable is true when no connection could be opened.
 	Unreachable bool
+	// Replaced is true when another target has the address.
+	Replaced bool
 	// Full is true when the target refused the job, which then has not run.
 	Full bool
 	// Gap is the mean time between two events; zero if there were not enough.
@@ -181,6 +196,7 @@
 		}
 		if t, expected := p.choose(now, j); t != nil {
 			placed = append(placed, Placement{Job: j, Target: t.ID, Mine: len(t.runs), Others: t.others, Expected: expected})
+			p.take(now, t)
 			t.start(now, j)
 			p.started(now, k)
 			continue
--- /dev/null
+++ b/core/sched/sched_test.go
@@ -0,0 +1,397 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/sched"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// pool returns a pool of n targets with the given slots in the router's own data centre.
+func pool(n, slots int) *sched.Pool {
+	p := sched.New("r1", "a1", "a")
+	for i := range n {
+		p.Put(sched.Target{ID: ident.TargetID(fmt.Sprintf("t%d", i)), Centre: "a1", Region: "a", Slots: slots}, true)
+	}
+	return p
+}
+
+// job returns a job that arrives at the given time and whose aim is 500 ms.
+func job(id string, ms int, tier, rank ident.Tier) *sched.Job {
+	return &sched.Job{ID: ident.RequestID(id), Tier: tier, Rank: rank, At: at(ms), Due: at(ms + 500), End: at(ms + 12000)}
+}
+
+func ids(l []sched.Placement) (out []string) {
+	for _, p := range l {
+		out = append(out, string(p.Job.ID))
+	}
+	return out
+}
+
+// Load pattern: a burst of all kinds at once. Guards against photos that take the slots before drafts.
+func TestHigherTierAndRankGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 2)
+	p.Add(job("photo", 0, 1, 2))
+	p.Add(job("draft", 1, 1, 0))
+	p.Add(job("gold photo", 2, 0, 2))
+	placed, refused := p.Next(at(3))
+	g.Expect(ids(placed)).To(Equal([]string{"gold photo", "draft"}))
+	g.Expect(refused).To(BeEmpty())
+	g.Expect(p.Waiting()).To(Equal(1))
+}
+
+// Load pattern: the end of a burst. Guards against late requests that make all later ones late as well.
+func TestLateJobsUseWhatOthersLeave(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 1)
+	late := job("late", 0, 0, 0)
+	p.Add(late)
+	p.Add(job("fresh", 700, 1, 2))
+	placed, _ := p.Next(at(710))
+	g.Expect(ids(placed)).To(Equal([]string{"fresh"}))
+}
+
+// A stream that goes on at another target is never refused behind new requests.
+func TestBegunJobGoesFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 1)
+	p.Add(job("fresh", 700, 0, 0))
+	begun := job("begun", 0, 5, 5)
+	begun.Begun = true
+	p.Add(begun)
+	placed, refused := p.Next(at(2000))
+	g.Expect(ids(placed)).To(Equal([]string{"begun"}))
+	for _, r := range refused {
+		g.Expect(r.Job).NotTo(BeIdenticalTo(begun))
+	}
+}
+
+// Load pattern: twice the capacity in drafts, and photos behind them. Guards against photos that wait until
+// their aim has passed although none is placed, and against the promise of a rate that drafts take.
+func TestStarvedClassIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 4)
+	var waits []time.Duration
+	running := []*sched.Job{}
+	for ms := 0; ms < 6000; ms += 10 {
+		now := at(ms)
+		if ms%20 == 0 { // 50 drafts a second for 4 slots of 160 ms
+			p.Add(job(fmt.Sprint("draft", ms), ms, 1, 0))
+		}
+		if ms%100 == 50 {
+			photo := job(fmt.Sprint("photo", ms), ms, 1, 2)
+			photo.End = at(ms + 3000)
+			p.Add(photo)
+		}
+		for len(running) > 0 && now.Sub(running[0].At) >= 0 && ms%40 == 0 {
+			p.Done(now, "t0", running[0], sched.Outcome{})
+			running = running[1:]
+			break
+		}
+		placed, refused := p.Next(now)
+		for _, d := range placed {
+			running = append(running, d.Job)
+		}
+		for _, r := range refused {
+			if r.Job.Rank == 2 && ms > 3000 {
+				waits = append(waits, now.Sub(r.Job.At))
+			}
+			g.Expect(r.After).To(BeNumerically(">", 0), "a refusal says when to come back")
+		}
+	}
+	g.Expect(waits).NotTo(BeEmpty())
+	for _, w := range waits {
+		g.Expect(w).To(BeNumerically("<=", 60*time.Millisecond))
+	}
+}
+
+// Guards against more requests at a target than it runs, counted over all routers: they would wait there
+// in the order of arrival.
+func TestSlotsCountOverAllRouters(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 4)
+	p.Merge(at(0), sched.Report{From: "r2", Region: "a", Loads: []sched.Load{{Target: "t0", Running: 2}}})
+	p.Merge(at(0), sched.Report{From: "r3", Region: "a", Loads: []sched.Load{{Target: "t0", Running: 1}}})
+	for i := range 3 {
+		p.Add(job(fmt.Sprint(i), 0, 0, 0))
+	}
+	placed, _ := p.Next(at(1))
+	g.Expect(placed).To(HaveLen(1))
+	g.Expect(placed[0].Others).To(Equal(3))
+	g.Expect(p.Loads()).To(Equal([]sched.Load{{Target: "t0", Running: 1}}))
+}
+
+// Guards against slots that stay taken by a router that is gone.
+func TestSilentRouterFreesItsSlots(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 1)
+	p.Merge(at(0), sched.Report{From: "r2", Region: "a", Loads: []sched.Load{{Target: "t0", Running: 1}}})
+	j := job("x", 0, 0, 0)
+	p.Add(j)
+	placed, _ := p.Next(at(400))
+	g.Expect(placed).To(BeEmpty())
+	p.Expire(at(2000))
+	placed, _ = p.Next(at(450))
+	g.Expect(ids(placed)).To(Equal([]string{"x"}))
+}
+
+// Load pattern: a long prompt beside short questions. Guards against a question that is read after it.
+func TestQuestionAvoidsUnreadPrompts(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 4)
+	long := job("draft", 0, 0, 0)
+	long.Prompt = 50_000
+	p.Add(long)
+	placed, _ := p.Next(at(0))
+	g.Expect(placed).To(HaveLen(1))
+	busy := placed[0].Target
+	for i := range 3 {
+		q := job(fmt.Sprint("q", i), 1, 0, 0)
+		q.Prompt = 600
+		p.Add(q)
+	}
+	placed, _ = p.Next(at(1))
+	for _, d := range placed {
+		g.Expect(d.Target).NotTo(Equal(busy))
+	}
+	p.First(at(400), busy, long) // the prompt is read now
+	loads := p.Loads()
+	for _, l := range loads {
+		if l.Target == busy {
+			g.Expect(l.Unread).To(BeZero())
+		}
+	}
+}
+
+// Guards against targets of another region that are used while near ones have room.
+func TestNearTargetsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New("r1", "a1", "a")
+	p.Put(sched.Target{ID: "far", Centre: "b1", Region: "b", Slots: 4}, true)
+	p.Put(sched.Target{ID: "near", Centre: "a1", Region: "a", Slots: 1}, true)
+	for i := range 2 {
+		p.Add(job(fmt.Sprint(i), 0, 0, 0))
+	}
+	placed, _ := p.Next(at(0))
+	g.Expect(placed).To(HaveLen(2))
+	g.Expect(placed[0].Target).To(Equal(ident.TargetID("near")))
+	g.Expect(placed[1].Target).To(Equal(ident.TargetID("far")))
+}
+
+// Guards against new requests at a target that answers nothing while its registration is good.
+func TestSilentTargetIsLastChoice(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 4)
+	p.Add(job("a", 0, 0, 0))
+	placed, _ := p.Next(at(0))
+	dumb := placed[0].Target
+	for i := range 4 {
+		p.Add(job(fmt.Sprint(i), 1000, 0, 0))
+	}
+	placed, _ = p.Next(at(1000))
+	g.Expect(placed).To(HaveLen(4))
+	for _, d := range placed {
+		g.Expect(d.Target).NotTo(Equal(dumb))
+	}
+}
+
+// Guards against a request that goes back to the target that failed it, and against targets that are
+// tried again at once although they cannot be reached.
+func TestFailedTargets(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 4)
+	j := job("x", 0, 0, 0)
+	j.Avoid = []ident.TargetID{"t0"}
+	p.Add(j)
+	placed, _ := p.Next(at(0))
+	g.Expect(placed[0].Target).To(Equal(ident.TargetID("t1")))
+	p.Done(at(1), "t1", j, sched.Outcome{Unreachable: true})
+	k := job("y", 1, 0, 0)
+	k.Avoid = []ident.TargetID{"t0"}
+	p.Add(k)
+	placed, _ = p.Next(at(2))
+	g.Expect(placed[0].Target).To(Equal(ident.TargetID("t0")), "t1 rests")
+}
+
+// Guards against a leaving target that gets new requests, also after a change of its slots.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 4)
+	a := job("a", 0, 0, 0)
+	p.Add(a)
+	placed, _ := p.Next(at(0))
+	g.Expect(placed).To(HaveLen(1))
+	p.Leave("t0")
+	p.Add(job("b", 1, 0, 0))
+	placed, _ = p.Next(at(1))
+	g.Expect(placed).To(BeEmpty())
+	p.Done(at(2), "t0", a, sched.Outcome{})
+	g.Expect(p.Loads()).To(BeEmpty())
+}
+
+// Guards against a missing registration that takes requests while others have room.
+func TestDoubtedTargetIsLastChoice(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 1)
+	p.Doubt("t0")
+	p.Add(job("a", 0, 0, 0))
+	p.Add(job("b", 0, 0, 0))
+	placed, _ := p.Next(at(0))
+	g.Expect(placed).To(HaveLen(2))
+	g.Expect(placed[0].Target).To(Equal(ident.TargetID("t1")))
+	g.Expect(placed[1].Target).To(Equal(ident.TargetID("t0")))
+}
+
+// Guards against a caller that left and still takes a place.
+func TestRemovedJobIsNotPlaced(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(0, 0)
+	j := job("a", 0, 0, 0)
+	p.Add(j)
+	g.Expect(p.Remove(j)).To(BeTrue())
+	g.Expect(p.Remove(j)).To(BeFalse())
+	p.Put(sched.Target{ID: "t", Centre: "a1", Region: "a", Slots: 1}, true)
+	placed, refused := p.Next(at(1))
+	g.Expect(placed).To(BeEmpty())
+	g.Expect(refused).To(BeEmpty())
+}
+
+// Guards against a final answer that comes after the caller's time: the job is given up before End.
+func TestWaitEndsBeforeTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(0, 0)
+	j := job("a", 0, 0, 0)
+	j.End = at(600)
+	p.Add(j)
+	_, refused := p.Next(at(520))
+	g.Expect(refused).To(HaveLen(1))
+}
+
+// Guards against the length of a stream that is guessed without any observation.
+func TestDurationNeedsObservation(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 1)
+	_, ok := p.Duration(100, 6)
+	g.Expect(ok).To(BeFalse())
+	j := job("a", 0, 0, 0)
+	p.Add(j)
+	p.Next(at(0))
+	p.First(at(50), "t0", j)
+	p.Done(at(1000), "t0", j, sched.Outcome{Gap: 25 * time.Millisecond})
+	d, ok := p.Duration(60, 6)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(d).To(BeNumerically("~", 11*25*time.Millisecond+50*time.Millisecond, 10*time.Millisecond))
+}
+
+// Load pattern: 21 routers with more requests than slots, and reports that are up to 200 ms old. Guards
+// against all of them taking the same free slot, and against slots that nobody takes.
+func TestRoutersDivideTheSlots(t *testing.T) {
+	g := NewWithT(t)
+	const routers, targets, slots = 21, 40, 11
+	const step, lag, length = 10, 200, 1000 // ms
+	name := func(i int) ident.ProcessID { return ident.ProcessID(fmt.Sprint("r", i)) }
+	pools := make([]*sched.Pool, routers)
+	for i := range pools {
+		pools[i] = sched.New(name(i), "a1", "a")
+		pools[i].SetLag(lag * time.Millisecond)
+		for k := range targets {
+			pools[i].Put(sched.Target{ID: ident.TargetID(fmt.Sprint("t", k)), Centre: "a1", Region: "a", Slots: slots}, true)
+		}
+	}
+	type run struct {
+		pool, end int
+		place     sched.Placement
+	}
+	var runs []run
+	running := map[ident.TargetID]int{}
+	var used, over, samples int
+	for ms := 0; ms < 6000; ms += step {
+		now := at(ms)
+		for i, p := range pools {
+			if (ms/step+i)%4 == 0 { // 25 jobs a second and router, 525 slots' worth for 440 slots
+				j := job(fmt.Sprint(i, "-", ms), ms, 0, 0)
+				j.Due, j.End = at(ms+400), at(ms+3000)
+				p.Add(j)
+			}
+			if (ms/step-i)%(lag/step) == 0 {
+				rep := p.Report(now)
+				for k, o := range pools {
+					if k != i {
+						o.Merge(now, rep)
+					}
+				}
+			}
+			placed, _ := p.Next(now)
+			for _, d := range placed {
+				running[d.Target]++
+				runs = append(runs, run{pool: i, end: ms + length, place: d})
+			}
+		}
+		kept := runs[:0]
+		for _, r := range runs {
+			if r.end > ms {
+				kept = append(kept, r)
+				continue
+			}
+			running[r.place.Target]--
+			pools[r.pool].Done(now, r.place.Target, r.place.Job, sched.Outcome{})
+		}
+		runs = kept
+		if ms >= 2000 {
+			for _, n := range running {
+				used += min(n, slots)
+				over += max(n-slots, 0)
+				samples += slots
+			}
+		}
+	}
+	t.Logf("used %.3f, over %.3f", float64(used)/float64(samples), float64(over)/float64(samples))
+	g.Expect(float64(used) / float64(samples)).To(BeNumerically(">=", 0.9))
+	g.Expect(float64(over) / float64(samples)).To(BeNumerically("<=", 0.05))
+}
+
+// Load pattern: one router has all the load. Guards against its share being kept for idle routers.
+func TestIdleRoutersLeaveTheirSlots(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(4, 10)
+	for i := range 9 {
+		p.Merge(at(0), sched.Report{From: ident.ProcessID(fmt.Sprint("o", i)), Region: "a"})
+	}
+	placed := 0
+	for ms := 0; ms < 2000; ms += 50 {
+		p.Add(job(fmt.Sprint(ms), ms, 0, 0))
+		d, _ := p.Next(at(ms))
+		placed += len(d)
+		for i := range 9 {
+			p.Merge(at(ms), sched.Report{From: ident.ProcessID(fmt.Sprint("o", i)), Region: "a"})
+		}
+	}
+	g.Expect(placed).To(BeNumerically(">=", 36))
+}
+
+// Guards against targets that every router has to find down by itself.
+func TestTargetFoundDownRests(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 4)
+	p.FoundDown(at(0), "t0")
+	for i := range 4 {
+		p.Add(job(fmt.Sprint(i), 0, 0, 0))
+	}
+	placed, _ := p.Next(at(1))
+	for _, d := range placed {
+		g.Expect(d.Target).To(Equal(ident.TargetID("t1")))
+	}
+	j := placed[0].Job
+	p.Done(at(2), "t1", j, sched.Outcome{Replaced: true})
+	g.Expect(p.Down(at(3))).To(Equal([]ident.TargetID{"t1"}))
+	g.Expect(p.Down(at(1000))).To(BeEmpty())
+}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -17,9 +17,11 @@
 	// promptMin is the smallest prompt from which the reading speed is learnt; with shorter ones the time
 	// is mostly that of the first token.
 	promptMin ident.Tokens = 1000
-	// restFirst and restMax bound the time for which a target that cannot be reached gets no jobs; it
-	// doubles with each failure in a row.
+	// restFirst, restDown and restMax bound the time for which a target gets no jobs that fails or cannot
+	// be reached; it doubles with each failure in a row. Targets take some seconds to start again, and a
+	// registration outlives its target by three heartbeats.
 	restFirst = 250 * time.Millisecond
+	restDown  = 500 * time.Millisecond
 	restMax   = 2 * time.Second
 	// fullRest is the time for which a target that refused a job as full gets no jobs: about the time in
 	// which a running request ends.
@@ -49,6 +51,11 @@
 	// others and othersUnread are the jobs and the unread prompt text of the other routers.
 	others       int
 	othersUnread ident.Tokens
+	// own is this router's part of the slots; claimed are free slots that others are about to fill. taken
+	// counts the placements beyond the own part in the interval turn.
+	own, claimed int
+	turn         int64
+	taken        int
 	// base is the time to a first event without the prompt; rate is the reading speed in tokens/s.
 	base time.Duration
 	rate float64
@@ -57,6 +64,8 @@
 	// fails counts failures in a row; no job is placed before rest.
 	fails int
 	rest  time.Time
+	// downAt is the time at which this router last found the target down.
+	downAt time.Time
 }
 
 func newTarget(t Target) *target {
@@ -142,10 +151,15 @@
 	switch {
 	case o.Full:
 		t.rest = later(t.rest, now.Add(fullRest))
-	case o.Failed || o.Unreachable:
+	case o.Replaced:
+		t.down(now, restMax)
+	case o.Unreachable:
 		t.fails++
-		if o.Unreachable || t.fails >= failMin {
-			t.rest = later(t.rest, now.Add(min(restFirst<<min(t.fails-1, 8), restMax)))
+		t.down(now, min(restDown<<min(t.fails-1, 8), restMax))
+	case o.Failed:
+		t.fails++
+		if t.fails >= failMin {
+			t.rest = later(t.rest, now.Add(min(restFirst<<min(t.fails-failMin, 8), restMax)))
 		}
 	}
 }
@@ -171,3 +185,8 @@
 		p.gap = sum / time.Duration(n)
 	}
 }
+
+// down makes the target rest after this router found that it cannot be reached or is another one.
+func (t *target) down(now time.Time, d time.Duration) {
+	t.rest, t.downAt = later(t.rest, now.Add(d)), now
+}
--- a/core/wire/beacon.go
+++ b/core/wire/beacon.go
@@ -14,12 +14,32 @@
 	// Seq grows with each beacon of a boot; older ones are ignored.
 	Seq        ident.Seq
 	Generation ident.Generation
-	Loads      []BeaconLoad
-	Used       []BeaconUse
+	Region     ident.Region
+	// Admin is the address at which the sender gives a snapshot of what it knows of the store.
+	Admin string
+	// Ready is true while callers may be sent to the sender.
+	Ready bool
+	// Linked is true while the sender reaches the store.
+	Linked  bool
+	Demands []BeaconDemand
+	Loads   []BeaconLoad
+	Used    []BeaconUse
+	// Down are targets that the sender found down a short time ago.
+	Down []BeaconDown
 	// Prints are fingerprints of requests that were running when a target crashed.
 	Prints []BeaconPrint
 }
 
+// BeaconDemand is what the sender needs of a service.
+type BeaconDemand struct {
+	_struct bool `codec:",toarray"`
+
+	Service ident.Service
+	// Mean is the mean number of requests that ran or waited, Waiting the number that waits now.
+	Mean    float64
+	Waiting int
+}
+
 // BeaconLoad is what the sender has at one target.
 type BeaconLoad struct {
 	_struct bool `codec:",toarray"`
@@ -30,6 +50,14 @@
 	Unread  ident.Tokens
 }
 
+// BeaconDown is a target that cannot be reached, or whose address another one has.
+type BeaconDown struct {
+	_struct bool `codec:",toarray"`
+
+	Service ident.Service
+	Target  ident.TargetID
+}
+
 // BeaconUse is the number of tokens that an account has taken at the sender since its boot.
 type BeaconUse struct {
 	_struct bool `codec:",toarray"`
--- a/router/direct/beacon.go
+++ b/router/direct/beacon.go
@@ -42,6 +42,12 @@
 	// heard is the receipt of the last beacon, or the time at which the registration was first read.
 	heard time.Time
 	up    bool
+	// generation, admin and linked are as of the last beacon.
+	generation ident.Generation
+	admin      string
+	linked     bool
+	// ready is the time since which the router takes callers; zero while it does not.
+	ready time.Time
 }
 
 // registration is the value of a router's object.
@@ -83,7 +89,7 @@
 		for _, a := range to {
 			_, _ = sock.WriteToUDP(b, a) // the next beacon replaces a lost one
 		}
-		t.Reset(max(beaconFirst, time.Duration(len(to))*time.Second/beaconsMax))
+		t.Reset(interval(len(to)))
 	}
 }
 
@@ -95,14 +101,19 @@
 	if len(r.peers) == 0 {
 		return nil, nil
 	}
-	m := &wire.Beacon{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Prints: r.told(now)}
+	m := &wire.Beacon{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Prints: r.told(now), Admin: r.cfg.Admin, Linked: r.linked.Load(), Ready: r.Ready()}
 	if p := r.plan.Load(); p != nil {
 		m.Generation = p.Generation
 	}
 	for s, p := range r.pools {
-		for _, l := range p.Loads() {
+		rep := p.Report(now)
+		m.Demands = append(m.Demands, wire.BeaconDemand{Service: s, Mean: rep.Demand, Waiting: rep.Waiting})
+		for _, l := range rep.Loads {
 			m.Loads = append(m.Loads, wire.BeaconLoad{Service: s, Target: l.Target, Running: l.Running, Unread: l.Unread})
 		}
+		for _, t := range p.Down(now) {
+			m.Down = append(m.Down, wire.BeaconDown{Service: s, Target: t})
+		}
 	}
 	for a, n := range r.tally.Used() {
 		m.Used = append(m.Used, wire.BeaconUse{Account: a, Tokens: n})
@@ -142,29 +153,45 @@
 			r.log.Log(event.BadFrame, "peer", from, "error", err)
 			continue
 		}
-		r.merge(time.Now(), b)
+		r.merge(time.Now(), from, b)
 	}
 }
 
-// merge takes in the state of another router.
-func (r *Router) merge(now time.Time, b *wire.Beacon) {
+// merge takes in the state of another router. A router that has not read the registrations of the others
+// yet, because the store is away, learns of them from their beacons.
+func (r *Router) merge(now time.Time, from *net.UDPAddr, b *wire.Beacon) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p, ok := r.peers[b.Process]
-	if !ok || b.Boot < p.boot || b.Boot == p.boot && b.Seq <= p.seq {
+	if !ok && b.Process != r.cfg.Name {
+		p = &peer{addr: from}
+		r.peers[b.Process] = p
+	}
+	if p == nil || b.Boot < p.boot || b.Boot == p.boot && b.Seq <= p.seq {
 		return
 	}
+	p.generation, p.admin, p.linked = b.Generation, b.Admin, b.Linked
+	if !b.Ready {
+		p.ready = time.Time{}
+	} else if p.ready.IsZero() {
+		p.ready = now
+	}
 	if !p.up {
 		p.up = true
 		r.log.Log(event.PeerUp, "peer", b.Process, "boot", b.Boot, "generation", b.Generation)
 	}
 	p.boot, p.seq, p.heard = b.Boot, b.Seq, now
-	loads := map[ident.Service][]sched.Load{}
-	for _, l := range b.Loads {
-		loads[l.Service] = append(loads[l.Service], sched.Load{Target: l.Target, Running: l.Running, Unread: l.Unread})
+	reports := reportsOf(b)
+	for _, d := range b.Down {
+		if pool, ok := r.pools[d.Service]; ok {
+			pool.FoundDown(now, d.Target)
+		}
 	}
 	for s, pool := range r.pools {
-		pool.Merge(now, b.Process, loads[s])
+		rep := reports[s]
+		rep.From, rep.Region = b.Process, b.Region
+		pool.SetLag(interval(len(r.peers)))
+		pool.Merge(now, rep)
 		r.next(now, pool)
 	}
 	used := make(map[ident.AccountID]ident.Tokens, len(b.Used))
@@ -175,6 +202,25 @@
 	r.heard(now, b.Prints)
 }
 
+// reportsOf returns the reports in a beacon by service.
+func reportsOf(b *wire.Beacon) map[ident.Service]sched.Report {
+	out := map[ident.Service]sched.Report{}
+	for _, d := range b.Demands {
+		out[d.Service] = sched.Report{Demand: d.Mean, Waiting: d.Waiting}
+	}
+	for _, l := range b.Loads {
+		r := out[l.Service]
+		r.Loads = append(r.Loads, sched.Load{Target: l.Target, Running: l.Running, Unread: l.Unread})
+		out[l.Service] = r
+	}
+	return out
+}
+
+// interval returns the time between two beacons to each of n other routers.
+func interval(n int) time.Duration {
+	return max(beaconFirst, time.Duration(n)*time.Second/beaconsMax)
+}
+
 // known returns the number of routers that may be running, this one included; r.mu is held.
 func (r *Router) known(now time.Time) int {
 	n := 1
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -70,12 +70,30 @@
 	if f := c.read(w, p); f != nil {
 		return f
 	}
-	c.service = c.route.Service(float64(xxhash.Sum64String(string(c.ID))>>11) / (1 << 53))
+	if c.choose(); !r.fits(c) {
+		return retryAfter(fault.NotRunf(fault.Draining, "this process stops before the answer would end"), r.back(c.at))
+	}
 	c.print = ident.PrintOf(c.service, append([]byte(c.r.Method+" "+c.uri+" "+c.Key+"\n"), c.body...))
 	c.schedule()
 	return r.charge(c)
 }
 
+// choose chooses the service; the same request goes to the same one.
+func (c *call) choose() {
+	c.service = c.route.Service(float64(xxhash.Sum64String(string(c.ID))>>11) / (1 << 53))
+}
+
+// back returns the time until a process that stops is expected to run again.
+func (r *Router) back(now time.Time) time.Duration {
+	if end := r.end.Load(); end != nil {
+		return max(end.Sub(now), 0) + restartTime
+	}
+	return restartTime
+}
+
+// restartTime is the time in which the platform starts a process again and sends it callers.
+const restartTime = 2 * time.Second
+
 // identify finds the account of the caller's key.
 func (c *call) identify(p *route.Plan) *fault.Error {
 	if c.Key != "" {
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -100,15 +100,23 @@
 	regions   map[ident.DataCentre]ident.Region
 	conns     *conns
 	plan      atomic.Pointer[route.Plan]
-	// listed is true once the targets were read; stopping and closing mark the steps of a shutdown.
-	listed, stopping, closing atomic.Bool
-	running                   atomic.Int64
+	// listed is true once the targets were read. A shutdown begins with stopping; after rotated the balancer
+	// sends no new connections while others serve; after closing nothing is taken.
+	listed, stopping, rotated, closing atomic.Bool
+	// linked is true while the registrations of targets are read from the store.
+	linked  atomic.Bool
+	running atomic.Int64
+	// end is the end of the shutdown; nil before it begins.
+	end atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	pools   map[ident.Service]*sched.Pool
 	waits   map[*sched.Job]chan decision
 	fleet   *fleet.Fleet
 	targets map[ident.TargetID]fleet.Target
+	// config and objects are the objects of the store as read last, for other routers.
+	config  store.Object
+	objects map[string]store.Object
 	tally   *quota.Tally
 	retries map[ident.Service]*retry.Retry
 	guard   *guard.Guard
@@ -138,7 +146,7 @@
 		cfg: cfg, boot: ident.BootAt(now), store: st, catalogue: c, dialect: d, log: l, meter: m,
 		regions: map[ident.DataCentre]ident.Region{}, conns: newConns(),
 		pools: map[ident.Service]*sched.Pool{}, waits: map[*sched.Job]chan decision{}, fleet: fleet.New(),
-		targets: map[ident.TargetID]fleet.Target{}, tally: quota.NewTally(),
+		targets: map[ident.TargetID]fleet.Target{}, objects: map[string]store.Object{}, tally: quota.NewTally(),
 		retries: map[ident.Service]*retry.Retry{}, guard: guard.New(),
 		losses: map[ident.TargetID][]loss{}, peers: map[ident.ProcessID]*peer{},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
@@ -159,7 +167,7 @@
 func (r *Router) pool(s ident.Service) *sched.Pool {
 	p, ok := r.pools[s]
 	if !ok {
-		p = sched.New(r.cfg.Centre, r.cfg.Region)
+		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
 		r.pools[s] = p
 	}
 	return p
--- a/router/direct/events.go
+++ b/router/direct/events.go
@@ -47,5 +47,9 @@
 	}
 }
 
-// more reports whether more bytes were read already.
-func (e *events) more() bool { return e.r.Buffered() > 0 }
+// more reports whether a further whole event was read already. The beginning of one does not count: its rest
+// may take long.
+func (e *events) more() bool {
+	b, err := e.r.Peek(e.r.Buffered())
+	return err == nil && (bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n")))
+}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -14,6 +14,7 @@
 	"hickoryvane.example/core/group"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/retry"
+	"hickoryvane.example/core/route"
 )
 
 const (
@@ -26,6 +27,18 @@
 	// rotateTime is the time after the start of a shutdown in which the balancer stops sending new
 	// connections: two missed probes, one second apart, and some delay.
 	rotateTime = 2500 * time.Millisecond
+	// probeTime is the interval between two readiness probes of the balancer, with some delay.
+	probeTime = 1200 * time.Millisecond
+	// relieveEvery is the interval at which a stopping router looks for another one that takes callers.
+	relieveEvery = 100 * time.Millisecond
+	// closeMargin is the time before the end of a shutdown at which no request is taken any more, longer
+	// than a plain call takes.
+	closeMargin = time.Second
+	// plainTime bounds the time that a plain call is expected to take.
+	plainTime = time.Second
+	// fitTimes is the multiple of the expected length of a stream that has to fit into the shutdown;
+	// callers' estimates are exact at the median only.
+	fitTimes = 3
 	// exitMargin is the time before the end of the grace period at which the process ends.
 	exitMargin = 400 * time.Millisecond
 	// retryPart is the part of the retry budget that is used; the rest covers callers that reach a target
@@ -92,6 +105,7 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", r.meter.Handler())
+	mux.HandleFunc("GET "+snapshotPath, r.serveSnapshot)
 	for addr, h := range map[string]http.Handler{r.cfg.Ready: probe, r.cfg.Admin: mux} {
 		ln, err := admin.Listen(addr)
 		if err != nil {
@@ -109,6 +123,7 @@
 	}
 	g.Go(ctx, "beacons", r.beacons)
 	g.Go(ctx, "tick", r.tick)
+	g.Go(ctx, "relay", r.relay)
 	g.Go(ctx, "register", func(ctx context.Context) error {
 		_ = r.register(ctx)
 		<-ctx.Done()
@@ -116,15 +131,21 @@
 	})
 }
 
-// shutdown lets requests end. New ones are taken until the balancer sends none, then refused as not run.
+// shutdown lets requests end. New ones are taken until the balancer sends none, and then as far as they end
+// in time while no other router takes them.
 func (r *Router) shutdown(ctx context.Context, srv *http.Server) {
-	r.stopping.Store(true)
 	r.mu.Lock()
 	grace := r.cfg.Grace.Duration()
 	r.mu.Unlock()
-	r.log.Log(event.Stopping, "running", r.running.Load(), "grace", grace)
 	end := time.Now().Add(grace - exitMargin)
+	r.end.Store(&end)
+	r.stopping.Store(true)
+	r.log.Log(event.Stopping, "running", r.running.Load(), "grace", grace)
 	pause(ctx, min(rotateTime, grace/2))
+	r.rotated.Store(true)
+	for time.Until(end) > closeMargin && !r.relieved(time.Now()) {
+		pause(ctx, relieveEvery)
+	}
 	r.closing.Store(true)
 	sctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
@@ -133,6 +154,34 @@
 	}
 }
 
+// relieved reports whether another router takes callers, and has done so until the balancer knows.
+func (r *Router) relieved(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		if !p.ready.IsZero() && now.Sub(p.ready) >= probeTime && now.Sub(p.heard) < deafAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether a request that arrives during the shutdown can end in time.
+func (r *Router) fits(c *call) bool {
+	end := r.end.Load()
+	if end == nil || !r.rotated.Load() {
+		return true
+	}
+	if c.route.Kind != route.Stream {
+		return c.at.Add(min(c.patience(), plainTime)).Before(*end)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tokens := max(c.Hint, c.Output/4)
+	need, ok := r.pool(c.service).Duration(tokens, r.plan.Load().Services[c.service].Stride)
+	return ok && c.at.Add(fitTimes*need).Before(*end)
+}
+
 // Reload takes over the limits of changed settings. Addresses and names stay until the next start.
 func (r *Router) Reload(cfg conf.Direct) {
 	r.mu.Lock()
--- /dev/null
+++ b/router/direct/second_test.go
@@ -0,0 +1,43 @@
+package direct_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/meter"
+	"hickoryvane.example/core/store/memory"
+	"hickoryvane.example/router/direct"
+)
+
+// second starts another router whose store is away.
+func second(t *testing.T, w *world) *world {
+	g := NewWithT(t)
+	v := &world{g: g, store: memory.NewMemory(), cfg: w.cfg, done: make(chan error, 1), log: &safeBuffer{}}
+	v.store.Outage(true)
+	v.cfg.Name = "r2"
+	v.cfg.Listen, v.cfg.Ready, v.cfg.Admin, v.cfg.Beacon = freePort(g), freePort(g), freePort(g), freePort(g)
+	m, err := meter.New()
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := direct.New(v.cfg, v.store, catalogue{}, dialect{}, event.New(v.log, log.InfoLevel), m)
+	go func() { v.done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		g.Eventually(v.done, 6*time.Second).Should(Receive(BeNil()))
+	})
+	g.Eventually(v.log.String).Should(ContainSubstring("process started"))
+	time.Sleep(100 * time.Millisecond)
+	return v
+}
+
+// introduce registers another router in the store of w, as it did itself before an outage.
+func (w *world) introduce(v *world) {
+	w.put(direct.RoutersSort, string(v.cfg.Name), struct {
+		Address string `json:"address"`
+	}{v.cfg.Beacon})
+}
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -176,7 +176,8 @@
 	defer func() { r.conns.finish(x, whole) }()
 	switch {
 	case x.answer.NotRun || x.answer.Other:
-		v.end, v.outcome.Full = notRun, true
+		v.end, v.outcome.Full, v.outcome.Replaced = notRun, !x.answer.Other, x.answer.Other
+		v.err = errors.Errorf("status %d, not run", x.StatusCode)
 		_, err = io.Copy(io.Discard, io.LimitReader(x.Body, answerMax))
 		whole = err == nil
 	case c.route.Kind == route.Stream && x.StatusCode/100 == 2:
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -124,6 +124,7 @@
 	}
 	r.meter.Configure(accounts, services)
 	r.plan.Store(p)
+	r.config = o
 	r.log.Log(event.ConfigInForce, "generation", p.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services))
 	r.slots(p)
 }
@@ -151,16 +152,14 @@
 	return feed{
 		sort: r.catalogue.Targets(),
 		listed: func(l []store.Object) {
-			var list []fleet.Target
-			for _, o := range l {
-				if t, ok := r.target(o); ok {
-					list = append(list, t)
-				}
-			}
+			list := r.decode(l)
+			r.keep(l)
 			r.change(func(f *fleet.Fleet) []fleet.Event { return f.Listed(time.Now(), list) })
 			r.listed.Store(true)
+			r.linked.Store(true)
 		},
 		change: func(c store.Change) {
+			r.keepOne(c)
 			t, ok := fleet.Target{}, false
 			if !c.Deleted {
 				t, ok = r.target(c.Object)
@@ -173,6 +172,7 @@
 			})
 		},
 		away: func() {
+			r.linked.Store(false)
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.fleet.Away()
@@ -180,6 +180,16 @@
 	}
 }
 
+// decode returns the registrations that can be read.
+func (r *Router) decode(l []store.Object) (list []fleet.Target) {
+	for _, o := range l {
+		if t, ok := r.target(o); ok {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 func (r *Router) target(o store.Object) (fleet.Target, bool) {
 	t, err := r.catalogue.Target(o)
 	if err != nil {
--- /dev/null
+++ b/router/direct/world_test.go
@@ -0,0 +1,301 @@
+package direct_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/conf"
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/meter"
+	"hickoryvane.example/core/route"
+	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/store/memory"
+	"hickoryvane.example/router/direct"
+)
+
+// dialect is a small set of headers for tests.
+type dialect struct{}
+
+func (dialect) Call(h http.Header) direct.Call {
+	c := direct.Call{ID: ident.RequestID(h.Get("X-Id")), Key: h.Get("X-Key")}
+	if n, err := strconv.Atoi(h.Get("X-Left")); err == nil {
+		c.Deadline = time.Duration(n) * time.Millisecond
+	}
+	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
+		c.Sized, c.Prompt = true, ident.Tokens(n)
+	}
+	return c
+}
+
+func (dialect) Forward(h http.Header, f direct.Forward) {
+	h.Del("X-Key")
+	h.Set("X-Left", strconv.FormatInt(f.Left.Milliseconds(), 10))
+	h.Set("X-Target", string(f.Target))
+	if f.After != "" {
+		h.Set("Last-Event-Id", f.After)
+	}
+}
+
+func (dialect) Answer(status int, h http.Header) direct.Answer {
+	return direct.Answer{ID: ident.RequestID(h.Get("X-Id")), NotRun: h.Get("X-Refused") != "", Other: status == 421}
+}
+
+// catalogue reads plans and targets from JSON of their own types.
+type catalogue struct{}
+
+type config struct {
+	Generation ident.Generation
+	Routes     []route.Route
+	Accounts   []route.Account
+}
+
+func (catalogue) Config() (sort, name string) { return "config", "main" }
+func (catalogue) Targets() string             { return "targets" }
+
+func (catalogue) Plan(o store.Object) (*route.Plan, error) {
+	var c config
+	if err := json.Unmarshal(o.Value, &c); err != nil {
+		return nil, err
+	}
+	return route.New(c.Generation, c.Routes, nil, c.Accounts, route.Limits{}), nil
+}
+
+func (catalogue) Target(o store.Object) (t fleet.Target, err error) {
+	err = json.Unmarshal(o.Value, &t)
+	return t, err
+}
+
+// world is a router with a store in memory and scripted targets.
+type world struct {
+	g     *WithT
+	store *memory.Store
+	cfg   conf.Direct
+	stop  context.CancelFunc
+	done  chan error
+	log   *safeBuffer
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// freePort returns an address on which nothing listens.
+func freePort(g *WithT) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func routes() []route.Route {
+	share := []route.Share{{Service: "s", Weight: 1}}
+	r := func(name string, k route.Kind, attempts int, resume bool) route.Route {
+		return route.Route{
+			Name: ident.Route(name), Host: "h.example", Prefix: "/" + name + "/", Kind: k, Attempts: attempts, Resume: resume,
+			Timeout: 3 * time.Second, Aim: 300 * time.Millisecond, Gap: 100 * time.Millisecond, Shares: share, Public: true,
+		}
+	}
+	return []route.Route{
+		r("safe", route.Safe, 2, false), r("unsafe", route.Unsafe, 1, false),
+		r("stream", route.Stream, 1, false), r("resume", route.Stream, 2, true),
+	}
+}
+
+// start runs a router in front of the targets.
+func start(t *testing.T, targets ...*target) *world {
+	g := NewWithT(t)
+	w := &world{g: g, store: memory.NewMemory(), done: make(chan error, 1), log: &safeBuffer{}}
+	w.cfg = conf.Direct{
+		Name: "r1", Region: "a", Centre: "a1", Centres: []conf.Centre{{Name: "a1", Region: "a"}},
+		Listen: freePort(g), Ready: freePort(g), Admin: freePort(g), Beacon: freePort(g),
+		Grace: 1200, Ratio: 0.5, Spare: 20, Span: 10000, Stable: 3000,
+	}
+	w.put("config", "main", config{Generation: 1, Routes: routes()})
+	for _, x := range targets {
+		w.register(x, false)
+	}
+	m, err := meter.New()
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	r := direct.New(w.cfg, w.store, catalogue{}, dialect{}, event.New(w.log, log.InfoLevel), m)
+	go func() { w.done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		g.Eventually(w.done, 6*time.Second).Should(Receive(BeNil()))
+	})
+	w.ready()
+	return w
+}
+
+func (w *world) ready() {
+	w.g.Eventually(func() int {
+		res, err := http.Get("http://" + w.cfg.Ready + "/x")
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = res.Body.Close() }()
+		return res.StatusCode
+	}, 3*time.Second).Should(Equal(200))
+}
+
+func (w *world) put(sort, name string, v any) {
+	b, err := json.Marshal(v)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	ctx := context.Background()
+	old, err := w.store.Get(ctx, sort, name)
+	if err != nil {
+		_, err = w.store.Create(ctx, store.Object{Sort: sort, Name: name, Value: b})
+	} else {
+		_, err = w.store.Update(ctx, store.Object{Sort: sort, Name: name, Rev: old.Rev, Value: b})
+	}
+	w.g.Expect(err).NotTo(HaveOccurred())
+}
+
+func (w *world) register(x *target, leaving bool) {
+	w.put("targets", x.id, fleet.Target{
+		ID: ident.TargetID(x.id), Service: "s", Address: x.addr, Centre: "a1", Slots: 4, Leaving: leaving, Born: 1,
+	})
+}
+
+// answer is what a caller received.
+type answer struct {
+	code   int
+	header http.Header
+	body   string
+	err    error
+}
+
+var ids struct {
+	mu sync.Mutex
+	n  int
+}
+
+// ask sends one request on a connection of its own.
+func (w *world) ask(method, path, body string, header ...string) answer {
+	ids.mu.Lock()
+	ids.n++
+	id := fmt.Sprint("id", ids.n)
+	ids.mu.Unlock()
+	req, err := http.NewRequest(method, "http://"+w.cfg.Listen+path, strings.NewReader(body))
+	w.g.Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Left", "3000")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	res, err := c.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return answer{code: res.StatusCode, header: res.Header, body: string(b), err: err}
+}
+
+// target is a scripted target. script is called for each request read, with the connection.
+type target struct {
+	id, addr string
+	mu       sync.Mutex
+	seen     []*http.Request
+	bodies   []string
+	conns    int
+}
+
+// serve makes a target that calls script for each request; it closes the connection when script says so.
+func serve(t *testing.T, id string, script func(n int, r *http.Request, c net.Conn) (more bool)) *target {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	x := &target{id: id, addr: ln.Addr().String()}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			x.mu.Lock()
+			x.conns++
+			x.mu.Unlock()
+			go x.talk(c, script)
+		}
+	}()
+	return x
+}
+
+func (x *target) talk(c net.Conn, script func(int, *http.Request, net.Conn) bool) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		b, _ := io.ReadAll(req.Body)
+		x.mu.Lock()
+		x.seen = append(x.seen, req)
+		x.bodies = append(x.bodies, string(b))
+		n := len(x.seen)
+		x.mu.Unlock()
+		if !script(n, req, c) {
+			return
+		}
+	}
+}
+
+func (x *target) requests() []*http.Request {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return append([]*http.Request(nil), x.seen...)
+}
+
+// say writes an answer with a length.
+func say(c net.Conn, r *http.Request, status int, body string, header ...string) bool {
+	h := ""
+	for i := 0; i+1 < len(header); i += 2 {
+		h += header[i] + ": " + header[i+1] + "\r\n"
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Id"), h, len(body), body)
+	return err == nil
+}
+
+// head begins a stream in chunks.
+func head(c net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+}
+
+func chunk(c net.Conn, s string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+
+func ev(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
