Short requests pass long ones of their class; expected waits of starved classes

Cause: lengths differ a hundredfold, and in a burst many short requests were refused in the time of a long one; a class without recent starts was told to come back within 1 s, in the middle of the burst. Change: a job is put off by a tenth of its expected length, 0.3 s at most; the expected wait of a starved class assumes 0.2 starts/s; late requests wait a quarter of their time; the first waiting job of a pool without recent starts is not refused for that.

--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -25,10 +25,14 @@
 	// Begun is true when a part of the answer was delivered; the job goes first and is never refused
 	// before End.
 	Begun bool
-	// Prompt and Output are the expected sizes; both zero for plain services.
+	// Prompt and Output are the expected sizes; both zero for plain services. Stride is the number of tokens
+	// in an event.
 	Prompt, Output ident.Tokens
+	Stride         int
 	// Avoid lists targets that failed the request.
 	Avoid []ident.TargetID
+	// turn is the arrival, put off for long jobs; see wait.go.
+	turn time.Time
 }
 
 // Target is a member of the pool.
@@ -131,6 +135,7 @@
 
 // Add makes a job wait.
 func (p *Pool) Add(j *Job) {
+	j.turn = j.At.Add(p.putOff(j))
 	p.waiting = append(p.waiting, j)
 }
 
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -395,3 +395,44 @@
 	g.Expect(p.Down(at(3))).To(Equal([]ident.TargetID{"t1"}))
 	g.Expect(p.Down(at(1000))).To(BeEmpty())
 }
+
+// Load pattern: a quiet pool whose slots are all taken by long streams. Guards against the refusal of a
+// request that only has to wait for the next slot.
+func TestFirstWaitingJobIsNotRefusedForLackOfStarts(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 1)
+	p.Add(job("long", 0, 0, 0))
+	p.Next(at(0))
+	p.Add(job("next", 5000, 0, 0))
+	_, refused := p.Next(at(5000))
+	g.Expect(refused).To(BeEmpty())
+}
+
+// Load pattern: drafts of very different lengths beyond the capacity. Guards against many short requests
+// that wait for one long one, and against long ones that are never served.
+func TestShortRequestsPassLongOnes(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(1, 1)
+	first := job("first", 0, 0, 0)
+	p.Add(first)
+	p.Next(at(0))
+	p.First(at(50), "t0", first)
+	p.Done(at(1000), "t0", first, sched.Outcome{Gap: 25 * time.Millisecond})
+	p.Add(job("taken", 1000, 0, 0))
+	p.Next(at(1000))
+	add := func(id string, ms int, tokens ident.Tokens) {
+		j := job(id, ms, 0, 0)
+		j.Output, j.Stride, j.Due, j.End = tokens, 6, at(9000), at(9000)
+		p.Add(j)
+	}
+	add("long", 1000, 3000)
+	add("short", 1100, 6)
+	add("later short", 1500, 6)
+	var order []string
+	for ms := 1600; ms < 1900; ms += 100 {
+		p.Put(sched.Target{ID: ident.TargetID(fmt.Sprint("n", ms)), Centre: "a1", Region: "a", Slots: 1}, true)
+		placed, _ := p.Next(at(ms))
+		order = append(order, ids(placed)...)
+	}
+	g.Expect(order).To(Equal([]string{"short", "long", "later short"}))
+}
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -13,7 +13,7 @@
 const (
 	// patience is the part of a caller's time for which a late request waits: the caller can use the rest
 	// for a second try and for the answer itself.
-	patience = 0.125
+	patience = 0.25
 	// afterMin and afterMax bound the time after which a caller may come back. The lower bound is a few
 	// network round trips, the upper one the longest overload that is expected to pass by itself.
 	afterMin = 100 * time.Millisecond
@@ -24,7 +24,7 @@
 	// burst, and long enough for some starts.
 	rateSpan  = 20
 	rateStep  = 100 * time.Millisecond
-	startsMin = 1.0
+	startsMin = 0.2
 )
 
 // refuse decides whether a job that found no target is turned away. ahead jobs go first, same of them of
@@ -47,7 +47,8 @@
 }
 
 // expected estimates the time until a job is placed. Behind jobs of higher classes, of which more arrive
-// all the time, a class gets only what these leave, which is the rate of its recent starts.
+// all the time, a class gets only what these leave, which is the rate of its recent starts. The first class
+// of a pool without recent starts waits for the next slot, of which nothing is known.
 func (p *Pool) expected(now time.Time, k class, ahead, same int) time.Duration {
 	n, starts := ahead+1, p.starts.perSecond(now)
 	if ahead > same {
@@ -55,6 +56,8 @@
 		if r := p.classes[k]; r != nil {
 			starts = r.perSecond(now)
 		}
+	} else if starts == 0 {
+		return 0
 	}
 	return time.Duration(float64(n) / max(starts, startsMin) * float64(time.Second))
 }
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -12,7 +12,25 @@
 //
 // Load pattern: a burst of all kinds above what the targets run. A request that can still be answered on
 // time is worth more to its caller than one that is late in any case, so late requests use what the others
-// leave. Among requests of the same chance, the higher tier goes first, then the earlier arrival.
+// leave. Among requests of the same chance, the higher tier goes first, then the earlier arrival. A request
+// that will take long lets shorter ones of its class pass for a part of that time: lengths differ a
+// hundredfold, and many short requests are answered in the time of a long one. The part is small, so that
+// long requests are served about as often as others.
+
+const (
+	// lengthPart is the part of its expected length by which a job is put off, and putOffMax the bound.
+	lengthPart = 0.1
+	putOffMax  = 300 * time.Millisecond
+)
+
+// putOff returns the time for which a job lets others of its class pass.
+func (p *Pool) putOff(j *Job) time.Duration {
+	d, ok := p.Duration(j.Output, j.Stride)
+	if !ok {
+		return 0
+	}
+	return min(time.Duration(lengthPart*float64(d)), putOffMax)
+}
 
 // class is what decides the order of waiting jobs before their arrival does. Lower values go first.
 type class struct {
@@ -40,7 +58,7 @@
 // sort brings the waiting jobs into the order in which they are placed.
 func (p *Pool) sort(now time.Time, need time.Duration) {
 	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
-		return cmp.Or(classOf(now, need, a).compare(classOf(now, need, b)), a.At.Compare(b.At))
+		return cmp.Or(classOf(now, need, a).compare(classOf(now, need, b)), a.turn.Compare(b.turn))
 	})
 }
 
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -74,7 +74,7 @@
 		return retryAfter(fault.NotRunf(fault.Draining, "this process stops before the answer would end"), r.back(c.at))
 	}
 	c.print = ident.PrintOf(c.service, append([]byte(c.r.Method+" "+c.uri+" "+c.Key+"\n"), c.body...))
-	c.schedule()
+	c.schedule(p)
 	return r.charge(c)
 }
 
@@ -145,7 +145,7 @@
 }
 
 // schedule makes the job of the request.
-func (c *call) schedule() {
+func (c *call) schedule(p *route.Plan) {
 	c.end = c.at.Add(c.patience())
 	tier := c.route.Tier
 	if c.account != nil && c.account.Ranked {
@@ -155,7 +155,16 @@
 	if c.route.Aim <= 0 || due.After(c.end) {
 		due = c.end
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, Rank: c.route.Tier, At: c.at, Due: due, End: c.end, Prompt: c.Prompt, Output: c.Output}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, Rank: c.route.Tier, At: c.at, Due: due, End: c.end, Prompt: c.Prompt, Output: c.length(), Stride: p.Services[c.service].Stride}
+}
+
+// length returns the expected tokens of the answer. Callers' estimates are exact at the median; answers are
+// much shorter than the largest length that callers allow.
+func (c *call) length() ident.Tokens {
+	if c.Hint > 0 {
+		return c.Hint
+	}
+	return c.Output / 4
 }
 
 // charge takes the request's tokens from its account and looks for a fingerprint that crashes targets.
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -177,8 +177,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	tokens := max(c.Hint, c.Output/4)
-	need, ok := r.pool(c.service).Duration(tokens, r.plan.Load().Services[c.service].Stride)
+	need, ok := r.pool(c.service).Duration(c.length(), r.plan.Load().Services[c.service].Stride)
 	return ok && c.at.Add(fitTimes*need).Before(*end)
 }
 
