--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -30,8 +30,9 @@
 func (p *Pool) choose(now time.Time, j *Job) (best *target, expected time.Duration) {
 	var bestScore time.Duration
 	bestRank := 0
+	avoid := p.avoids(j)
 	for _, t := range p.order {
-		if t.leaving || now.Before(t.rest) || !p.open(now, t) {
+		if t.leaving || now.Before(t.rest) || avoid && slices.Contains(j.Avoid, t.ID) || !p.open(now, t) {
 			continue
 		}
 		rank := p.doubt(now, t, j)
@@ -44,15 +45,26 @@
 	return best, expected
 }
 
-// doubt ranks targets by what speaks against them: 0 nothing, 1 silence, 2 an earlier failure of the job,
-// 3 a registration that is missing.
+// avoids reports whether the job waits for another target rather than go back to one that failed it: unless
+// all have.
+func (p *Pool) avoids(j *Job) bool {
+	for _, t := range p.order {
+		if !t.leaving && !t.doubted && !slices.Contains(j.Avoid, t.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// doubt ranks targets by what speaks against them: 0 nothing, 1 that the answer would end too late there, 2
+// silence, 3 a registration that is missing.
 func (p *Pool) doubt(now time.Time, t *target, j *Job) int {
 	switch {
 	case t.doubted:
 		return 3
-	case slices.Contains(j.Avoid, t.ID):
-		return 2
 	case t.silent(now):
+		return 2
+	case t.gap > 0 && j.Stride > 0 && now.Add(t.expected(j)+t.gap*time.Duration(int64(j.Output)/int64(j.Stride))).After(j.End):
 		return 1
 	}
 	return 0
--- a/hickoryvane/tool.go
+++ b/hickoryvane/tool.go
@@ -58,6 +58,7 @@
 	{"show", "show [FLAGS]", "show the accepted generation and the state of each process", showVerb},
 	{"moves", "moves [FLAGS]", "show the moves and their recorded ends", movesVerb},
 	{"replay", "replay TRACE", "replay a recorded trace", replayVerb},
+	{"story", "story ID LOG...", "print what logs say of a request", storyVerb},
 	{"version", "version", "print the version of the program", versionVerb},
 }
 
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -222,7 +222,7 @@
 }
 
 // finish keeps the connection after the whole answer was read; whole tells so.
-func (k *conns) finish(x *exchange, whole bool) {
+func (c *conns) finish(x *exchange, whole bool) {
 	sent := false
 	select {
 	case err := <-x.written:
@@ -231,7 +231,7 @@
 	}
 	framed := x.ContentLength >= 0 || len(x.TransferEncoding) > 0
 	if whole && sent && framed && !x.Close && x.conn.r.Buffered() == 0 && x.stop() {
-		k.put(x.conn)
+		c.put(x.conn)
 		return
 	}
 	x.close()
