--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -14,10 +14,10 @@
 	// patience is the part of a caller's time for which a late request waits: the caller can use the rest
 	// for a second try and for the answer itself.
 	patience = 0.25
-	// afterMin and afterMax bound the time after which a caller may come back. The lower bound is a few
+	// afterFloor and afterCap bound the time after which a caller may come back. The lower bound is a few
 	// network round trips, the upper one the longest overload that is expected to pass by itself.
-	afterMin = 100 * time.Millisecond
-	afterMax = 10 * time.Second
+	afterFloor = 100 * time.Millisecond
+	afterCap   = 10 * time.Second
 	// endMargin is the time before End at which a waiting job is given up, so that its refusal arrives.
 	endMargin = 100 * time.Millisecond
 	// rateSpan is the span over which starts are counted, in steps of rateStep. It is shorter than a
@@ -34,7 +34,7 @@
 	if now.Add(endMargin).Before(j.End) && (j.Begun || !now.Add(expected).After(j.limit())) {
 		return r, false
 	}
-	return Refusal{Job: j, Ahead: ahead, Expected: expected, After: min(max(expected, afterMin), afterMax)}, true
+	return Refusal{Job: j, Ahead: ahead, Expected: expected, After: min(max(expected, afterFloor), afterCap)}, true
 }
 
 // limit returns the time until which the job may wait.
