--- /dev/null
+++ b/core/moves/busy_test.go
@@ -0,0 +1,47 @@
+package moves_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/wire"
+)
+
+// busy returns evidence of a machine on which answers of both versions take slow times as long after two
+// minutes, when the old version has few requests left.
+func busy(now time.Time, slow float64) (out []wire.Fact) {
+	for _, v := range []ident.Version{"v1", "v2"} {
+		r := moves.NewRecorder(v, "c", start)
+		add := func(at time.Time, n int, took float64) {
+			for range n {
+				r.Add(at, moves.Outcome{Route: "ask", Took: time.Duration(took * float64(time.Millisecond))})
+			}
+		}
+		if v == "v1" {
+			add(start, 60, 100)
+			add(now, 3, 100*slow)
+		} else {
+			add(start, 3, 100)
+			add(now, 40, 100*slow)
+		}
+		out = append(out, wire.Fact{Sort: "evidence", Key: string(v), Value: r.Value()})
+	}
+	return out
+}
+
+// Guards against a good version that is taken back as slow because its machine became busy while the old
+// version had too few requests to compare with, and against a slow one that passes for that reason.
+func TestBusyMachineIsNotTheNewVersion(t *testing.T) {
+	g := NewWithT(t)
+	now := start.Add(2 * time.Minute)
+	bad := func(slow float64) bool {
+		return moves.Judge(moves.Gather(now, busy(now, slow), "v1", "v2"), moves.Plan{Classes: []ident.Class{"c"}, Window: window}).Bad
+	}
+	g.Expect(bad(1)).To(BeFalse())
+	g.Expect(bad(1.8)).To(BeFalse())
+	g.Expect(bad(4)).To(BeTrue())
+}
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -27,10 +27,11 @@
 	marginAdd   = 0.02
 )
 
-// loadBins raises the bin from which an answer is slow while the new version has nearly all requests: by two
-// bins, a factor of 2. The new version's targets then carry the load of both versions. Without it, a
-// good version was taken back in the recorded trace brunner-good-outage, where the end could not be recorded
-// for 13 min at the full stage.
+// loadBins raises the bin from which an answer is slow in spans without control: by two bins, a factor of 2.
+// Whatever slows both versions down, such as a busy machine or the load of both on the new one's targets,
+// shows on the new version only in such a span. Without it, a good version was taken back in the recorded
+// trace brunner-good-outage, where the end could not be recorded for 13 min at the full stage, and in moves
+// with few requests on a machine that became busy.
 const loadBins = 2
 
 // ratios are the odds ratios tested for. A rate that is less than about twice the old one drives no
@@ -40,12 +41,15 @@
 // events are the trials and events of both versions in one span.
 type events struct{ oldN, oldX, newN, newX float64 }
 
+// controlled reports whether the old version had enough requests in the span to compare with.
+func (e events) controlled() bool { return e.oldN >= max(controlMin, controlPart*e.newN) }
+
 // step returns the log likelihood ratio of one span for an odds ratio.
 func step(e events, theta, base float64) float64 {
 	if e.newN == 0 {
 		return 0
 	}
-	if e.oldN < max(controlMin, controlPart*e.newN) {
+	if !e.controlled() {
 		q := min(marginRatio*base+marginAdd, 0.9)
 		return binomial(e.newX, e.newN-e.newX, q, shift(q, theta))
 	}
@@ -117,7 +121,7 @@
 	}
 	for _, s := range ev.spans(k) {
 		e := ev.cells[k][s].slow(bin)
-		if e.oldN < controlPart*e.newN {
+		if !e.controlled() {
 			e = ev.cells[k][s].slow(min(bin+loadBins, binCount-1))
 		}
 		all = append(all, e)
