--- a/core/route/route.go
+++ b/core/route/route.go
@@ -83,8 +83,6 @@
 	Name ident.Service
 	// Slots is the number of requests that each target runs at a time; zero when each target declares it.
 	Slots int
-	// Conns is the number of connections that each target accepts from all routers.
-	Conns int
 	// Stride is the number of tokens in one event of a stream; zero for plain services.
 	Stride int
 }
@@ -105,9 +103,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	Header, Body ident.Bytes
-	// Idle is the time for which a connection may rest.
-	Idle time.Duration
+	// Body is the largest body of a request; zero if none is declared.
+	Body ident.Bytes
 }
 
 // Plan is one configuration. It is not changed after New.
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -47,9 +47,6 @@
 	return r
 }
 
-// Loads returns what this router has at the targets, without targets that have nothing.
-func (p *Pool) Loads() []Load { return p.Report(p.averaged).Loads }
-
 // downTold is the time for which other routers are told that a target was found down; each of them then
 // leaves it alone for as long.
 const downTold = 400 * time.Millisecond
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -127,7 +127,7 @@
 	placed, _ := p.Next(at(1))
 	g.Expect(placed).To(HaveLen(1))
 	g.Expect(placed[0].Others).To(Equal(3))
-	g.Expect(p.Loads()).To(Equal([]sched.Load{{Target: "t0", Running: 1}}))
+	g.Expect(p.Report(at(0)).Loads).To(Equal([]sched.Load{{Target: "t0", Running: 1}}))
 }
 
 // Guards against slots that stay taken by a router that is gone.
@@ -164,7 +164,7 @@
 		g.Expect(d.Target).NotTo(Equal(busy))
 	}
 	p.First(at(400), busy, long) // the prompt is read now
-	loads := p.Loads()
+	loads := p.Report(at(0)).Loads
 	for _, l := range loads {
 		if l.Target == busy {
 			g.Expect(l.Unread).To(BeZero())
@@ -239,7 +239,7 @@
 	placed, _ = p.Next(at(1))
 	g.Expect(placed).To(BeEmpty())
 	p.Done(at(2), "t0", a, sched.Outcome{})
-	g.Expect(p.Loads()).To(BeEmpty())
+	g.Expect(p.Report(at(0)).Loads).To(BeEmpty())
 }
 
 // Guards against a missing registration that takes requests while others have room.
--- a/router/direct/beacon.go
+++ b/router/direct/beacon.go
@@ -24,11 +24,10 @@
 	beaconsMax  = 100
 	// beaconSize bounds a datagram, in bytes.
 	beaconSize = 60_000
-	// deafAfter is the silence after which a router counts as lost in log lines, and as gone for the retry
-	// budget after peerKeep. The registration of a router that is silent for peerForget is deleted.
-	deafAfter  = time.Second
-	peerKeep   = 30 * time.Second
-	peerForget = 60 * time.Second
+	// deafAfter is the silence after which a router counts as lost in log lines, and peerKeep that after
+	// which it no longer takes a part of the retry budget: the platform starts a process again sooner.
+	deafAfter = time.Second
+	peerKeep  = 30 * time.Second
 	// quietEvery thins beacons to a router that is silent: one in quietEvery is sent.
 	quietEvery = 10
 )
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -25,7 +25,7 @@
 	restStrict = 200 * time.Millisecond
 	// restMax is the same for requests that may be repeated, below the shortest timeout that targets use.
 	restMax = 900 * time.Millisecond
-	// headMax bounds the buffered head of an answer, in bytes.
+	// readBuffer is the buffer for the answers on a connection, in bytes; heads and most events fit in.
 	readBuffer = 8 << 10
 	// inlineBody is the largest body that is written before the answer is read. It fits into the socket's
 	// buffer, so a target that does not read cannot block the write.
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -294,7 +294,9 @@
 		fields = append(fields, "error", v.err)
 	}
 	r.log.Log(event.Ended, fields...)
-	r.meter.FirstToken(c.job.Tier, c.name(), c.service, v.sent.Add(v.first).Sub(c.at))
+	if v.first > 0 {
+		r.meter.FirstToken(c.job.Tier, c.name(), c.service, v.sent.Add(v.first).Sub(c.at))
+	}
 	switch {
 	case v.end == delivered:
 		if v.sent.Add(v.first).Sub(c.at) <= c.route.Aim {
