Settings take fractions; the hold of removed registrations follows the bound

A bound of less than 2.4 s for removed targets would have been broken by the hold of 2 s. Ruled out: rounding in the template, which cannot compute. Change: numbers of the settings are fractions with wide limits; fleet.Within shortens the hold.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -1,6 +1,10 @@
 package conf
 
-import "hickoryvane.example/core/ident"
+import (
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
 
 // Router holds the settings of a router.
 type Router struct {
@@ -52,18 +56,26 @@
 	// Store is the address of the platform's store.
 	Store string `json:"store" need:"yes" form:"address"`
 	// Memory is the memory that the process may use.
-	Memory int `json:"memory" unit:"MB" need:"yes" limit:"32..65536"`
+	Memory float64 `json:"memory" unit:"MB" need:"yes" limit:"32..1048576"`
 	// Grace is the time between SIGTERM and SIGKILL.
-	Grace Millis `json:"grace" unit:"ms" default:"8000" limit:"500..600000"`
+	Grace float64 `json:"grace" unit:"s" need:"yes" limit:"0..3600"`
+	// Drain is the time within which a target whose registration is gone gets no request any more.
+	Drain float64 `json:"drain" unit:"ms" need:"yes" limit:"0..3600000"`
 	// Stable is the time after a disturbance from which changes have to be in force in time again. A lost
 	// call of the store has to be noticed within it.
-	Stable Millis `json:"stable" unit:"ms" default:"3000" limit:"1500..600000"`
+	Stable float64 `json:"stable" unit:"ms" need:"yes" limit:"0..3600000"`
 	// Ratio and Spare limit the repeats of all routers within Span: Ratio times the requests plus Spare.
-	Ratio float64 `json:"ratio" need:"yes" limit:"0..1"`
-	Spare int     `json:"spare" unit:"repeats" default:"0" limit:"0..100000"`
-	Span  Millis  `json:"span" unit:"ms" default:"10000" limit:"1000..600000"`
+	Ratio float64 `json:"ratio" need:"yes" limit:"0..100"`
+	Spare float64 `json:"spare" unit:"repeats" need:"yes" limit:"0..1000000"`
+	Span  float64 `json:"span" unit:"s" need:"yes" limit:"0..3600"`
 }
 
+// Seconds returns the duration of a number of seconds.
+func Seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+// Milliseconds returns the duration of a number of milliseconds.
+func Milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
 // Centre is a data centre.
 type Centre struct {
 	Name   ident.DataCentre `json:"name" need:"yes" form:"name"`
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,6 +14,10 @@
 // before its removals arrive, so every removal that was not announced is held that long.
 const Return = 2 * time.Second
 
+// margin is the part of the time within which a removed target gets no more requests that is left for the
+// way of the removal to the router, and of requests to the target.
+const margin = 400 * time.Millisecond
+
 // Target is the registration of one target.
 type Target struct {
 	ID      ident.TargetID
@@ -63,6 +67,9 @@
 	// away is true while the store cannot be reached; back is the time of the last return.
 	away bool
 	back time.Time
+	// hold is the time for which a removal without notice is held: Return, or less if the bound for removed
+	// targets allows no more.
+	hold time.Duration
 }
 
 type entry struct {
@@ -71,8 +78,22 @@
 	missing time.Time
 }
 
+// Option sets one property of a Fleet.
+type Option func(*Fleet)
+
+// Within sets the time within which a removed target gets no more requests.
+func Within(d time.Duration) Option {
+	return func(f *Fleet) { f.hold = min(Return, max(d-margin, 0)) }
+}
+
 // New returns a fleet without targets.
-func New() *Fleet { return &Fleet{targets: map[ident.TargetID]*entry{}} }
+func New(opts ...Option) *Fleet {
+	f := &Fleet{targets: map[ident.TargetID]*entry{}, hold: Return}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
 
 // Away records that the store cannot be reached.
 func (f *Fleet) Away() { f.away = true }
@@ -140,7 +161,7 @@
 		return nil
 	}
 	for _, id := range f.ids() {
-		if e := f.targets[id]; !e.missing.IsZero() && now.Sub(e.missing) >= Return {
+		if e := f.targets[id]; !e.missing.IsZero() && now.Sub(e.missing) >= f.hold {
 			delete(f.targets, id)
 			out = append(out, Event{e.Target, Gone})
 		}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -90,3 +90,13 @@
 	g.Expect(f.Listed(at(0), []fleet.Target{o})).To(HaveLen(2))
 	g.Expect(f.Len()).To(Equal(1))
 }
+
+// Guards against a removed target that is held longer than the bound of its deployment allows.
+func TestHoldFollowsTheBound(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Within(1500 * time.Millisecond))
+	f.Put(target(false))
+	f.Drop(at(0), "t")
+	g.Expect(f.Expire(at(1000))).To(BeEmpty())
+	g.Expect(changes(f.Expire(at(1100)))).To(Equal([]fleet.Change{fleet.Gone}))
+}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -145,7 +145,7 @@
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), store: st, catalogue: c, dialect: d, log: l, meter: m,
 		regions: map[ident.DataCentre]ident.Region{}, conns: newConns(),
-		pools: map[ident.Service]*sched.Pool{}, waits: map[*sched.Job]chan decision{}, fleet: fleet.New(),
+		pools: map[ident.Service]*sched.Pool{}, waits: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.Within(conf.Milliseconds(cfg.Drain))),
 		targets: map[ident.TargetID]fleet.Target{}, objects: map[string]store.Object{}, tally: quota.NewTally(),
 		retries: map[ident.Service]*retry.Retry{}, guard: guard.New(),
 		losses: map[ident.TargetID][]loss{}, peers: map[ident.ProcessID]*peer{},
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -44,6 +44,8 @@
 	// retryPart is the part of the retry budget that is used; the rest covers callers that reach a target
 	// twice by themselves.
 	retryPart = 0.8
+	// spanLeast is the shortest time in which repeats are counted.
+	spanLeast = time.Second
 )
 
 // Run serves until stop ends, then shuts down gracefully. Errors of listening are returned.
@@ -135,7 +137,7 @@
 // in time while no other router takes them.
 func (r *Router) shutdown(ctx context.Context, srv *http.Server) {
 	r.mu.Lock()
-	grace := r.cfg.Grace.Duration()
+	grace := conf.Seconds(r.cfg.Grace)
 	r.mu.Unlock()
 	end := time.Now().Add(grace - exitMargin)
 	r.end.Store(&end)
@@ -187,7 +189,7 @@
 	defer r.mu.Unlock()
 	r.cfg.Grace, r.cfg.Ratio, r.cfg.Spare, r.cfg.Span = cfg.Grace, cfg.Ratio, cfg.Spare, cfg.Span
 	clear(r.retries) // they are made anew with the new limits
-	r.log.Log(event.Reloaded, "grace", cfg.Grace.Duration(), "ratio", cfg.Ratio, "spare", cfg.Spare, "span", cfg.Span.Duration())
+	r.log.Log(event.Reloaded, "grace", conf.Seconds(cfg.Grace), "ratio", cfg.Ratio, "spare", cfg.Spare, "span", conf.Seconds(cfg.Span))
 }
 
 // request counts a request for the retry budget.
@@ -202,7 +204,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.retry(s)
-	b.SetSlack(retryPart * float64(r.cfg.Spare) / float64(r.known(now)))
+	b.SetSlack(retryPart * r.cfg.Spare / float64(r.known(now)))
 	_, ok := b.Allow(now, 1)
 	return ok
 }
@@ -211,7 +213,7 @@
 func (r *Router) retry(s ident.Service) *retry.Retry {
 	b, ok := r.retries[s]
 	if !ok {
-		b = retry.New(r.rnd, retry.WithShare(retryPart*r.cfg.Ratio), retry.WithSpan(r.cfg.Span.Duration()))
+		b = retry.New(r.rnd, retry.WithShare(retryPart*r.cfg.Ratio), retry.WithSpan(max(conf.Seconds(r.cfg.Span), spanLeast)))
 		r.retries[s] = b
 	}
 	return b
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -137,7 +137,7 @@
 	w.cfg = conf.Direct{
 		Name: "r1", Region: "a", Centre: "a1", Centres: []conf.Centre{{Name: "a1", Region: "a"}},
 		Listen: freePort(g), Ready: freePort(g), Admin: freePort(g), Beacon: freePort(g),
-		Grace: 1200, Ratio: 0.5, Spare: 20, Span: 10000, Stable: 3000,
+		Grace: 1.2, Drain: 2500, Ratio: 0.5, Spare: 20, Span: 10, Stable: 3000,
 	}
 	w.put("config", "main", config{Generation: 1, Routes: routes()})
 	for _, x := range targets {
