Tests: stopped processes are in a group of their own

The kernel sends SIGHUP and SIGCONT to the stopped processes of a group that becomes orphaned, and the shell that had begun the run ended at that moment. Ruled out: load: a run whose shell ends while the agent is frozen fails in the same way at a lower load. Change: the processes that tests start get a process group of their own; the check is unchanged.

--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -42,8 +42,9 @@
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(filepath.Join(binDir, s.program), s.args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	// The kernel ends the process when the test binary dies, so that none is left behind.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The kernel ends the process when the test binary dies, so that none is left behind. A group of its own
+	// keeps the kernel from sending SIGHUP to a stopped process when the shell that began the tests ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err = p.cmd.Start(); err != nil {
 		return nil, err
 	}
