Tests: each address is given once

The settings kept in its folder show 127.0.0.1:45565 as the readiness address of r1 and the listening address of r2: the kernel gave the port twice, because it was free again between the two calls. Ruled out: a fault of the router (no log names the request; the probe answers 200 without a body). The checks are unchanged.

--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -23,6 +23,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/meter"
+	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/store/memory"
@@ -110,10 +111,9 @@
 
 // freePort returns an address on which nothing listens.
 func freePort(g *WithT) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := prop.FreeAddr()
 	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return addr
 }
 
 func routes() []route.Route {
