Moves of seconds for routers without agents

Cause: orders of moves (contract of the platform's roll-outs) were not served: a version that registers beside the old one got its part of the requests by the number of its targets, bad or not, and no state was recorded. The machine of core/moves works in epochs of 20 s by the wall clock, and the platform's example lasts 12 s on clocks that step.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -68,6 +68,10 @@
 	Ratio float64 `json:"ratio" need:"yes" limit:"0..100"`
 	Spare float64 `json:"spare" unit:"repeats" need:"yes" limit:"0..1000000"`
 	Span  float64 `json:"span" unit:"s" need:"yes" limit:"0..3600"`
+	// Expose and Leeway limit the requests of a version on trial between the order of a move and its
+	// deadline: Expose times the requests for the service plus Leeway.
+	Expose float64 `json:"expose" default:"0.1" limit:"0..1"`
+	Leeway float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
 }
 
 // Seconds returns the duration of a number of seconds.
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -45,6 +45,8 @@
 	MoveStage       ID = 601
 	MoveBad         ID = 602
 	MoveEnded       ID = 603
+	MoveOrdered     ID = 604
+	MoveInvalid     ID = 605
 	LeaseTaken      ID = 701
 	LeaseLost       ID = 702
 	OrderSent       ID = 703
@@ -92,6 +94,8 @@
 	{MoveStage, log.InfoLevel, "move changed its share"},
 	{MoveBad, log.WarnLevel, "version judged bad"},
 	{MoveEnded, log.InfoLevel, "move ended"},
+	{MoveOrdered, log.InfoLevel, "move ordered"},
+	{MoveInvalid, log.WarnLevel, "order of a move cannot be read"},
 	{LeaseTaken, log.InfoLevel, "lease acquired"},
 	{LeaseLost, log.WarnLevel, "lease lost"},
 	{OrderSent, log.InfoLevel, "order sent to target"},
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,6 +32,8 @@
 	Leaving bool
 	// Born is the start of the target's process; a later one knows nothing of what came before.
 	Born ident.Boot
+	// Cold is the time for which the target is still slow after its start, as stated when it registered.
+	Cold time.Duration
 }
 
 // Change says what happened to a target.
@@ -127,6 +129,9 @@
 		return []Event{{t, Up}}
 	}
 	old, back := e.Target, !e.missing.IsZero()
+	if t.Born == old.Born {
+		t.Cold = old.Cold // it only passes
+	}
 	e.Target, e.missing = t, time.Time{}
 	switch {
 	case t.Leaving && !old.Leaving:
--- a/core/moves/evidence.go
+++ b/core/moves/evidence.go
@@ -29,6 +29,9 @@
 	cells map[cell]map[span]*pair
 	// bad counts malformed facts that were left out.
 	bad int
+	// uneven is true when the targets of the versions differ in speed or load, so that only answers that are
+	// much slower count as slow.
+	uneven bool
 }
 
 // aheadMax is the number of epochs by which the clock of an agent may be ahead.
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -121,7 +121,7 @@
 	}
 	for _, s := range ev.spans(k) {
 		e := ev.cells[k][s].slow(bin)
-		if !e.controlled() {
+		if ev.uneven || !e.controlled() {
 			e = ev.cells[k][s].slow(min(bin+loadBins, binCount-1))
 		}
 		all = append(all, e)
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -26,13 +26,64 @@
 	silenceTimes = 4
 )
 
+// place returns the target for the job, or nil. A job that is apart goes to another target if none of those has
+// room: a trial delays nobody.
+func (p *Pool) place(now time.Time, j *Job) (*target, time.Duration) {
+	if j.Apart {
+		if t := p.packed(now, j); t != nil {
+			return t, t.expected(j)
+		}
+		j.Apart = false
+	}
+	return p.choose(now, j)
+}
+
+// packed returns the target that is apart and has most jobs, of those with no more than the other targets have
+// in the mean; if there is none, the one with fewest.
+//
+// Load pattern: a version on trial gets a small part of the requests. Spread over its targets they would run
+// nearly alone, and a version that fails under load would pass.
+func (p *Pool) packed(now time.Time, j *Job) *target {
+	mean := p.mean()
+	var below, above *target
+	for _, t := range p.order {
+		if !t.Apart || t.leaving || t.doubted || now.Before(t.rest) || slices.Contains(j.Avoid, t.ID) || t.room() <= 0 {
+			continue
+		}
+		switch n := t.jobs(); {
+		case float64(n) <= mean:
+			if below == nil || n > below.jobs() {
+				below = t
+			}
+		case above == nil || n < above.jobs():
+			above = t
+		}
+	}
+	if below != nil {
+		return below
+	}
+	return above
+}
+
+// mean returns the mean number of jobs at the targets that are not apart.
+func (p *Pool) mean() float64 {
+	jobs, n := 0, 0
+	for _, t := range p.order {
+		if !t.Apart && !t.leaving {
+			jobs += t.jobs()
+			n++
+		}
+	}
+	return float64(jobs) / float64(max(n, 1))
+}
+
 // choose returns the best target with room for the job, or nil.
 func (p *Pool) choose(now time.Time, j *Job) (best *target, expected time.Duration) {
 	var bestScore time.Duration
 	bestRank := 0
 	avoid := p.avoids(j)
 	for _, t := range p.order {
-		if t.leaving || now.Before(t.rest) || avoid && slices.Contains(j.Avoid, t.ID) || !p.open(now, t) {
+		if t.Apart || t.leaving || now.Before(t.rest) || avoid && slices.Contains(j.Avoid, t.ID) || !p.open(now, t) {
 			continue
 		}
 		rank := p.doubt(now, t, j)
@@ -49,7 +100,7 @@
 // all have.
 func (p *Pool) avoids(j *Job) bool {
 	for _, t := range p.order {
-		if !t.leaving && !t.doubted && !slices.Contains(j.Avoid, t.ID) {
+		if !t.Apart && !t.leaving && !t.doubted && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
@@ -77,7 +128,7 @@
 	if p.gap > 0 && t.gap > 0 {
 		slow = float64(t.gap) / float64(p.gap)
 	}
-	load := float64(len(t.runs)+t.others) / float64(t.Slots)
+	load := float64(t.jobs()) / float64(t.Slots)
 	d += time.Duration(float64(slotCost) * slow * (0.5 + load))
 	return d + p.distance(t.Centre, t.Region)
 }
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -31,6 +31,8 @@
 	Stride         int
 	// Avoid lists targets that failed the request.
 	Avoid []ident.TargetID
+	// Apart is true for a job that goes to a target that is apart. It is false afterwards if none had room.
+	Apart bool
 	// turn is the arrival, put off for long jobs; see wait.go.
 	turn time.Time
 }
@@ -42,6 +44,9 @@
 	Region ident.Region
 	// Slots is the number of requests that run at a time, at least 1.
 	Slots int
+	// Apart is true for a target that gets only jobs that are apart, as its version is on trial or was
+	// taken back.
+	Apart bool
 }
 
 // Placement sends a job to a target.
@@ -199,7 +204,8 @@
 		if k != last {
 			last, same = k, 0
 		}
-		if t, expected := p.choose(now, j); t != nil {
+		t, expected := p.place(now, j)
+		if t != nil {
 			placed = append(placed, Placement{Job: j, Target: t.ID, Mine: len(t.runs), Others: t.others, Expected: expected})
 			p.take(now, t)
 			t.start(now, j)
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -75,7 +75,10 @@
 func byID(a, b *target) int { return cmp.Compare(a.ID, b.ID) }
 
 // room returns the number of jobs that the target can still take.
-func (t *target) room() int { return t.Slots - len(t.runs) - t.others }
+func (t *target) room() int { return t.Slots - t.jobs() }
+
+// jobs returns the number of jobs of all routers.
+func (t *target) jobs() int { return len(t.runs) + t.others }
 
 // expected estimates the time to the first event of a job sent now.
 func (t *target) expected(j *Job) time.Duration {
--- a/core/store/memory/memory.go
+++ b/core/store/memory/memory.go
@@ -39,7 +39,7 @@
 	lose    int
 }
 
-var _ store.Store = (*Store)(nil)
+var _ store.Marker = (*Store)(nil)
 
 // NewMemory returns an empty store.
 func NewMemory() *Store {
@@ -111,6 +111,18 @@
 	if err := s.check(o); err != nil {
 		return store.Object{}, err
 	}
+	o.Status = s.objects[key{o.Sort, o.Name}].Status
+	return s.put(store.Modified, o)
+}
+
+// Mark implements store.Marker.
+func (s *Store) Mark(_ context.Context, o store.Object) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.check(o); err != nil {
+		return store.Object{}, err
+	}
+	o.Value = s.objects[key{o.Sort, o.Name}].Value
 	return s.put(store.Modified, o)
 }
 
@@ -215,7 +227,7 @@
 }
 
 func clone(o store.Object) store.Object {
-	o.Value = slices.Clone(o.Value)
+	o.Value, o.Status = slices.Clone(o.Value), slices.Clone(o.Status)
 	return o
 }
 
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -26,6 +27,14 @@
 // Rev is an opaque version of an object.
 type Rev string
 
+// Before reports whether a is known to be older than b: versions are numbers that grow, and any others are not
+// compared.
+func Before(a, b Rev) bool {
+	x, xerr := strconv.ParseUint(string(a), 10, 64)
+	y, yerr := strconv.ParseUint(string(b), 10, 64)
+	return xerr == nil && yerr == nil && x < y
+}
+
 // Object is a named value of a kind.
 type Object struct {
 	// Sort is the kind of the object, for example "config", "lease", "move" or "claim".
@@ -34,6 +43,8 @@
 	Rev  Rev
 	// Value is at most 1 MB.
 	Value []byte
+	// Status is what the system reports on an object that others write; empty if there is none.
+	Status []byte
 }
 
 // Change is one event of a watch.
@@ -57,3 +68,10 @@
 	// Watch calls f for each change of a kind after rev until ctx ends or the connection is lost.
 	Watch(ctx context.Context, sort string, rev Rev, f func(Change)) error
 }
+
+// Marker is a Store whose objects have a status.
+type Marker interface {
+	Store
+	// Mark replaces the status of an object if it still has o.Rev. Errors are those of Update.
+	Mark(ctx context.Context, o Object) (Object, error)
+}
--- a/core/wire/beacon.go
+++ b/core/wire/beacon.go
@@ -28,6 +28,22 @@
 	Down []BeaconDown
 	// Prints are fingerprints of requests that were running when a target crashed.
 	Prints []BeaconPrint
+	// Moves are the moves that the sender knows of.
+	Moves []BeaconMove
+}
+
+// BeaconMove is what the sender knows of a move of a service to the targets of a version.
+type BeaconMove struct {
+	_struct bool `codec:",toarray"`
+
+	Service ident.Service
+	To      ident.Version
+	// Length is the time from the order to its deadline, Age the time since the order, in milliseconds.
+	Length, Age int64
+	// Bad is the reason for which the sender judged the version bad; empty if it did not.
+	Bad string
+	// Evidence are the outcomes at the sender.
+	Evidence []byte
 }
 
 // BeaconDemand is what the sender needs of a service.
--- a/router/direct/beacon.go
+++ b/router/direct/beacon.go
@@ -100,7 +100,7 @@
 	if len(r.peers) == 0 {
 		return nil, nil
 	}
-	m := &wire.Beacon{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Prints: r.told(now), Admin: r.cfg.Admin, Linked: r.linked.Load(), Ready: r.Ready()}
+	m := &wire.Beacon{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Prints: r.told(now), Admin: r.cfg.Admin, Linked: r.linked.Load(), Ready: r.Ready(), Moves: r.tellMoves(now)}
 	if p := r.plan.Load(); p != nil {
 		m.Generation = p.Generation
 	}
@@ -199,6 +199,7 @@
 	}
 	r.tally.Merge(now, b.Process, b.Boot, used)
 	r.heard(now, b.Prints)
+	r.hearMoves(now, b)
 }
 
 // reportsOf returns the reports in a beacon by service.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -19,6 +19,7 @@
 	"hickoryvane.example/core/guard"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/meter"
+	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/core/route"
@@ -36,6 +37,12 @@
 	Plan(o store.Object) (*route.Plan, error)
 	// Target decodes a registration. An error means that the entry names no target to use.
 	Target(o store.Object) (fleet.Target, error)
+	// Moves names the kind under which operators order moves.
+	Moves() (sort string)
+	// Order decodes an order, and the state that is recorded for it; the state is empty if none is.
+	Order(o store.Object) (moves.Order, moves.State, error)
+	// Mark encodes the state of an order for its object.
+	Mark(o moves.Order, s moves.State) []byte
 }
 
 // Dialect reads and writes the headers that the platform's callers and targets use.
@@ -91,7 +98,7 @@
 type Router struct {
 	cfg       conf.Direct
 	boot      ident.Boot
-	store     store.Store
+	store     store.Marker
 	catalogue Catalogue
 	dialect   Dialect
 	log       *event.Logger
@@ -124,6 +131,15 @@
 	peers   map[ident.ProcessID]*peer
 	crashes []crashSeen
 	rnd     *rand.Rand
+	// moves are the moves of services that run, or that were taken back; see moves.go.
+	moves map[ident.Service]*move
+	// versions are the versions that were in use without an order, per service.
+	versions map[ident.Service]map[ident.Version]use
+	// ordered is closed once the orders of moves were read; strange asks for another list of them.
+	ordered chan struct{}
+	strange chan struct{}
+	// marks are objects whose status is to be written.
+	marks chan store.Object
 }
 
 // decision is the end of a request's wait.
@@ -140,7 +156,7 @@
 func WithSpool(s *event.Spool) Option { return func(r *Router) { r.spool = s } }
 
 // New returns a router that does not serve yet; see Run.
-func New(cfg conf.Direct, st store.Store, c Catalogue, d Dialect, l *event.Logger, m *meter.Meter, opts ...Option) *Router {
+func New(cfg conf.Direct, st store.Marker, c Catalogue, d Dialect, l *event.Logger, m *meter.Meter, opts ...Option) *Router {
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), store: st, catalogue: c, dialect: d, log: l, meter: m,
@@ -149,6 +165,8 @@
 		targets: map[ident.TargetID]fleet.Target{}, objects: map[string]store.Object{}, tally: quota.NewTally(),
 		retries: map[ident.Service]*retry.Retry{}, guard: guard.New(),
 		losses: map[ident.TargetID][]loss{}, peers: map[ident.ProcessID]*peer{},
+		moves: map[ident.Service]*move{}, versions: map[ident.Service]map[ident.Version]use{},
+		ordered: make(chan struct{}), strange: make(chan struct{}, 1), marks: make(chan store.Object, marksMax),
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	for _, c := range cfg.Centres {
@@ -248,6 +266,7 @@
 		}
 		events := r.fleet.Expire(now)
 		r.apply(events)
+		r.judgeMoves(now)
 		whole := now.Sub(second) >= time.Second
 		if whole {
 			second = now
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -31,6 +31,7 @@
 type snapshot struct {
 	Config  store.Object
 	Targets []store.Object
+	Orders  []store.Object
 }
 
 // keep replaces the objects of targets.
@@ -61,6 +62,11 @@
 	for _, o := range r.objects {
 		s.Targets = append(s.Targets, o)
 	}
+	for _, m := range r.moves {
+		if m.object.Name != "" {
+			s.Orders = append(s.Orders, m.object)
+		}
+	}
 	r.mu.Unlock()
 	if s.Config.Name == "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -129,6 +135,10 @@
 		return errors.Errorf("status %d", res.StatusCode)
 	}
 	r.configure(s.Config)
+	for _, o := range s.Orders {
+		r.order(o, admin)
+	}
+	r.settleVersions()
 	if r.linked.Load() {
 		return nil // the store has answered meanwhile, and knows better
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -120,12 +120,14 @@
 
 // duties starts the goroutines that follow the store and the other routers.
 func (r *Router) duties(ctx context.Context, g *group.Group) {
-	for _, f := range []feed{r.configFeed(), r.targetFeed(), r.routerFeed()} {
+	for _, f := range []feed{r.configFeed(), r.targetFeed(), r.routerFeed(), r.moveFeed()} {
 		g.Go(ctx, "follow "+f.sort, func(ctx context.Context) error { return r.follow(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.beacons)
 	g.Go(ctx, "tick", r.tick)
 	g.Go(ctx, "relay", r.relay)
+	g.Go(ctx, "moves", r.settle)
+	g.Go(ctx, "orders", r.askOrders)
 	g.Go(ctx, "register", func(ctx context.Context) error {
 		_ = r.register(ctx)
 		<-ctx.Done()
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -85,16 +85,23 @@
 	var last *visit
 	runs := 0
 	r.request(c.service)
+	c.job.Apart = r.assign(c)
+	trial := c.job.Apart
 	for n := 1; ; n++ {
 		c.job.Begun = prog.begun
 		d, err := r.wait(ctx, c.service, c.job)
 		if err != nil || d.refused != nil {
+			if last == nil {
+				r.unassign(c, trial)
+			}
 			r.unplaced(w, c, d.refused, last, &prog, err)
 			return
 		}
 		r.logPlaced(c, d, n)
 		v := r.visit(ctx, w, c, d.target, &prog)
 		r.done(c.service, d.target.ID, c.job, v.outcome)
+		r.witness(c, v)
+		c.job.Apart = false // another try goes to a version that is in use
 		if v.end == delivered || v.end == left {
 			r.finish(w, c, v, &prog, n)
 			return
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -140,7 +140,7 @@
 
 // member returns a target as the pool sees it.
 func (r *Router) member(t fleet.Target, p *route.Plan) sched.Target {
-	m := sched.Target{ID: t.ID, Centre: t.Centre, Region: r.regions[t.Centre], Slots: t.Slots}
+	m := sched.Target{ID: t.ID, Centre: t.Centre, Region: r.regions[t.Centre], Slots: t.Slots, Apart: r.apart(t)}
 	if p != nil && p.Services[t.Service].Slots > 0 {
 		m.Slots = p.Services[t.Service].Slots
 	}
@@ -152,6 +152,7 @@
 	return feed{
 		sort: r.catalogue.Targets(),
 		listed: func(l []store.Object) {
+			r.awaitOrders()
 			list := r.decode(l)
 			r.keep(l)
 			r.change(func(f *fleet.Fleet) []fleet.Event { return f.Listed(time.Now(), list) })
@@ -222,6 +223,7 @@
 				r.pool(old.Service).Leave(t.ID)
 			}
 			r.targets[t.ID] = t
+			r.meet(t)
 			pool.Put(r.member(t, p), !known || old.Born != t.Born)
 			r.next(now, pool)
 			continue
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -23,6 +23,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/meter"
+	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/store"
@@ -82,6 +83,15 @@
 	return t, err
 }
 
+func (catalogue) Moves() string { return "orders" }
+
+func (catalogue) Order(o store.Object) (ord moves.Order, s moves.State, err error) {
+	err = json.Unmarshal(o.Value, &ord)
+	return ord, moves.State(o.Status), err
+}
+
+func (catalogue) Mark(_ moves.Order, s moves.State) []byte { return []byte(s) }
+
 // world is a router with a store in memory and scripted targets.
 type world struct {
 	g     *WithT
@@ -137,7 +147,7 @@
 	w.cfg = conf.Direct{
 		Name: "r1", Region: "a", Centre: "a1", Centres: []conf.Centre{{Name: "a1", Region: "a"}},
 		Listen: freePort(g), Ready: freePort(g), Admin: freePort(g), Beacon: freePort(g),
-		Grace: 1.2, Drain: 2500, Ratio: 0.5, Spare: 20, Span: 10, Stable: 3000,
+		Grace: 1.2, Drain: 2500, Ratio: 0.5, Spare: 20, Span: 10, Stable: 3000, Expose: 0.1, Leeway: 50,
 	}
 	w.put("config", "main", config{Generation: 1, Routes: routes()})
 	for _, x := range targets {
