Large deployments: cheaper decisions, and cells of tens of routers

The division of slots sorted all routers for each of 3,000 targets, and was done anew for each router that joined; each report was counted by going over all targets; each waiting request looked at all targets; registrations were sorted 50 times a second. At 100 routers and more the interval between beacons passes the second after which a router counts as lost, so that beacons were thinned to one in ten and accounts were limited by silent routers.

Change: core/sched divides in O(routers + targets x slots), counts reports by difference and collects the targets with room once per round; core/cells divides deployments of 48 routers and more into cells of 24 to 47 that work as small deployments; core/fleet skips its look at missing entries when there are none.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -18,6 +18,7 @@
 	BadPeer         ID = 204
 	RingFull        ID = 205
 	PeerUnreachable ID = 206
+	CellChanged     ID = 207
 	ConfigInForce   ID = 301
 	ConfigIgnored   ID = 302
 	StoreDown       ID = 303
@@ -67,6 +68,7 @@
 	{BadPeer, log.WarnLevel, "peer rejected"},
 	{RingFull, log.WarnLevel, "ring is full"},
 	{PeerUnreachable, log.DebugLevel, "peer cannot be reached"},
+	{CellChanged, log.InfoLevel, "cell changed"},
 	{ConfigInForce, log.InfoLevel, "configuration in force"},
 	{ConfigIgnored, log.DebugLevel, "older configuration ignored"},
 	{StoreDown, log.WarnLevel, "object API is not available"},
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -72,6 +72,8 @@
 	// hold is the time for which a removal without notice is held: Return, or less if the bound for removed
 	// targets allows no more.
 	hold time.Duration
+	// missing is the number of entries that are absent from the store.
+	missing int
 }
 
 type entry struct {
@@ -132,6 +134,9 @@
 	if t.Born == old.Born {
 		t.Cold = old.Cold // it only passes
 	}
+	if back {
+		f.missing--
+	}
 	e.Target, e.missing = t, time.Time{}
 	switch {
 	case t.Leaving && !old.Leaving:
@@ -152,6 +157,7 @@
 	if !e.Leaving {
 		if e.missing.IsZero() {
 			e.missing = now
+			f.missing++
 			return []Event{{e.Target, Missing}}
 		}
 		return nil
@@ -162,12 +168,13 @@
 
 // Expire ends the entries that did not come back in time.
 func (f *Fleet) Expire(now time.Time) (out []Event) {
-	if f.away || now.Sub(f.back) < Return {
+	if f.away || f.missing == 0 || now.Sub(f.back) < Return {
 		return nil
 	}
 	for _, id := range f.ids() {
 		if e := f.targets[id]; !e.missing.IsZero() && now.Sub(e.missing) >= f.hold {
 			delete(f.targets, id)
+			f.missing--
 			out = append(out, Event{e.Target, Gone})
 		}
 	}
--- a/core/quota/tally.go
+++ b/core/quota/tally.go
@@ -128,6 +128,9 @@
 	r.at, r.used = now, used
 }
 
+// Forget drops another router, which takes its tokens from limits of its own.
+func (t *Tally) Forget(id ident.ProcessID) { delete(t.routers, id) }
+
 // fill adds what accrued since the last change, less the parts of silent routers.
 func (t *Tally) fill(now time.Time, c *copied) {
 	d := now.Sub(c.at).Seconds()
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -3,12 +3,18 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickoryvane.example/core/ident"
 )
 
 // reportKeep is the time for which the report of a silent router counts. The connections of a router that
-// died end within it; one that is only cut off has ended or begun other requests by then.
-const reportKeep = 2 * time.Second
+// died end within it; one that is only cut off has ended or begun other requests by then. Where reports come
+// more rarely, it is reportsKept intervals between them.
+const (
+	reportKeep  = 2 * time.Second
+	reportsKept = 3
+)
 
 // Load is what one router has at a target.
 type Load struct {
@@ -31,8 +37,10 @@
 
 type report struct {
 	Report
-	at      time.Time
-	running map[ident.TargetID]int
+	at time.Time
+	// hash is the place of the router in divisions.
+	hash  uint64
+	loads map[ident.TargetID]Load
 }
 
 // Report returns the state of this router.
@@ -70,41 +78,60 @@
 
 // Merge takes in the report of another router.
 func (p *Pool) Merge(now time.Time, r Report) {
-	running := make(map[ident.TargetID]int, len(r.Loads))
+	hash := p.forget(r.From)
+	if hash == 0 {
+		hash = xxhash.Sum64String(string(r.From))
+	}
+	loads := make(map[ident.TargetID]Load, len(r.Loads))
 	for _, l := range r.Loads {
-		running[l.Target] = l.Running
+		loads[l.Target] = l
+		if t, ok := p.targets[l.Target]; ok {
+			t.others += l.Running
+			t.othersUnread += l.Unread
+		}
 	}
-	p.peers[r.From] = report{Report: r, at: now, running: running}
+	p.peers[r.From] = report{Report: r, at: now, hash: hash, loads: loads}
 	p.Expire(now)
 }
 
+// forget drops the report of a router, and returns its place in divisions.
+func (p *Pool) forget(id ident.ProcessID) (hash uint64) {
+	r, ok := p.peers[id]
+	if !ok {
+		return 0
+	}
+	for _, l := range r.loads {
+		if t, ok := p.targets[l.Target]; ok {
+			t.others -= l.Running
+			t.othersUnread -= l.Unread
+		}
+	}
+	delete(p.peers, id)
+	return r.hash
+}
+
 // Expire drops the reports of silent routers.
 func (p *Pool) Expire(now time.Time) {
+	keep := max(reportKeep, reportsKept*p.lag)
+	p.eager = 1
 	for id, r := range p.peers {
-		if now.Sub(r.at) >= reportKeep {
-			delete(p.peers, id)
+		switch {
+		case now.Sub(r.at) >= keep:
+			p.forget(id)
+		case r.Waiting > 0:
+			p.eager++
 		}
 	}
 	p.average(now)
-	p.count()
 	p.divide(now)
 }
 
-// count adds up the reports per target.
-func (p *Pool) count() {
-	for _, t := range p.order {
-		t.others, t.othersUnread = 0, 0
-	}
-	p.eager = 1
+// count adds up the reports for a target that is new here.
+func (p *Pool) count(t *target) {
+	t.others, t.othersUnread = 0, 0
 	for _, r := range p.peers {
-		if r.Waiting > 0 {
-			p.eager++
-		}
-		for _, l := range r.Loads {
-			if t, ok := p.targets[l.Target]; ok {
-				t.others += l.Running
-				t.othersUnread += l.Unread
-			}
-		}
+		l := r.loads[t.ID]
+		t.others += l.Running
+		t.othersUnread += l.Unread
 	}
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -77,13 +77,24 @@
 	return float64(jobs) / float64(max(n, 1))
 }
 
+// survey collects the targets that can take a job now. While all slots are taken, these are few, however many
+// jobs wait for them.
+func (p *Pool) survey(now time.Time) {
+	p.usable = p.usable[:0]
+	for _, t := range p.order {
+		if !t.Apart && !t.leaving && !now.Before(t.rest) && p.open(now, t) {
+			p.usable = append(p.usable, t)
+		}
+	}
+}
+
 // choose returns the best target with room for the job, or nil.
 func (p *Pool) choose(now time.Time, j *Job) (best *target, expected time.Duration) {
 	var bestScore time.Duration
 	bestRank := 0
-	avoid := p.avoids(j)
-	for _, t := range p.order {
-		if t.Apart || t.leaving || now.Before(t.rest) || avoid && slices.Contains(j.Avoid, t.ID) || !p.open(now, t) {
+	avoid := len(j.Avoid) > 0 && p.avoids(j)
+	for _, t := range p.usable {
+		if avoid && slices.Contains(j.Avoid, t.ID) || !p.open(now, t) {
 			continue
 		}
 		rank := p.doubt(now, t, j)
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickoryvane.example/core/ident"
 )
 
@@ -94,6 +96,10 @@
 	sharers  int
 	// gap is the mean time between events over the targets.
 	gap time.Duration
+	// running is the number of own jobs at all targets. usable are the targets that could take a job when Next
+	// began.
+	running int
+	usable  []*target
 }
 
 // New returns an empty pool for the router self in the given data centre and region.
@@ -111,6 +117,7 @@
 		return
 	}
 	n := newTarget(t)
+	n.hash = xxhash.Sum64String(string(p.self) + "/" + string(t.ID))
 	if ok {
 		n.runs = old.runs
 		n.unread = old.unread
@@ -119,7 +126,7 @@
 	p.targets[t.ID] = n
 	at, _ := slices.BinarySearchFunc(p.order, n, byID)
 	p.order = slices.Insert(p.order, at, n)
-	p.count()
+	p.count(n)
 	p.divided = time.Time{}
 }
 
@@ -184,7 +191,9 @@
 	if !ok {
 		return
 	}
-	t.done(now, j, o)
+	if t.done(now, j, o) {
+		p.running--
+	}
 	p.learnGap()
 	p.prune(t)
 }
@@ -196,6 +205,7 @@
 	}
 	need := p.least()
 	p.sort(now, need)
+	p.survey(now)
 	kept := p.waiting[:0]
 	var last class
 	same := 0
@@ -209,6 +219,7 @@
 			placed = append(placed, Placement{Job: j, Target: t.ID, Mine: len(t.runs), Others: t.others, Expected: expected})
 			p.take(now, t)
 			t.start(now, j)
+			p.running++
 			p.started(now, k)
 			continue
 		}
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
-	"strconv"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,10 +41,7 @@
 
 // average updates the mean demand.
 func (p *Pool) average(now time.Time) {
-	n := float64(len(p.waiting))
-	for _, t := range p.order {
-		n += float64(len(t.runs))
-	}
+	n := float64(len(p.waiting) + p.running)
 	if d := now.Sub(p.averaged); d > 0 {
 		p.demand += (n - p.demand) * (1 - math.Exp(-d.Seconds()/demandTime.Seconds()))
 		p.averaged = now
@@ -53,65 +51,94 @@
 // sharer is a router in a division.
 type sharer struct {
 	hash   uint64
-	weight float64
-	// running is the number of its jobs at the target; waits is true when it has waiting jobs.
-	running     int
+	region ident.Region
+	demand float64
+	loads  map[ident.TargetID]Load
+	// waits is true for another router with waiting jobs.
 	waits, self bool
 }
 
-// divide computes this router's slots at each target, at most twice per interval of reports and when a
+// line is the division of the targets of one region: router i has the piece from at[i] to at[i+1] of a line of
+// length 1.
+type line struct {
+	at   []float64
+	self int
+}
+
+// joinGap is the shortest time between two divisions when routers come or are lost. All of them come at the
+// start of a deployment.
+const joinGap = 50 * time.Millisecond
+
+// divide computes this router's slots at each target, at most twice per interval of reports, and soon when a
 // router is new or lost.
 func (p *Pool) divide(now time.Time) {
-	if now.Sub(p.divided) < p.lag/2 && p.sharers == len(p.peers) {
+	age := now.Sub(p.divided)
+	if age < p.lag/2 && (p.sharers == len(p.peers) || age < joinGap) {
 		return
 	}
 	p.divided, p.sharers = now, len(p.peers)
 	all := make([]sharer, 0, len(p.peers)+1)
+	all = append(all, sharer{hash: xxhash.Sum64String(string(p.self)), region: p.region, demand: p.demand, self: true})
+	waits := false
+	for _, r := range p.peers {
+		all = append(all, sharer{hash: r.hash, region: r.Region, demand: r.Demand, loads: r.loads, waits: r.Waiting > 0})
+		waits = waits || r.Waiting > 0
+	}
+	slices.SortFunc(all, func(a, b sharer) int { return cmp.Compare(a.hash, b.hash) })
+	lines := map[ident.Region]line{}
 	for _, t := range p.order {
-		all = append(all[:0], sharer{hash: hashOf(p.self, t.ID), weight: weight(t, p.region, p.demand), self: true})
-		for id, r := range p.peers {
-			all = append(all, sharer{
-				hash: hashOf(id, t.ID), weight: weight(t, r.Region, r.Demand),
-				running: r.running[t.ID], waits: r.Waiting > 0,
-			})
+		l, ok := lines[t.Region]
+		if !ok {
+			l = draw(all, t.Region)
+			lines[t.Region] = l
+		}
+		t.own = l.part(l.self, t)
+		t.claimed = 0
+		if waits {
+			t.claimed = l.claimed(all, t)
 		}
-		slices.SortFunc(all, func(a, b sharer) int { return cmp.Compare(a.hash, b.hash) })
-		t.own, t.claimed = parts(all, t.Slots, fraction(xxhash.Sum64String(string(t.ID))))
 	}
 }
 
-func hashOf(id ident.ProcessID, t ident.TargetID) uint64 {
-	return xxhash.Sum64String(string(id) + "/" + string(t))
+// draw gives each router a piece in proportion to its weight at the targets of a region.
+func draw(all []sharer, region ident.Region) (l line) {
+	l.at = make([]float64, len(all)+1)
+	for i, s := range all {
+		w := max(s.demand, demandMin)
+		if s.region != region {
+			w *= remoteWeight
+		}
+		l.at[i+1] = l.at[i] + w
+		if s.self {
+			l.self = i
+		}
+	}
+	sum := l.at[len(all)]
+	for i := range l.at {
+		l.at[i] /= sum
+	}
+	return l
 }
 
-func weight(t *target, region ident.Region, demand float64) float64 {
-	w := max(demand, demandMin)
-	if region != t.Region {
-		w *= remoteWeight
-	}
-	return w
+// part returns the slots of router i at a target, which are those that begin in its piece: the parts of all
+// routers add up to the slots.
+func (l line) part(i int, t *target) int {
+	n := float64(t.Slots)
+	return int(math.Floor(l.at[i+1]*n+t.offset) - math.Floor(l.at[i]*n+t.offset))
 }
 
-// parts divides slots in proportion to the weights, rounded so that the parts add up to slots: each part is
-// a piece of a line, and contains the whole numbers that begin in it. It returns the own part, and the
-// slots that others with waiting jobs have not filled of theirs.
-func parts(all []sharer, slots int, offset float64) (own, claimed int) {
-	var sum, at float64
-	for _, s := range all {
-		sum += s.weight
-	}
-	for _, s := range all {
-		next := at + s.weight/sum*float64(slots)
-		n := int(math.Floor(next+offset) - math.Floor(at+offset))
-		switch {
-		case s.self:
-			own = n
-		case s.waits:
-			claimed += max(n-s.running, 0)
+// claimed returns the slots that others with waiting jobs have not filled of theirs.
+func (l line) claimed(all []sharer, t *target) (n int) {
+	for slot := 1; slot <= t.Slots; {
+		begin := (float64(slot) - t.offset) / float64(t.Slots)
+		i := min(max(sort.SearchFloat64s(l.at, begin)-1, 0), len(all)-1)
+		part := max(l.part(i, t), 1)
+		if s := all[i]; s.waits {
+			n += max(part-s.loads[t.ID].Running, 0)
 		}
-		at = next
+		slot += part
 	}
-	return own, claimed
+	return n
 }
 
 // fraction maps a hash to [0, 1).
@@ -131,8 +158,10 @@
 	if t.turn == turn {
 		taken = t.taken
 	}
-	h := xxhash.Sum64String(string(p.self) + "/" + string(t.ID) + "/" + strconv.FormatInt(turn, 36))
-	return float64(taken)+fraction(h) < borrowPart*float64(free-t.claimed+taken)/float64(p.eager)
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], t.hash)
+	binary.LittleEndian.PutUint64(b[8:], uint64(turn))
+	return float64(taken)+fraction(xxhash.Sum64(b[:])) < borrowPart*float64(free-t.claimed+taken)/float64(p.eager)
 }
 
 // turn numbers the intervals of reports.
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickoryvane.example/core/ident"
 )
 
@@ -51,6 +53,10 @@
 	// others and othersUnread are the jobs and the unread prompt text of the other routers.
 	others       int
 	othersUnread ident.Tokens
+	// hash differs between routers, so that they take free slots in different intervals.
+	hash uint64
+	// offset shifts the division of the slots, so that rounding favours other routers at each target.
+	offset float64
 	// own is this router's part of the slots; claimed are free slots that others are about to fill. taken
 	// counts the placements beyond the own part in the interval turn.
 	own, claimed int
@@ -69,7 +75,7 @@
 }
 
 func newTarget(t Target) *target {
-	return &target{Target: t, base: baseStart, rate: rateStart}
+	return &target{Target: t, base: baseStart, rate: rateStart, offset: fraction(xxhash.Sum64String(string(t.ID)))}
 }
 
 func byID(a, b *target) int { return cmp.Compare(a.ID, b.ID) }
@@ -136,10 +142,11 @@
 	t.base += time.Duration(learnt * float64(max(took-read, time.Millisecond)-t.base))
 }
 
-func (t *target) done(now time.Time, j *Job, o Outcome) {
+// done records the end of a job; ok is false if it did not run here.
+func (t *target) done(now time.Time, j *Job, o Outcome) (ok bool) {
 	i := t.find(j)
 	if i < 0 {
-		return
+		return false
 	}
 	if !t.runs[i].begun {
 		t.unread -= j.Prompt
@@ -165,6 +172,7 @@
 			t.rest = later(t.rest, now.Add(min(restFirst<<min(t.fails-failMin, 8), restMax)))
 		}
 	}
+	return true
 }
 
 func later(a, b time.Time) time.Time {
--- a/router/direct/beacon.go
+++ b/router/direct/beacon.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/event"
@@ -24,10 +25,12 @@
 	beaconsMax  = 100
 	// beaconSize bounds a datagram, in bytes.
 	beaconSize = 60_000
-	// deafAfter is the silence after which a router counts as lost in log lines, and peerKeep that after
-	// which it no longer takes a part of the retry budget: the platform starts a process again sooner.
-	deafAfter = time.Second
-	peerKeep  = 30 * time.Second
+	// deafAfter is the silence after which a router counts as lost, or deafBeacons intervals between beacons
+	// if that is longer. peerKeep is the silence after which it no longer takes a part of the retry budget:
+	// the platform starts a process again sooner.
+	deafAfter   = time.Second
+	deafBeacons = 3
+	peerKeep    = 30 * time.Second
 	// quietEvery thins beacons to a router that is silent: one in quietEvery is sent.
 	quietEvery = 10
 )
@@ -47,8 +50,13 @@
 	linked     bool
 	// ready is the time since which the router takes callers; zero while it does not.
 	ready time.Time
+	// far is true for a router of another cell. turn spreads the beacons to such over time.
+	far  bool
+	turn uint64
 }
 
+func newPeer(id ident.ProcessID) *peer { return &peer{turn: xxhash.Sum64String(string(id)) >> 32} }
+
 // registration is the value of a router's object.
 type registration struct {
 	Address string     `json:"address"`
@@ -84,26 +92,69 @@
 			return
 		case <-t.C:
 		}
-		b, to := r.beacon(seq)
-		for _, a := range to {
-			_, _ = sock.WriteToUDP(b, a) // the next beacon replaces a lost one
+		out, gap := r.beacon(seq)
+		for _, d := range out {
+			_, _ = sock.WriteToUDP(d.b, d.to) // the next beacon replaces a lost one
 		}
-		t.Reset(interval(len(to)))
+		t.Reset(gap)
 	}
 }
 
-// beacon returns the encoded state and the routers to send it to.
-func (r *Router) beacon(seq ident.Seq) (b []byte, to []*net.UDPAddr) {
+// datagram is an encoded beacon on its way.
+type datagram struct {
+	to *net.UDPAddr
+	b  []byte
+}
+
+// beacon returns what is to be sent now, and the time until the next beacons.
+func (r *Router) beacon(seq ident.Seq) (out []datagram, gap time.Duration) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	gap = interval(r.near)
 	if len(r.peers) == 0 {
-		return nil, nil
+		return nil, gap
+	}
+	m := r.about(now, seq)
+	var far []byte
+	if r.near < len(r.peers) {
+		far = r.encode(m)
+	}
+	r.addLoads(now, m)
+	near := r.encode(m)
+	urgent := r.urgent
+	r.urgent = false
+	for id, p := range r.peers {
+		silent := now.Sub(p.heard) >= r.deaf(p)
+		if silent && p.up {
+			p.up = false
+			r.log.Log(event.PeerDown, "peer", id, "silent", now.Sub(p.heard))
+		}
+		every, b := uint64(1), near
+		if p.far {
+			every, b = max(uint64(farTime/gap), 1), far
+		}
+		if silent {
+			every *= quietEvery
+		}
+		if b != nil && ((uint64(seq)+p.turn)%every == 0 || urgent && !silent) {
+			out = append(out, datagram{p.addr, b})
+		}
 	}
+	return out, gap
+}
+
+// about returns a beacon with what concerns all routers; r.mu is held.
+func (r *Router) about(now time.Time, seq ident.Seq) *wire.Beacon {
 	m := &wire.Beacon{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Prints: r.told(now), Admin: r.cfg.Admin, Linked: r.linked.Load(), Ready: r.Ready(), Moves: r.tellMoves(now)}
 	if p := r.plan.Load(); p != nil {
 		m.Generation = p.Generation
 	}
+	return m
+}
+
+// addLoads adds what concerns the routers of the same cell; r.mu is held.
+func (r *Router) addLoads(now time.Time, m *wire.Beacon) {
 	for s, p := range r.pools {
 		rep := p.Report(now)
 		m.Demands = append(m.Demands, wire.BeaconDemand{Service: s, Mean: rep.Demand, Waiting: rep.Waiting})
@@ -117,22 +168,16 @@
 	for a, n := range r.tally.Used() {
 		m.Used = append(m.Used, wire.BeaconUse{Account: a, Tokens: n})
 	}
+}
+
+// encode returns the datagram of a beacon, or nil if it is too large.
+func (r *Router) encode(m *wire.Beacon) []byte {
 	b, err := wire.Encode(m)
 	if err != nil || len(b) > beaconSize {
 		r.log.Log(event.BadFrame, "peer", r.cfg.Name, "bytes", len(b), "error", err)
-		return nil, nil
-	}
-	for id, p := range r.peers {
-		silent := now.Sub(p.heard) >= deafAfter
-		if silent && p.up {
-			p.up = false
-			r.log.Log(event.PeerDown, "peer", id, "silent", now.Sub(p.heard))
-		}
-		if !silent || uint64(seq)%quietEvery == 0 {
-			to = append(to, p.addr)
-		}
+		return nil
 	}
-	return b, to
+	return b
 }
 
 // receive takes in beacons until the socket is closed.
@@ -163,8 +208,10 @@
 	defer r.mu.Unlock()
 	p, ok := r.peers[b.Process]
 	if !ok && b.Process != r.cfg.Name {
-		p = &peer{addr: from}
+		p = newPeer(b.Process)
+		p.addr = from
 		r.peers[b.Process] = p
+		r.near++ // until the cells are computed again
 	}
 	if p == nil || b.Boot < p.boot || b.Boot == p.boot && b.Seq <= p.seq {
 		return
@@ -180,6 +227,11 @@
 		r.log.Log(event.PeerUp, "peer", b.Process, "boot", b.Boot, "generation", b.Generation)
 	}
 	p.boot, p.seq, p.heard = b.Boot, b.Seq, now
+	r.heard(now, b.Prints)
+	r.hearMoves(now, b)
+	if p.far {
+		return
+	}
 	reports := reportsOf(b)
 	for _, d := range b.Down {
 		if pool, ok := r.pools[d.Service]; ok {
@@ -189,7 +241,7 @@
 	for s, pool := range r.pools {
 		rep := reports[s]
 		rep.From, rep.Region = b.Process, b.Region
-		pool.SetLag(interval(len(r.peers)))
+		pool.SetLag(interval(r.near))
 		pool.Merge(now, rep)
 		r.next(now, pool)
 	}
@@ -198,8 +250,6 @@
 		used[u.Account] = u.Tokens
 	}
 	r.tally.Merge(now, b.Process, b.Boot, used)
-	r.heard(now, b.Prints)
-	r.hearMoves(now, b)
 }
 
 // reportsOf returns the reports in a beacon by service.
@@ -221,6 +271,14 @@
 	return max(beaconFirst, time.Duration(n)*time.Second/beaconsMax)
 }
 
+// deaf returns the silence after which a router counts as lost; r.mu is held.
+func (r *Router) deaf(p *peer) time.Duration {
+	if p.far {
+		return deafBeacons * farTime
+	}
+	return max(deafAfter, deafBeacons*interval(r.near))
+}
+
 // known returns the number of routers that may be running, this one included; r.mu is held.
 func (r *Router) known(now time.Time) int {
 	n := 1
@@ -248,8 +306,10 @@
 	id := ident.ProcessID(o.Name)
 	p, ok := r.peers[id]
 	if !ok {
-		p = &peer{heard: now}
+		p = newPeer(id)
+		p.heard = now
 		r.peers[id] = p
+		r.near++ // until the cells are computed again
 	}
 	p.addr, p.rev = addr, o.Rev
 	return nil
--- /dev/null
+++ b/router/direct/cells_test.go
@@ -0,0 +1,69 @@
+package direct_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/cells"
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/wire"
+)
+
+// Guards against a router of a large deployment that uses the targets of other cells, whose routers do not tell
+// it what they have there.
+func TestRouterKeepsToItsCell(t *testing.T) {
+	const targets, others = 40, 59
+	var list []*target
+	for i := range targets {
+		list = append(list, serve(t, fmt.Sprint("t", i), func(_ int, r *http.Request, c net.Conn) bool {
+			time.Sleep(30 * time.Millisecond)
+			return say(c, r, 200, "ok")
+		}))
+	}
+	w := start(t, list...)
+	all := []ident.ProcessID{w.cfg.Name}
+	for i := range others {
+		all = append(all, ident.ProcessID(fmt.Sprint("o", i)))
+	}
+	own := cells.Of(all)[w.cfg.Name]
+	w.g.Expect(own.Count).To(Equal(2))
+	c, err := net.Dial("udp4", w.cfg.Beacon)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	tell := func(seq ident.Seq) {
+		for _, id := range all[1:] {
+			b, err := wire.Encode(&wire.Beacon{Process: id, Boot: 1, Seq: seq, Region: "a", Generation: 1, Ready: true, Linked: true})
+			w.g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.Write(b)
+			w.g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	tell(1)
+	w.g.Eventually(w.log.String, 3*time.Second).Should(ContainSubstring("cells=2"))
+	before := map[string]int{}
+	for _, x := range list {
+		before[x.id] = len(x.requests())
+	}
+	tell(2)
+	var wg sync.WaitGroup
+	for range 60 {
+		wg.Go(func() { w.ask("GET", "/safe/", "") })
+	}
+	wg.Wait()
+	used := 0
+	for _, x := range list {
+		n := len(x.requests()) - before[x.id]
+		if !own.Holds(ident.TargetID(x.id), targets) {
+			w.g.Expect(n).To(BeZero(), x.id)
+		} else if n > 0 {
+			used++
+		}
+	}
+	w.g.Expect(used).To(BeNumerically(">", 5))
+}
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -59,6 +59,7 @@
 	}
 	r.log.Log(event.Suspected, "target", t, "prints", prints, "among", len(prints))
 	r.guard.Crashed(now, t, prints)
+	r.urgent = true
 	for _, p := range prints {
 		if len(r.crashes) == crashesMax {
 			r.crashes = r.crashes[1:]
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
@@ -140,6 +141,12 @@
 	strange chan struct{}
 	// marks are objects whose status is to be written.
 	marks chan store.Object
+	// cell is the part of a large deployment that this router works in, near the number of other routers of
+	// it; sizes are the numbers of targets of each service. urgent asks for a beacon to all routers.
+	cell   cells.Cell
+	near   int
+	sizes  map[ident.Service]int
+	urgent bool
 }
 
 // decision is the end of a request's wait.
@@ -166,7 +173,7 @@
 		retries: map[ident.Service]*retry.Retry{}, guard: guard.New(),
 		losses: map[ident.TargetID][]loss{}, peers: map[ident.ProcessID]*peer{},
 		moves: map[ident.Service]*move{}, versions: map[ident.Service]map[ident.Version]use{},
-		ordered: make(chan struct{}), strange: make(chan struct{}, 1), marks: make(chan store.Object, marksMax),
+		ordered: make(chan struct{}), strange: make(chan struct{}, 1), marks: make(chan store.Object, marksMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	for _, c := range cfg.Centres {
@@ -274,6 +281,8 @@
 				p.Expire(now)
 			}
 			r.guard.Expire(now)
+			r.divide(now)
+			r.resize()
 		}
 		r.mu.Unlock()
 		r.logFleet(events)
--- a/router/direct/moves.go
+++ b/router/direct/moves.go
@@ -108,8 +108,12 @@
 func (r *Router) regroup(s ident.Service) {
 	p := r.plan.Load()
 	for _, t := range r.targets {
-		if t.Service == s && !t.Leaving {
+		switch {
+		case t.Service != s || t.Leaving:
+		case r.holds(t.ID, s):
 			r.pool(s).Put(r.member(t, p), false)
+		default:
+			r.pool(s).Leave(t.ID)
 		}
 	}
 	r.next(time.Now(), r.pool(s))
@@ -282,6 +286,7 @@
 		bad := m.Bad()
 		due, ok := m.Due(now)
 		if b := m.Bad(); b != nil && bad == nil {
+			r.urgent = true
 			r.log.Log(event.MoveBad, "service", s, "version", m.Order().To, "reason", b.Reason, "route", b.Route, "score", m.Judged().Score, "age", m.Age(now))
 		}
 		if a := m.Apart(m.Order().To); a != m.apart {
@@ -307,7 +312,7 @@
 // rank returns the number of routers that go before this one; r.mu is held.
 func (r *Router) rank(now time.Time) (n int) {
 	for id, p := range r.peers {
-		if id < r.cfg.Name && p.linked && now.Sub(p.heard) < deafAfter {
+		if id < r.cfg.Name && p.linked && now.Sub(p.heard) < r.deaf(p) {
 			n++
 		}
 	}
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -107,7 +107,7 @@
 	p := r.plan.Load()
 	var best *peer
 	for _, x := range r.peers {
-		if x.admin == "" || x.generation == 0 || now.Sub(x.heard) >= deafAfter {
+		if x.admin == "" || x.generation == 0 || now.Sub(x.heard) >= r.deaf(x) {
 			continue
 		}
 		if !x.linked && p != nil && r.listed.Load() && x.generation <= p.Generation {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -163,7 +163,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.peers {
-		if !p.ready.IsZero() && now.Sub(p.ready) >= probeTime && now.Sub(p.heard) < deafAfter {
+		if !p.ready.IsZero() && now.Sub(p.ready) >= probeTime && now.Sub(p.heard) < r.deaf(p) {
 			return true
 		}
 	}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -9,7 +9,6 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
-	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
@@ -115,8 +114,8 @@
 	}
 	var accounts []ident.AccountID
 	var services []ident.Service
+	r.limit(now, p)
 	for _, a := range p.Accounts {
-		r.tally.Set(now, a.Name, quota.Limit{Rate: a.Rate, Burst: a.Burst}, 1/float64(r.known(now)))
 		accounts = append(accounts, a.Name)
 	}
 	for s := range p.Services {
@@ -132,7 +131,7 @@
 // slots applies the declared slots of services to their targets; r.mu is held.
 func (r *Router) slots(p *route.Plan) {
 	for _, t := range r.targets {
-		if s := p.Services[t.Service]; s.Slots > 0 && !t.Leaving {
+		if s := p.Services[t.Service]; s.Slots > 0 && !t.Leaving && r.holds(t.ID, t.Service) {
 			r.pool(t.Service).Put(r.member(t, p), false)
 		}
 	}
@@ -155,7 +154,10 @@
 			r.awaitOrders()
 			list := r.decode(l)
 			r.keep(l)
-			r.change(func(f *fleet.Fleet) []fleet.Event { return f.Listed(time.Now(), list) })
+			r.change(func(f *fleet.Fleet) []fleet.Event {
+				r.sizes = sizesOf(list)
+				return f.Listed(time.Now(), list)
+			})
 			r.listed.Store(true)
 			r.linked.Store(true)
 		},
@@ -224,6 +226,9 @@
 			}
 			r.targets[t.ID] = t
 			r.meet(t)
+			if !r.holds(t.ID, t.Service) {
+				continue
+			}
 			pool.Put(r.member(t, p), !known || old.Born != t.Born)
 			r.next(now, pool)
 			continue
@@ -271,6 +276,9 @@
 			for _, o := range l {
 				put(o)
 			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.divide(time.Now())
 		},
 		change: func(c store.Change) {
 			if !c.Deleted {
