One start-up for the serve commands; a counter of repeats

On-call engineers could not see from the metrics how often requests were sent again.

Ruled out: moving whole commands into core/launch (what they build differs); a label for the target (unbounded).

Change: launch.Serve defines the flags and reads the settings; hickoryvane.repeated counts by service and the end at the target before.

--- a/agent/cmd_serve.go
+++ b/agent/cmd_serve.go
@@ -19,22 +19,12 @@
 
 func serveCommand(_, stderr io.Writer) *ff.Command {
 	fs := ff.NewFlagSet("serve")
-	file := fs.String('s', "settings", "agent.json", "file with the settings")
-	level := fs.StringEnum('l', "level", "least level of log lines", "info", "debug", "warn", "error")
 	kind := fs.StringEnum('k', "kind", "kind of the target", string(conf.Model), string(conf.Plain))
 	return &ff.Command{
 		Name: "serve", Usage: "agent serve [FLAGS]", ShortHelp: "serve one target until SIGTERM", Flags: fs,
-		Exec: func(ctx context.Context, _ []string) error {
-			cfg, problems := conf.ReadSettings[conf.Agent](*file)
-			if err := launch.Problems(stderr, problems); err != nil {
-				return err
-			}
-			least, err := log.ParseLevel(*level)
-			if err != nil {
-				return err
-			}
+		Exec: launch.Serve(fs, stderr, "agent.json", func(ctx context.Context, _ string, cfg conf.Agent, least log.Level) error {
 			return serve(ctx, cfg, conf.ServiceKind(*kind), event.New(stderr, least))
-		},
+		}),
 	}
 }
 
--- a/core/meter/label.go
+++ b/core/meter/label.go
@@ -147,6 +147,15 @@
 	}, func(s shedding) shedding { return shedding{s.tier, other} })
 	m.accounts = newSets(setsMax, func(a ident.AccountID) *set { return newSet(accountLabel(a)) },
 		func(ident.AccountID) ident.AccountID { return other })
+	m.services = newSets(setsMax, func(r repeat) *set {
+		return newSet(attribute.String("service", string(r.service)), attribute.String("after", r.after))
+	}, func(repeat) repeat { return repeat{other, other} })
+}
+
+// repeat labels a request that is sent again: after is the end at the target before.
+type repeat struct {
+	service ident.Service
+	after   string
 }
 
 // boundTier maps all tiers beyond tierMax to one value.
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -31,6 +31,7 @@
 	goodput, shed        metric.Int64Counter
 	wasted, link         metric.Int64Counter
 	refused, quota       metric.Int64Counter
+	repeated             metric.Int64Counter
 
 	names    names
 	requests *sets[labels]
@@ -38,6 +39,7 @@
 	sheds    *sets[shedding]
 	reasons  *sets[fault.Reason]
 	accounts *sets[ident.AccountID]
+	services *sets[repeat]
 }
 
 type options struct {
@@ -136,3 +138,8 @@
 func (m *Meter) Quota(a ident.AccountID) {
 	m.quota.Add(context.Background(), 1, m.accounts.get(m.names.account(a)).add...)
 }
+
+// Repeated counts a request that was sent to one more target, by its service and the end at the one before.
+func (m *Meter) Repeated(s ident.Service, after string) {
+	m.repeated.Add(context.Background(), 1, m.services.get(repeat{m.names.service(s), after}).add...)
+}
--- a/core/meter/meter_test.go
+++ b/core/meter/meter_test.go
@@ -43,6 +43,7 @@
 	m.Link("small", 1000)
 	m.Refused(fault.Deadline)
 	m.Quota("small")
+	m.Repeated("assess", "lost")
 	text := scrape(m)
 	for _, line := range []string{
 		`hickoryvane_queueing_seconds_count{account="big",service="assess",tier="0"} 1`,
@@ -55,6 +56,7 @@
 		`hickoryvane_link_bytes_total{account="small"} 1000`,
 		`hickoryvane_refused_total{reason="deadline"} 1`,
 		`hickoryvane_quota_refused_total{account="small"} 1`,
+		`hickoryvane_repeated_total{after="lost",service="assess"} 1`,
 		`service_instance_id="r1"`,
 	} {
 		g.Expect(text).To(ContainSubstring(line))
--- a/router/cmd_serve.go
+++ b/router/cmd_serve.go
@@ -19,21 +19,11 @@
 
 func serveCommand(_, stderr io.Writer) *ff.Command {
 	fs := ff.NewFlagSet("serve")
-	file := fs.String('s', "settings", "router.json", "file with the settings")
-	level := fs.StringEnum('l', "level", "least level of log lines", "info", "debug", "warn", "error")
 	return &ff.Command{
 		Name: "serve", Usage: "router serve [FLAGS]", ShortHelp: "serve callers until SIGTERM", Flags: fs,
-		Exec: func(ctx context.Context, _ []string) error {
-			cfg, problems := conf.ReadSettings[conf.Router](*file)
-			if err := launch.Problems(stderr, problems); err != nil {
-				return err
-			}
-			least, err := log.ParseLevel(*level)
-			if err != nil {
-				return err
-			}
+		Exec: launch.Serve(fs, stderr, "router.json", func(ctx context.Context, _ string, cfg conf.Router, least log.Level) error {
 			return serve(ctx, cfg, event.New(stderr, least))
-		},
+		}),
 	}
 }
 
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -115,6 +115,7 @@
 			r.finish(w, c, v, &prog, n)
 			return
 		}
+		r.meter.Repeated(c.service, v.end.String())
 		r.log.Log(event.Repeated, "id", c.ID, "target", d.target.ID, "after", v.end, "error", v.err, "events", prog.events, "try", n+1)
 	}
 }
