--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -114,6 +114,9 @@
 	// linked is true while the registrations of targets are read from the store.
 	linked  atomic.Bool
 	running atomic.Int64
+	// announced is true once the router was ready; began is the start of the process.
+	announced atomic.Bool
+	began     time.Time
 	// end is the end of the shutdown; nil before it begins.
 	end atomic.Pointer[time.Time]
 
@@ -166,7 +169,7 @@
 func New(cfg conf.Direct, st store.Marker, c Catalogue, d Dialect, l *event.Logger, m *meter.Meter, opts ...Option) *Router {
 	now := time.Now()
 	r := &Router{
-		cfg: cfg, boot: ident.BootAt(now), store: st, catalogue: c, dialect: d, log: l, meter: m,
+		cfg: cfg, boot: ident.BootAt(now), began: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
 		regions: map[ident.DataCentre]ident.Region{}, conns: newConns(),
 		pools: map[ident.Service]*sched.Pool{}, waits: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.Within(conf.Milliseconds(cfg.Drain))),
 		targets: map[ident.TargetID]fleet.Target{}, objects: map[string]store.Object{}, tally: quota.NewTally(),
@@ -188,6 +191,13 @@
 // Ready reports whether callers may be sent here.
 func (r *Router) Ready() bool { return r.plan.Load() != nil && r.listed.Load() && !r.stopping.Load() }
 
+// announceReady writes a line when the router can take callers for the first time.
+func (r *Router) announceReady() {
+	if r.Ready() && !r.announced.Swap(true) {
+		r.log.Log(event.Ready, "name", r.cfg.Name, "took", time.Since(r.began))
+	}
+}
+
 // pool returns the pool of a service; r.mu is held.
 func (r *Router) pool(s ident.Service) *sched.Pool {
 	p, ok := r.pools[s]
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -149,6 +149,7 @@
 		return events
 	})
 	if !r.listed.Swap(true) {
+		r.announceReady()
 		r.log.Log(event.Relayed, "peer", admin, "targets", len(list), "rev", s.Config.Rev)
 	}
 	return nil
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -124,6 +124,7 @@
 	r.meter.Configure(accounts, services)
 	r.plan.Store(p)
 	r.config = o
+	r.announceReady()
 	r.log.Log(event.ConfigInForce, "generation", p.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services))
 	r.slots(p)
 }
@@ -160,6 +161,7 @@
 			})
 			r.listed.Store(true)
 			r.linked.Store(true)
+			r.announceReady()
 		},
 		change: func(c store.Change) {
 			r.keepOne(c)
