Short answers of a lower rank pass the class above while they are served much less

A question takes a slot seven times as long as a photo, so the last questions that are served cost several times as many photos.

Change: core/sched/flow.go keeps what became of each class lately; a class comes before the one above it in its tier while its answers are a quarter as long or less and it is served less than 0.6 as often.

--- /dev/null
+++ b/core/sched/flow.go
@@ -0,0 +1,83 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// Which classes of a tier pass the one above.
+//
+// Load pattern: seconds of twice the capacity, in which the class of the lowest rank has the most requests and the
+// shortest answers. The slots that the class above takes for the last of its requests would serve several times
+// as many of it.
+
+const (
+	// servedPart is the least share of its requests that a class is served, as a part of the share of the class
+	// above it. With 0.75 the classes above lost more than the lower one gained.
+	servedPart = 0.6
+	// shorterTimes is the number of times by which answers of the class above have to be longer.
+	shorterTimes = 4
+)
+
+// flow is what became of the jobs of a class lately.
+type flow struct {
+	starts, turned rate
+	// length is the mean length of answers, in tokens; zero for plain services.
+	length float64
+}
+
+// usual returns the class in which a job arrives.
+func usual(j *Job) class { return class{chance: 1, tier: j.Tier, rank: j.Rank} }
+
+// flow returns the flow of a class.
+func (p *Pool) flow(k class) *flow {
+	f, ok := p.classes[k]
+	if !ok {
+		f = &flow{}
+		p.classes[k] = f
+	}
+	return f
+}
+
+// came takes in the arrival of a job.
+func (f *flow) came(j *Job) {
+	if f.length == 0 {
+		f.length = float64(j.Output)
+	}
+	f.length += learnt * (float64(j.Output) - f.length)
+}
+
+// share returns the part of the jobs that were placed; 1 if there were none.
+func (f *flow) share(now time.Time) float64 {
+	n, r := f.starts.perSecond(now), f.turned.perSecond(now)
+	if n+r == 0 {
+		return 1
+	}
+	return n / (n + r)
+}
+
+// ahead returns the places of the classes of jobs that can be on time. A class of much shorter answers comes before
+// the one above it in its tier while its jobs are placed much less often.
+func (p *Pool) ahead(now time.Time) map[class]int {
+	var all []class
+	for k := range p.classes {
+		if k.chance == 1 {
+			all = append(all, k)
+		}
+	}
+	slices.SortFunc(all, class.compare)
+	for i := len(all) - 1; i > 0; i-- {
+		if below, above := all[i], all[i-1]; below.tier == above.tier && p.passes(now, p.classes[below], p.classes[above]) {
+			all[i], all[i-1] = above, below
+		}
+	}
+	places := make(map[class]int, len(all))
+	for i, k := range all {
+		places[k] = i
+	}
+	return places
+}
+
+func (p *Pool) passes(now time.Time, below, above *flow) bool {
+	return below.length > 0 && shorterTimes*below.length <= above.length && below.share(now) < servedPart*above.share(now)
+}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -82,9 +82,9 @@
 	order   []*target
 	waiting []*Job
 	peers   map[ident.ProcessID]report
-	// starts counts all placements, classes those of each class.
+	// starts counts all placements.
 	starts  rate
-	classes map[class]*rate
+	classes map[class]*flow
 	// lag is the interval between reports; eager is the number of routers with waiting jobs, this one
 	// included; demand is the mean number of own jobs as of averaged; divided is the time of the last
 	// division of slots, and sharers the number of other routers in it.
@@ -105,7 +105,7 @@
 // New returns an empty pool for the router self in the given data centre and region.
 func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
 	return &Pool{
-		self: self, lag: lagStart, eager: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*rate{},
+		self: self, lag: lagStart, eager: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*flow{},
 	}
 }
 
@@ -149,6 +149,7 @@
 func (p *Pool) Add(j *Job) {
 	j.turn = j.At.Add(p.putOff(j))
 	p.waiting = append(p.waiting, j)
+	p.flow(usual(j)).came(j)
 }
 
 // Remove takes a job out of the waiting ones; it reports whether the job waited.
@@ -225,6 +226,7 @@
 		}
 		if r, ok := p.refuse(now, j, k, len(kept), same); ok {
 			refused = append(refused, r)
+			p.flow(usual(j)).turned.add(now)
 			continue
 		}
 		kept = append(kept, j)
@@ -238,12 +240,7 @@
 // started counts a placement.
 func (p *Pool) started(now time.Time, k class) {
 	p.starts.add(now)
-	r, ok := p.classes[k]
-	if !ok {
-		r = &rate{}
-		p.classes[k] = r
-	}
-	r.add(now)
+	p.flow(k).starts.add(now)
 }
 
 // prune forgets a leaving target without running jobs.
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -54,7 +54,7 @@
 	if ahead > same {
 		n, starts = same+1, 0
 		if r := p.classes[k]; r != nil {
-			starts = r.perSecond(now)
+			starts = r.starts.perSecond(now)
 		}
 	} else if starts == 0 {
 		return 0
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -57,8 +57,13 @@
 
 // sort brings the waiting jobs into the order in which they are placed.
 func (p *Pool) sort(now time.Time, need time.Duration) {
+	first := p.ahead(now)
 	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
-		return cmp.Or(classOf(now, need, a).compare(classOf(now, need, b)), a.turn.Compare(b.turn))
+		x, y := classOf(now, need, a), classOf(now, need, b)
+		if x.tier == y.tier && x.chance == 1 && y.chance == 1 {
+			return cmp.Or(cmp.Compare(first[x], first[y]), cmp.Compare(x.rank, y.rank), a.turn.Compare(b.turn))
+		}
+		return cmp.Or(x.compare(y), a.turn.Compare(b.turn))
 	})
 }
 
