Versions that were taken back stay out of use under a later order

Cause: found while reading the code of moves as a newcomer, and shown by the longer TestMoveToBadVersion: after a move to v2 was taken back, an order for v3 set only v3 apart, so that targets of v2, which drain some seconds later, got requests again. Targets of versions that wait for the orders to be read were apart as well, and so could get requests of a trial.

Ruled out: keeping the old move beside the new one (two machines per service, of which one only says no).

Change: versions that wait or were taken back are kept out of the pool; a new order for one lets it in again.

--- a/router/direct/cells.go
+++ b/router/direct/cells.go
@@ -60,11 +60,6 @@
 	}
 }
 
-// holds reports whether this router's cell uses a target; r.mu is held.
-func (r *Router) holds(t ident.TargetID, s ident.Service) bool {
-	return r.cell.Holds(t, r.sizes[s])
-}
-
 // sizesOf returns the number of targets of each service in a list.
 func sizesOf(list []fleet.Target) map[ident.Service]int {
 	sizes := map[ident.Service]int{}
--- a/router/direct/moves.go
+++ b/router/direct/moves.go
@@ -19,6 +19,8 @@
 	marksMax = 8
 	// rankDelay is the time by which a router lets the one before it write, a few times what a write takes.
 	rankDelay = 60 * time.Millisecond
+	// markRetry is the pause before a state is written again that was not recorded.
+	markRetry = 500 * time.Millisecond
 	// retireTime is the time after a finished move from which all versions are treated alike: the old targets
 	// have stopped, and their registrations have lapsed.
 	retireTime = 5 * time.Second
@@ -36,6 +38,8 @@
 	used use = iota
 	// strange versions get none until the orders were read after they were first seen.
 	strange
+	// barred versions were taken back, and get none until they are ordered again.
+	barred
 )
 
 // move is a move of a service.
@@ -57,10 +61,13 @@
 
 // apart reports whether a target gets only requests of a trial; r.mu is held.
 func (r *Router) apart(t fleet.Target) bool {
-	if m, ok := r.moves[t.Service]; ok {
-		return m.Apart(t.Version)
-	}
-	return r.versions[t.Service][t.Version] == strange
+	m, ok := r.moves[t.Service]
+	return ok && m.Apart(t.Version)
+}
+
+// mayUse reports whether a target gets requests at all; r.mu is held.
+func (r *Router) mayUse(t fleet.Target) bool {
+	return r.versions[t.Service][t.Version] == used && r.cell.Holds(t.ID, r.sizes[t.Service])
 }
 
 // meet takes in that a target is up; r.mu is held. A version that comes beside others may be on trial, and its
@@ -70,11 +77,7 @@
 		m.warm[t.ID] = time.Now().Add(t.Cold)
 		return
 	}
-	vs := r.versions[t.Service]
-	if vs == nil {
-		vs = map[ident.Version]use{}
-		r.versions[t.Service] = vs
-	}
+	vs := r.uses(t.Service)
 	if _, ok := vs[t.Version]; ok {
 		return
 	}
@@ -88,6 +91,16 @@
 	}
 }
 
+// uses returns the versions of a service; r.mu is held.
+func (r *Router) uses(s ident.Service) map[ident.Version]use {
+	vs := r.versions[s]
+	if vs == nil {
+		vs = map[ident.Version]use{}
+		r.versions[s] = vs
+	}
+	return vs
+}
+
 // settleVersions lets strange versions be used, as the orders were read; r.mu is not held.
 func (r *Router) settleVersions() {
 	r.mu.Lock()
@@ -95,8 +108,9 @@
 	for s, vs := range r.versions {
 		changed := false
 		for v, u := range vs {
-			changed = changed || u == strange
-			vs[v] = used
+			if u == strange {
+				changed, vs[v] = true, used
+			}
 		}
 		if changed {
 			r.regroup(s)
@@ -110,7 +124,7 @@
 	for _, t := range r.targets {
 		switch {
 		case t.Service != s || t.Leaving:
-		case r.holds(t.ID, s):
+		case r.mayUse(t):
 			r.pool(s).Put(r.member(t, p), false)
 		default:
 			r.pool(s).Leave(t.ID)
@@ -213,6 +227,7 @@
 func (r *Router) startMove(now time.Time, ord moves.Order, peer string) *move {
 	m := &move{Quick: moves.NewQuick(now, ord, moves.Bound{Share: r.cfg.Expose, Slack: r.cfg.Leeway}), warm: map[ident.TargetID]time.Time{}, apart: true}
 	r.moves[ord.Service] = m
+	delete(r.versions[ord.Service], ord.To)
 	for _, t := range r.targets {
 		if t.Service == ord.Service && t.Version == ord.To {
 			m.warm[t.ID] = now.Add(t.Cold)
@@ -233,6 +248,9 @@
 	}
 	m.ended = now
 	o, j := m.Order(), m.Judged()
+	if m.State() == moves.Back {
+		r.uses(o.Service)[o.To] = barred
+	}
 	old, trial := m.Requests()
 	reason := j.Reason
 	if b := m.Bad(); b != nil {
@@ -274,10 +292,9 @@
 	for s, m := range r.moves {
 		if m.State() == moves.Done && now.Sub(m.ended) >= retireTime {
 			delete(r.moves, s)
-			r.versions[s] = map[ident.Version]use{}
 			for _, t := range r.targets {
-				if t.Service == s {
-					r.versions[s][t.Version] = used
+				if _, ok := r.uses(s)[t.Version]; t.Service == s && !ok {
+					r.uses(s)[t.Version] = used
 				}
 			}
 			r.regroup(s)
@@ -298,7 +315,7 @@
 			m.due, m.dueAt = due, now
 		}
 		if ok && m.object.Name != "" && now.Sub(m.dueAt) >= time.Duration(r.rank(now))*rankDelay {
-			m.dueAt = now.Add(rankDelay) // the next try, if this one fails
+			m.dueAt = now.Add(markRetry) // if this one fails
 			o := m.object
 			o.Status = r.catalogue.Mark(m.Order(), due)
 			select {
--- a/router/direct/moves_test.go
+++ b/router/direct/moves_test.go
@@ -26,7 +26,9 @@
 func (w *world) recorded() moves.State {
 	o, err := w.store.Get(context.Background(), "orders", "s")
 	w.g.Expect(err).NotTo(HaveOccurred())
-	return moves.State(o.Status)
+	_, s, err := catalogue{}.Order(o)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	return s
 }
 
 // ramp sends requests one after the other until the state is recorded, and returns their number.
@@ -80,6 +82,12 @@
 		w.g.Expect(w.ask("GET", "/safe/", "").code).To(Equal(200))
 	}
 	w.g.Expect(fresh.requests()).To(HaveLen(before))
+	// The next order is for another version, while targets of the bad one are still there.
+	next := serve(t, "t3", fine)
+	w.put("orders", "s", moves.Order{Service: "s", To: "v3", Length: 1500 * time.Millisecond})
+	w.enter(next, "v3")
+	w.ramp(moves.Done)
+	w.g.Expect(fresh.requests()).To(HaveLen(before))
 }
 
 // Guards against a version that gets its part of the requests by the number of its targets, because they were
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -132,7 +132,7 @@
 // slots applies the declared slots of services to their targets; r.mu is held.
 func (r *Router) slots(p *route.Plan) {
 	for _, t := range r.targets {
-		if s := p.Services[t.Service]; s.Slots > 0 && !t.Leaving && r.holds(t.ID, t.Service) {
+		if s := p.Services[t.Service]; s.Slots > 0 && !t.Leaving && r.mayUse(t) {
 			r.pool(t.Service).Put(r.member(t, p), false)
 		}
 	}
@@ -228,7 +228,7 @@
 			}
 			r.targets[t.ID] = t
 			r.meet(t)
-			if !r.holds(t.ID, t.Service) {
+			if !r.mayUse(t) {
 				continue
 			}
 			pool.Put(r.member(t, p), !known || old.Born != t.Born)
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -87,10 +87,15 @@
 
 func (catalogue) Order(o store.Object) (ord moves.Order, s moves.State, err error) {
 	err = json.Unmarshal(o.Value, &ord)
-	return ord, moves.State(o.Status), err
+	if state, ok := strings.CutPrefix(string(o.Status), string(ord.To)+": "); ok {
+		s = moves.State(state)
+	}
+	return ord, s, err
 }
 
-func (catalogue) Mark(_ moves.Order, s moves.State) []byte { return []byte(s) }
+func (catalogue) Mark(o moves.Order, s moves.State) []byte {
+	return []byte(string(o.To) + ": " + string(s))
+}
 
 // world is a router with a store in memory and scripted targets.
 type world struct {
