Moves of the direct router in a file for each task

Cause: moves.go of router/direct held 460 lines on four tasks, read as a newcomer: orders, versions in use, requests of a trial, and the recording of states.

Ruled out: a type of its own beside Router (its methods need the router's lock, pools and peers).

No change of behaviour.

--- a/router/direct/moves.go
+++ b/router/direct/moves.go
@@ -4,14 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/store"
-	"hickoryvane.example/core/wire"
 )
 
 const (
@@ -30,18 +27,6 @@
 	strangeRetry = 200 * time.Millisecond
 )
 
-// use says how a version that no order names is used.
-type use uint8
-
-const (
-	// used versions get requests.
-	used use = iota
-	// strange versions get none until the orders were read after they were first seen.
-	strange
-	// barred versions were taken back, and get none until they are ordered again.
-	barred
-)
-
 // move is a move of a service.
 type move struct {
 	*moves.Quick
@@ -65,74 +50,6 @@
 	return ok && m.Apart(t.Version)
 }
 
-// mayUse reports whether a target gets requests at all; r.mu is held.
-func (r *Router) mayUse(t fleet.Target) bool {
-	return r.versions[t.Service][t.Version] == used && r.cell.Holds(t.ID, r.sizes[t.Service])
-}
-
-// meet takes in that a target is up; r.mu is held. A version that comes beside others may be on trial, and its
-// targets may be seen before the order is.
-func (r *Router) meet(t fleet.Target) {
-	if m, ok := r.moves[t.Service]; ok && t.Version == m.Order().To {
-		m.warm[t.ID] = time.Now().Add(t.Cold)
-		return
-	}
-	vs := r.uses(t.Service)
-	if _, ok := vs[t.Version]; ok {
-		return
-	}
-	vs[t.Version] = used
-	if len(vs) > 1 {
-		vs[t.Version] = strange
-		select {
-		case r.strange <- struct{}{}:
-		default: // a list is asked for already
-		}
-	}
-}
-
-// uses returns the versions of a service; r.mu is held.
-func (r *Router) uses(s ident.Service) map[ident.Version]use {
-	vs := r.versions[s]
-	if vs == nil {
-		vs = map[ident.Version]use{}
-		r.versions[s] = vs
-	}
-	return vs
-}
-
-// settleVersions lets strange versions be used, as the orders were read; r.mu is not held.
-func (r *Router) settleVersions() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for s, vs := range r.versions {
-		changed := false
-		for v, u := range vs {
-			if u == strange {
-				changed, vs[v] = true, used
-			}
-		}
-		if changed {
-			r.regroup(s)
-		}
-	}
-}
-
-// regroup puts the targets of a service into the pool anew; r.mu is held.
-func (r *Router) regroup(s ident.Service) {
-	p := r.plan.Load()
-	for _, t := range r.targets {
-		switch {
-		case t.Service != s || t.Leaving:
-		case r.mayUse(t):
-			r.pool(s).Put(r.member(t, p), false)
-		default:
-			r.pool(s).Leave(t.ID)
-		}
-	}
-	r.next(time.Now(), r.pool(s))
-}
-
 // moveFeed takes in the orders of moves.
 func (r *Router) moveFeed() feed {
 	return feed{
@@ -274,159 +191,3 @@
 		r.regroup(s)
 	}
 }
-
-// settle writes the states of moves.
-func (r *Router) settle(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case o := <-r.marks:
-			r.mark(ctx, o)
-		}
-	}
-}
-
-// judgeMoves looks at the moves, and hands out the states that this router has to write; r.mu is held.
-func (r *Router) judgeMoves(now time.Time) {
-	for s, m := range r.moves {
-		if m.State() == moves.Done && now.Sub(m.ended) >= retireTime {
-			delete(r.moves, s)
-			for _, t := range r.targets {
-				if _, ok := r.uses(s)[t.Version]; t.Service == s && !ok {
-					r.uses(s)[t.Version] = used
-				}
-			}
-			r.regroup(s)
-			continue
-		}
-		bad := m.Bad()
-		due, ok := m.Due(now)
-		if b := m.Bad(); b != nil && bad == nil {
-			r.urgent = true
-			r.log.Log(event.MoveBad, "service", s, "version", m.Order().To, "reason", b.Reason, "route", b.Route, "score", m.Judged().Score, "age", m.Age(now))
-		}
-		if a := m.Apart(m.Order().To); a != m.apart {
-			m.apart = a
-			r.log.Log(event.MoveStage, "service", s, "version", m.Order().To, "apart", a, "score", m.Judged().Score, "age", m.Age(now))
-			r.regroup(s)
-		}
-		if !ok || due != m.due {
-			m.due, m.dueAt = due, now
-		}
-		if ok && m.object.Name != "" && now.Sub(m.dueAt) >= time.Duration(r.rank(now))*rankDelay {
-			m.dueAt = now.Add(markRetry) // if this one fails
-			o := m.object
-			o.Status = r.catalogue.Mark(m.Order(), due)
-			select {
-			case r.marks <- o:
-			default: // earlier writes still wait for the store
-			}
-		}
-	}
-}
-
-// rank returns the number of routers that go before this one; r.mu is held.
-func (r *Router) rank(now time.Time) (n int) {
-	for id, p := range r.peers {
-		if id < r.cfg.Name && p.linked && now.Sub(p.heard) < r.deaf(p) {
-			n++
-		}
-	}
-	return n
-}
-
-// mark writes a status, and reads it back where it is not known which one holds.
-func (r *Router) mark(ctx context.Context, o store.Object) {
-	out, err := r.store.Mark(ctx, o)
-	if errors.Is(err, store.ErrUnsure) || errors.Is(err, store.ErrConflict) {
-		out, err = r.store.Get(ctx, o.Sort, o.Name)
-	}
-	if err != nil {
-		r.log.Log(event.StoreDown, "sort", o.Sort, "error", err)
-		return
-	}
-	r.order(out, "")
-}
-
-// assign chooses the version for a request, and reports whether it goes to targets that are apart.
-func (r *Router) assign(c *call) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.moves[c.service]
-	if !ok || m.State() != moves.Running {
-		return false
-	}
-	takes, _ := r.pool(c.service).Duration(c.length(), c.job.Stride) // plain calls end within the margin of a move
-	return m.Assign(time.Now(), r.known(time.Now()), c.route.Name, takes)
-}
-
-// unassign takes back the choice for a request that was turned away.
-func (r *Router) unassign(c *call, trial bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m, ok := r.moves[c.service]; ok && m.State() == moves.Running {
-		m.Drop(c.route.Name, trial)
-	}
-}
-
-// witness counts the end of a request at a target as evidence on its version.
-func (r *Router) witness(c *call, v *visit) {
-	if v.end == notRun || v.end == left {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.moves[c.service]
-	if !ok {
-		return
-	}
-	now := time.Now()
-	e := moves.Ended{Route: c.route.Name, Version: v.target.Version, Target: v.target.ID, Failed: v.end == failed, Lost: v.end == lost, Took: v.first}
-	if v.held != nil && v.held.status >= 500 {
-		e.Failed = true
-	}
-	if now.Before(m.warm[v.target.ID]) {
-		e.Took = 0
-	}
-	m.Add(now, e)
-}
-
-// tellMoves returns the running moves for a beacon; r.mu is held.
-func (r *Router) tellMoves(now time.Time) (out []wire.BeaconMove) {
-	for s, m := range r.moves {
-		if m.State() != moves.Running {
-			continue
-		}
-		o := m.Order()
-		b := wire.BeaconMove{Service: s, To: o.To, Length: o.Length.Milliseconds(), Age: m.Age(now).Milliseconds(), Evidence: m.Value()}
-		if v := m.Bad(); v != nil {
-			b.Bad = string(v.Reason)
-		}
-		out = append(out, b)
-	}
-	return out
-}
-
-// hearMoves takes in the moves that another router knows of; r.mu is held.
-func (r *Router) hearMoves(now time.Time, b *wire.Beacon) {
-	for _, x := range b.Moves {
-		ord := moves.Order{Service: x.Service, To: x.To, Length: time.Duration(x.Length) * time.Millisecond}
-		age := time.Duration(x.Age) * time.Millisecond
-		m, ok := r.moves[x.Service]
-		if !ok && age < ord.Length {
-			m, ok = r.startMove(now, ord, string(b.Process)), true
-			r.regroup(x.Service)
-		}
-		if !ok || m.Order() != ord || m.State() != moves.Running {
-			continue
-		}
-		m.Older(now, age)
-		if err := m.Merge(b.Process, b.Boot, x.Evidence); err != nil {
-			r.log.Log(event.BadFrame, "peer", b.Process, "error", err)
-		}
-		if x.Bad != "" {
-			m.Condemn(moves.Verdict{Reason: moves.Reason(x.Bad), At: now})
-		}
-	}
-}
