--- a/core/moves/count.go
+++ b/core/moves/count.go
@@ -9,16 +9,16 @@
 	"hickoryvane.example/core/ident"
 )
 
-// bin is a group of outcomes. Those of the last part of a move are apart, as the new version has more load
-// then.
-type bin struct {
+// group says which outcomes are counted together. Those of the last part of a move are apart, as the new version
+// has more load then.
+type group struct {
 	route ident.Route
 	trial bool
 	late  bool
 }
 
 // counts are the outcomes at one process.
-type counts map[bin]*Counts
+type counts map[group]*Counts
 
 // crashTime is the time within which lost answers of one target count as one failure.
 const crashTime = time.Second
@@ -48,7 +48,7 @@
 	if _, ok := q.sent[e.Route]; !ok && len(q.sent) >= quickRoutesMax {
 		e.Route = ""
 	}
-	k := bin{route: e.Route, trial: e.Version == q.order.To, late: float64(q.Age(now)) > (1-latePart)*float64(q.order.Length)}
+	k := group{route: e.Route, trial: e.Version == q.order.To, late: float64(q.Age(now)) > (1-latePart)*float64(q.order.Length)}
 	c := q.mine[k]
 	if c == nil {
 		c = &Counts{}
@@ -69,11 +69,11 @@
 
 // Value returns the outcomes at this process for the others.
 func (q *Quick) Value() []byte {
-	keys := make([]bin, 0, len(q.mine))
+	keys := make([]group, 0, len(q.mine))
 	for k := range q.mine {
 		keys = append(keys, k)
 	}
-	slices.SortFunc(keys, func(a, b bin) int {
+	slices.SortFunc(keys, func(a, b group) int {
 		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.flags(), b.flags()))
 	})
 	var b []byte
@@ -85,7 +85,7 @@
 	return b
 }
 
-func (k bin) flags() (f uint64) {
+func (k group) flags() (f uint64) {
 	if k.trial {
 		f |= 1
 	}
@@ -101,7 +101,7 @@
 	r := &reader{b: value}
 	c := counts{}
 	for len(r.b) > 0 && len(c) < 4*(quickRoutesMax+1) {
-		k := bin{route: ident.Route(r.text())}
+		k := group{route: ident.Route(r.text())}
 		f := r.number(3)
 		k.trial, k.late = f&1 != 0, f&2 != 0
 		c[k] = r.counts()
--- a/core/moves/quick_test.go
+++ b/core/moves/quick_test.go
@@ -29,13 +29,12 @@
 
 var modelTakes = map[ident.Route]time.Duration{"draft": 3500 * time.Millisecond, "question": 2500 * time.Millisecond, "photo": 400 * time.Millisecond}
 
-// moved is the end of a replay. bad counts the failed or slow answers of the version, after those requests
-// that were assigned to it more than five seconds after the 50th.
+// moved is the end of a replay: the recorded state and its time, all requests and those of the new version until
+// the deadline, and those of it more than five seconds after its 50th bad answer.
 type moved struct {
 	state             moves.State
 	at                time.Duration
 	all, trial, after int
-	cut               int
 }
 
 // play runs a move second by second with reports every 100 ms.
@@ -92,8 +91,6 @@
 					if !fiftieth.IsZero() && now.Sub(fiftieth) > 5*time.Second {
 						m.after++
 					}
-				} else if now.Add(f.takes[r]).After(start.Add(f.length)) && now.Before(start.Add(f.length)) {
-					m.cut++
 				}
 				running = append(running, ending{now.Add(e.Took), i, e})
 			}
--- a/core/sched/flow.go
+++ b/core/sched/flow.go
@@ -67,7 +67,7 @@
 	}
 	slices.SortFunc(all, class.compare)
 	for i := len(all) - 1; i > 0; i-- {
-		if below, above := all[i], all[i-1]; below.tier == above.tier && p.passes(now, p.classes[below], p.classes[above]) {
+		if below, above := all[i], all[i-1]; below.tier == above.tier && p.classes[below].passes(now, p.classes[above]) {
 			all[i], all[i-1] = above, below
 		}
 	}
@@ -78,6 +78,7 @@
 	return places
 }
 
-func (p *Pool) passes(now time.Time, below, above *flow) bool {
-	return below.length > 0 && shorterTimes*below.length <= above.length && below.share(now) < servedPart*above.share(now)
+// passes reports whether jobs of the class go before those of the one above it.
+func (f *flow) passes(now time.Time, above *flow) bool {
+	return f.length > 0 && shorterTimes*f.length <= above.length && f.share(now) < servedPart*above.share(now)
 }
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -130,6 +130,15 @@
 	p.divided = time.Time{}
 }
 
+// Change takes over changed properties of a target, or adds it. What is learnt of it, and a doubt, stay.
+func (p *Pool) Change(t Target) {
+	if old, ok := p.targets[t.ID]; ok {
+		old.Target, old.leaving = t, false
+		return
+	}
+	p.Put(t, true)
+}
+
 // Leave stops new placements on a target; its running jobs end as usual.
 func (p *Pool) Leave(id ident.TargetID) {
 	if t, ok := p.targets[id]; ok {
--- a/core/sched/scale_test.go
+++ b/core/sched/scale_test.go
@@ -30,7 +30,7 @@
 }
 
 // Load pattern: the start of 300 routers before 3,000 targets, whose first reports arrive within 3 s. Guards
-// against a division of the slots that takes longer than the reports take to come: once all together took 12 s.
+// against a division of the slots that takes longer than the reports take to come.
 func TestHundredsOfRoutersJoinInTime(t *testing.T) {
 	g := NewWithT(t)
 	_, merge := wide(300, 3000)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -255,6 +255,21 @@
 	g.Expect(placed[1].Target).To(Equal(ident.TargetID("t0")))
 }
 
+// Guards against a doubt that is forgotten because the slots or the use of a target change.
+func TestDoubtOutlastsAChange(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 1)
+	p.Doubt("t0")
+	p.Change(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 2})
+	p.Add(job("a", 0, 0, 0))
+	placed, _ := p.Next(at(0))
+	g.Expect(placed[0].Target).To(Equal(ident.TargetID("t1")))
+	p.Change(sched.Target{ID: "t2", Centre: "a1", Region: "a", Slots: 1})
+	p.Add(job("b", 0, 0, 0))
+	placed, _ = p.Next(at(0))
+	g.Expect(placed[0].Target).To(Equal(ident.TargetID("t2")), "an unknown target is added")
+}
+
 // Guards against a caller that left and still takes a place.
 func TestRemovedJobIsNotPlaced(t *testing.T) {
 	g := NewWithT(t)
--- a/router/direct/cells_test.go
+++ b/router/direct/cells_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/wire"
 )
 
@@ -27,6 +29,7 @@
 		}))
 	}
 	w := start(t, list...)
+	w.put("config", "main", config{Generation: 2, Routes: routes(), Accounts: []route.Account{{Name: "a", Keys: []string{"key"}, Rate: 10, Burst: 1000}}})
 	all := []ident.ProcessID{w.cfg.Name}
 	for i := range others {
 		all = append(all, ident.ProcessID(fmt.Sprint("o", i)))
@@ -66,4 +69,12 @@
 		}
 	}
 	w.g.Expect(used).To(BeNumerically(">", 5))
+	// The cell has half of the account's limit.
+	w.ask("GET", "/safe/", "", "X-Key", "key", "X-Tokens", "1")
+	at := strings.LastIndex(w.log.String(), "tokens=1 level=")
+	w.g.Expect(at).To(BeNumerically(">", 0))
+	var level int
+	_, err = fmt.Sscanf(w.log.String()[at:], "tokens=1 level=%d", &level)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(level).To(BeNumerically("<=", 500))
 }
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -138,7 +138,7 @@
 	// moves are the moves of services that run, or that were taken back; see moves.go.
 	moves map[ident.Service]*move
 	// versions are the versions that were in use without an order, per service.
-	versions map[ident.Service]map[ident.Version]use
+	versions map[ident.Service]map[ident.Version]version
 	// ordered is closed once the orders of moves were read; strange asks for another list of them.
 	ordered chan struct{}
 	strange chan struct{}
@@ -175,7 +175,7 @@
 		targets: map[ident.TargetID]fleet.Target{}, objects: map[string]store.Object{}, tally: quota.NewTally(),
 		retries: map[ident.Service]*retry.Retry{}, guard: guard.New(),
 		losses: map[ident.TargetID][]loss{}, peers: map[ident.ProcessID]*peer{},
-		moves: map[ident.Service]*move{}, versions: map[ident.Service]map[ident.Version]use{},
+		moves: map[ident.Service]*move{}, versions: map[ident.Service]map[ident.Version]version{},
 		ordered: make(chan struct{}), strange: make(chan struct{}, 1), marks: make(chan store.Object, marksMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
--- a/router/direct/moves.go
+++ b/router/direct/moves.go
@@ -39,6 +39,8 @@
 	dueAt time.Time
 	// apart is Apart of the new version when the targets were grouped last.
 	apart bool
+	// badTold is true once a line and a beacon told that the new version is bad.
+	badTold bool
 	// ended is the time at which the end was learnt; withdrawn is true when the order was removed.
 	ended     time.Time
 	withdrawn bool
@@ -70,7 +72,6 @@
 	for _, o := range l {
 		r.order(o, "")
 	}
-	r.settleVersions()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	select {
@@ -101,9 +102,11 @@
 		case <-r.strange:
 		}
 		for ctx.Err() == nil {
+			began := time.Now()
 			l, _, err := r.store.List(ctx, r.catalogue.Moves())
 			if err == nil {
 				r.ordersRead(l)
+				r.settleVersions(began)
 				break
 			}
 			r.log.Log(event.StoreDown, "sort", r.catalogue.Moves(), "error", err)
@@ -166,12 +169,16 @@
 	m.ended = now
 	o, j := m.Order(), m.Judged()
 	if m.State() == moves.Back {
-		r.uses(o.Service)[o.To] = barred
+		r.uses(o.Service)[o.To] = version{use: barred}
 	}
 	old, trial := m.Requests()
-	reason := j.Reason
-	if b := m.Bad(); b != nil {
+	var reason moves.Reason
+	switch b := m.Bad(); {
+	case s == moves.Done:
+	case b != nil:
 		reason = b.Reason
+	default:
+		reason = moves.ReasonDeadline
 	}
 	r.log.Log(event.MoveEnded, "service", o.Service, "version", o.To, "state", s, "reason", reason, "score", j.Score, "old", old, "new", trial, "age", m.Age(now), "rev", m.object.Rev)
 }
--- a/router/direct/moves_test.go
+++ b/router/direct/moves_test.go
@@ -15,6 +15,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/store"
 )
 
 // enter registers a target of a version.
@@ -46,7 +47,13 @@
 // Guards against a good version that is not taken by the deadline, and against requests at the old targets,
 // which stop at once, afterwards.
 func TestMoveToGoodVersion(t *testing.T) {
-	old, fresh := serve(t, "t1", fine), serve(t, "t2", fine)
+	old := serve(t, "t1", fine)
+	fresh := serve(t, "t2", func(n int, r *http.Request, c net.Conn) bool {
+		if n == 3 { // a single failure is no reason
+			return say(c, r, 500, "broken")
+		}
+		return say(c, r, 200, "ok")
+	})
 	w := start(t)
 	w.enter(old, "v1")
 	w.g.Eventually(func() int { return w.ask("GET", "/safe/", "").code }).Should(Equal(200))
@@ -61,7 +68,7 @@
 		w.g.Expect(w.ask("GET", "/safe/", "").code).To(Equal(200))
 	}
 	w.g.Expect(old.requests()).To(HaveLen(before))
-	w.g.Expect(w.log.String()).To(ContainSubstring("move ended"))
+	w.g.Expect(w.log.String()).To(ContainSubstring("state=done reason= "), "a good version has no reason")
 }
 
 // Guards against a bad version that is taken, and against requests for it once it was taken back, also when
@@ -90,37 +97,83 @@
 	w.g.Expect(fresh.requests()).To(HaveLen(before))
 }
 
+// slowOrders is a store whose lists of orders are as of their beginning. While hold is true, each waits for a
+// value of gate.
+type slowOrders struct {
+	store.Marker
+	hold  atomic.Bool
+	gate  chan struct{}
+	asked atomic.Int32
+}
+
+func (s *slowOrders) List(ctx context.Context, sort string) (all []store.Object, rev store.Rev, err error) {
+	all, rev, err = s.Marker.List(ctx, sort)
+	if sort == "orders" {
+		s.asked.Add(1)
+		if s.hold.Load() {
+			select {
+			case <-s.gate:
+			case <-ctx.Done():
+			}
+		}
+	}
+	return all, rev, err
+}
+
 // Guards against a version that gets its part of the requests by the number of its targets, because they were
-// seen before the order.
+// seen before the order, and against one that waits for ever without an order.
 func TestStrangeVersionWaitsForTheOrders(t *testing.T) {
-	var late atomic.Bool
 	slow := func(_ int, r *http.Request, c net.Conn) bool {
 		time.Sleep(50 * time.Millisecond)
 		return say(c, r, 200, "ok")
 	}
-	old := serve(t, "t1", slow)
-	fresh := serve(t, "t2", func(n int, r *http.Request, c net.Conn) bool {
-		late.Store(true)
-		return slow(n, r, c)
-	})
-	w := start(t)
-	w.enter(old, "v1")
-	w.g.Eventually(func() int { return w.ask("GET", "/safe/", "").code }).Should(Equal(200))
-	w.enter(fresh, "v2") // no order: the version may be used as soon as the orders were read again
-	w.g.Eventually(func() bool {
+	old, fresh, late := serve(t, "t1", slow), serve(t, "t2", slow), serve(t, "t3", slow)
+	w := newWorld(t)
+	orders := &slowOrders{Marker: w.store, gate: make(chan struct{})}
+	w.run(t, orders)
+	press := func() { // more than two targets have slots for
 		var all sync.WaitGroup
-		for range 6 { // more than one target has slots for
+		for range 10 {
 			all.Go(func() { w.ask("GET", "/safe/", "") })
 		}
 		all.Wait()
-		return late.Load()
-	}, 3*time.Second).Should(BeTrue())
+	}
+	w.enter(old, "v1")
+	w.g.Eventually(func() int { return w.ask("GET", "/safe/", "").code }).Should(Equal(200))
+	orders.hold.Store(true)
+	asked := orders.asked.Load()
+	w.enter(fresh, "v2")
+	w.g.Eventually(orders.asked.Load).Should(BeNumerically(">", asked), "an unknown version asks for the orders")
+	for range 5 {
+		press()
+	}
+	w.g.Expect(fresh.requests()).To(BeEmpty())
+	// A list that began before a version was seen says nothing about that one.
+	w.enter(late, "v3")
+	w.g.Eventually(w.log.String).Should(ContainSubstring("target=t3 "))
+	orders.gate <- struct{}{}
+	w.g.Eventually(func() int {
+		press()
+		return len(fresh.requests())
+	}, 3*time.Second).Should(BeNumerically(">", 0))
+	w.g.Expect(late.requests()).To(BeEmpty())
+	orders.gate <- struct{}{}
+	w.g.Eventually(func() int {
+		press()
+		return len(late.requests())
+	}, 3*time.Second).Should(BeNumerically(">", 0))
 }
 
 // Guards against two routers that record different ends, and a router that learns of a move from nobody while
 // the store does not answer it.
 func TestRoutersAgreeOnTheEndOfAMove(t *testing.T) {
-	old := serve(t, "t1", fine)
+	var busy atomic.Bool
+	old := serve(t, "t1", func(_ int, r *http.Request, c net.Conn) bool {
+		if busy.Load() {
+			time.Sleep(30 * time.Millisecond)
+		}
+		return say(c, r, 200, "ok")
+	})
 	fresh := serve(t, "t2", func(_ int, r *http.Request, c net.Conn) bool { return say(c, r, 500, "broken") })
 	w := start(t)
 	w.enter(old, "v1")
@@ -140,4 +193,16 @@
 	}
 	v.g.Expect(fresh.requests()).To(HaveLen(before))
 	v.g.Expect(strings.Count(w.log.String(), "move ended")).To(Equal(1))
+	v.g.Expect(v.log.String()).To(ContainSubstring("version judged bad"), "a verdict of another router changes what this one believes")
+	// A process that starts now reads the end from another router.
+	u := second(t, w)
+	w.introduce(u)
+	u.g.Eventually(func() int { return u.ask("GET", "/safe/", "").code }, 3*time.Second).Should(Equal(200))
+	busy.Store(true)
+	var all sync.WaitGroup
+	for range 12 { // more than the old target has slots for
+		all.Go(func() { u.ask("GET", "/safe/", "") })
+	}
+	all.Wait()
+	u.g.Expect(fresh.requests()).To(HaveLen(before))
 }
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -126,6 +126,7 @@
 // fetch reads a snapshot and takes it in as a list that is older than what the store says.
 func (r *Router) fetch(client *sling.Sling, admin string) (err error) {
 	defer func() { err = errors.WithMessage(err, "read snapshot") }()
+	began := time.Now()
 	var s snapshot
 	res, err := client.New().Get("http://" + admin + snapshotPath).ReceiveSuccess(&s)
 	if err != nil {
@@ -138,7 +139,7 @@
 	for _, o := range s.Orders {
 		r.order(o, admin)
 	}
-	r.settleVersions()
+	r.settleVersions(began)
 	if r.linked.Load() {
 		return nil // the store has answered meanwhile, and knows better
 	}
--- a/router/direct/second_test.go
+++ b/router/direct/second_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/store/memory"
 	"hickoryvane.example/router/direct"
@@ -19,8 +21,8 @@
 	g := NewWithT(t)
 	v := &world{g: g, store: memory.NewMemory(), cfg: w.cfg, done: make(chan error, 1), log: &safeBuffer{}}
 	v.store.Outage(true)
-	v.cfg.Name = "r2"
 	v.cfg.Listen, v.cfg.Ready, v.cfg.Admin, v.cfg.Beacon = freePort(g), freePort(g), freePort(g), freePort(g)
+	v.cfg.Name = ident.ProcessID("r2-" + strings.TrimPrefix(v.cfg.Beacon, "127.0.0.1:"))
 	m, err := meter.New()
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/direct/settle.go
+++ b/router/direct/settle.go
@@ -31,10 +31,9 @@
 			r.retire(s)
 			continue
 		}
-		bad := m.Bad()
 		due, ok := m.Due(now)
-		if b := m.Bad(); b != nil && bad == nil {
-			r.urgent = true
+		if b := m.Bad(); b != nil && !m.badTold {
+			m.badTold, r.urgent = true, true
 			r.log.Log(event.MoveBad, "service", s, "version", m.Order().To, "reason", b.Reason, "route", b.Route, "score", m.Judged().Score, "age", m.Age(now))
 		}
 		if a := m.Apart(m.Order().To); a != m.apart {
@@ -62,7 +61,7 @@
 	delete(r.moves, s)
 	for _, t := range r.targets {
 		if _, ok := r.uses(s)[t.Version]; t.Service == s && !ok {
-			r.uses(s)[t.Version] = used
+			r.uses(s)[t.Version] = version{use: used}
 		}
 	}
 	r.regroup(s)
--- a/router/direct/versions.go
+++ b/router/direct/versions.go
@@ -19,9 +19,16 @@
 	barred
 )
 
+// version is what is known of a version that no order names.
+type version struct {
+	use use
+	// seen is the time at which it was first seen.
+	seen time.Time
+}
+
 // mayUse reports whether a target gets requests at all; r.mu is held.
 func (r *Router) mayUse(t fleet.Target) bool {
-	return r.versions[t.Service][t.Version] == used && r.cell.Holds(t.ID, r.sizes[t.Service])
+	return r.versions[t.Service][t.Version].use == used && r.cell.Holds(t.ID, r.sizes[t.Service])
 }
 
 // meet takes in that a target is up; r.mu is held. A version that comes beside others may be on trial, and its
@@ -35,35 +42,37 @@
 	if _, ok := vs[t.Version]; ok {
 		return
 	}
-	vs[t.Version] = used
-	if len(vs) > 1 {
-		vs[t.Version] = strange
-		select {
-		case r.strange <- struct{}{}:
-		default: // a list is asked for already
-		}
+	if len(vs) == 0 {
+		vs[t.Version] = version{use: used}
+		return
+	}
+	vs[t.Version] = version{use: strange, seen: time.Now()}
+	select {
+	case r.strange <- struct{}{}:
+	default: // a list is asked for already
 	}
 }
 
 // uses returns the versions of a service; r.mu is held.
-func (r *Router) uses(s ident.Service) map[ident.Version]use {
+func (r *Router) uses(s ident.Service) map[ident.Version]version {
 	vs := r.versions[s]
 	if vs == nil {
-		vs = map[ident.Version]use{}
+		vs = map[ident.Version]version{}
 		r.versions[s] = vs
 	}
 	return vs
 }
 
-// settleVersions lets strange versions be used, as the orders were read; r.mu is not held.
-func (r *Router) settleVersions() {
+// settleVersions lets strange versions be used that were seen before the reading of the orders began; r.mu is not
+// held.
+func (r *Router) settleVersions(began time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for s, vs := range r.versions {
 		changed := false
 		for v, u := range vs {
-			if u == strange {
-				changed, vs[v] = true, used
+			if u.use == strange && u.seen.Before(began) {
+				changed, vs[v] = true, version{use: used}
 			}
 		}
 		if changed {
@@ -79,7 +88,7 @@
 		switch {
 		case t.Service != s || t.Leaving:
 		case r.mayUse(t):
-			r.pool(s).Put(r.member(t, p), false)
+			r.pool(s).Change(r.member(t, p))
 		default:
 			r.pool(s).Leave(t.ID)
 		}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -133,7 +133,7 @@
 func (r *Router) slots(p *route.Plan) {
 	for _, t := range r.targets {
 		if s := p.Services[t.Service]; s.Slots > 0 && !t.Leaving && r.mayUse(t) {
-			r.pool(t.Service).Put(r.member(t, p), false)
+			r.pool(t.Service).Change(r.member(t, p))
 		}
 	}
 }
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -147,6 +147,16 @@
 
 // start runs a router in front of the targets.
 func start(t *testing.T, targets ...*target) *world {
+	w := newWorld(t)
+	for _, x := range targets {
+		w.register(x, false)
+	}
+	w.run(t, w.store)
+	return w
+}
+
+// newWorld returns a world without a router; its store has a configuration.
+func newWorld(t *testing.T) *world {
 	g := NewWithT(t)
 	w := &world{g: g, store: memory.NewMemory(), done: make(chan error, 1), log: &safeBuffer{}}
 	w.cfg = conf.Direct{
@@ -155,21 +165,22 @@
 		Grace: 1.2, Drain: 2500, Ratio: 0.5, Spare: 20, Span: 10, Stable: 3000, Expose: 0.1, Leeway: 50,
 	}
 	w.put("config", "main", config{Generation: 1, Routes: routes()})
-	for _, x := range targets {
-		w.register(x, false)
-	}
+	return w
+}
+
+// run runs the router, which sees the store as st, until it is ready; it ends with the test.
+func (w *world) run(t *testing.T, st store.Marker) {
 	m, err := meter.New()
-	g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
-	r := direct.New(w.cfg, w.store, catalogue{}, dialect{}, event.New(w.log, log.InfoLevel), m)
+	r := direct.New(w.cfg, st, catalogue{}, dialect{}, event.New(w.log, log.InfoLevel), m)
 	go func() { w.done <- r.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		g.Eventually(w.done, 6*time.Second).Should(Receive(BeNil()))
+		w.g.Eventually(w.done, 6*time.Second).Should(Receive(BeNil()))
 	})
 	w.ready()
-	return w
 }
 
 func (w *world) ready() {
