Proof: processes are stopped once they handle signals

Nothing was accepted by then, so the product loses nothing. Ruled out: a fault of the shutdown; the logs of the two agents were empty. Change: stop waits for the start that the process logs. The check stays: every process exits with code 0.

--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -26,15 +27,18 @@
 // proc is a started process. Its output goes to a file, which is printed when a test fails.
 type proc struct {
 	procSpec
-	cmd  *exec.Cmd
-	log  string
-	done chan struct{}
-	err  error
+	cmd *exec.Cmd
+	log string
+	// starts is the number of starts that the log showed before this one.
+	starts int
+	done   chan struct{}
+	err    error
 }
 
 // launch starts a process. The caller must stop it.
 func launch(s procSpec, dir string) (p *proc, err error) {
 	p = &proc{procSpec: s, log: filepath.Join(dir, s.name+".log"), done: make(chan struct{})}
+	p.starts = p.loggedStarts()
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -58,9 +62,28 @@
 // signal sends a signal. The error for a process that has already exited is ignored.
 func (p *proc) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
+// loggedStarts returns the number of starts in the log of a router or an agent; the stand-ins log none.
+func (p *proc) loggedStarts() int {
+	b, _ := os.ReadFile(p.log) // there is no log before the first start
+	return strings.Count(string(b), "process started")
+}
+
+// awaitStart waits until the process has logged its start or has exited. SIGTERM ends a process that does not handle
+// signals yet, with an error.
+func (p *proc) awaitStart() {
+	for end := time.Now().Add(readyTimeout); p.program != "standin" && p.loggedStarts() == p.starts && time.Now().Before(end); {
+		select {
+		case <-p.done:
+			return
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
 // stop sends SIGTERM and returns an error unless the process exits with code 0 within stopTimeout.
 func (p *proc) stop() error {
 	p.signal(syscall.SIGCONT)
+	p.awaitStart()
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
