Verdicts of rollouts are reported after the recorded end

Cause: a router stopped reporting a rollout as soon as it knew the recorded end.

Change: for 5 s after the end, heartbeats report the verdict of a rollout that ended; a peer adopts it if both mean the same request (ages within 1 s). A rollback that was recorded long before the deadline, without a verdict here, has the reason "unknown". Ruled out: adopting it in a running rollout by request alone, as an operator may repeat a request.

--- a/core/moves/conclusion.go
+++ b/core/moves/conclusion.go
@@ -30,6 +30,8 @@
 	ReasonConsecutiveFailures Reason = "consecutive failures"
 	ReasonDeadline            Reason = "deadline"
 	ReasonCancelled           Reason = "cancelled"
+	// ReasonUnknown means that another process recorded the rollback and its verdict is not known here.
+	ReasonUnknown Reason = "unknown"
 )
 
 // ObjectKind is the kind of the objects that record the conclusions of rollouts, under the name of the rollout.
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -46,6 +46,9 @@
 	BadReason string
 	// Evidence holds the outcomes counted at the sender, encoded.
 	Evidence []byte
+	// Ended is true once the sender knows the recorded end of the rollout. It then reports only BadReason, for
+	// routers that learn of the end before they learn of the verdict.
+	Ended bool
 }
 
 // HeartbeatDemand is the demand for a service at the sender.
--- a/router/direct/canary.go
+++ b/router/direct/canary.go
@@ -53,17 +53,29 @@
 	m.Add(now, outcome)
 }
 
-// rolloutReports returns the running rollouts for a heartbeat; r.mu is held.
+const (
+	// verdictReportTime is the time after the end of a rollout for which the verdict on its version is reported.
+	// It covers some lost heartbeats at the longest interval between two of them.
+	verdictReportTime = 5 * time.Second
+	// rolloutAgeTolerance is the difference between the ages of a rollout at two routers up to which they mean the
+	// same request. An operator who repeats a request waits for the end of the first one.
+	rolloutAgeTolerance = time.Second
+)
+
+// rolloutReports returns the running rollouts, and those that ended recently with a verdict, for a heartbeat; r.mu
+// is held.
 func (r *Router) rolloutReports(now time.Time) (out []wire.HeartbeatRollout) {
 	for s, m := range r.rollouts {
-		if m.State() != moves.Running {
-			continue
-		}
-		req := m.Request()
-		report := wire.HeartbeatRollout{Service: s, Version: req.To, DurationMillis: req.Duration.Milliseconds(), AgeMillis: m.Age(now).Milliseconds(), Evidence: m.EncodeOutcomes()}
-		if v := m.Verdict(); v != nil {
+		req, v := m.Request(), m.Verdict()
+		report := wire.HeartbeatRollout{Service: s, Version: req.To, DurationMillis: req.Duration.Milliseconds(), AgeMillis: m.Age(now).Milliseconds()}
+		if v != nil {
 			report.BadReason = string(v.Reason)
 		}
+		if m.State() == moves.Running {
+			report.Evidence = m.EncodeOutcomes()
+		} else if report.Ended = true; v == nil || m.withdrawn || now.Sub(m.endedAt) >= verdictReportTime {
+			continue
+		}
 		out = append(out, report)
 	}
 	return out
@@ -75,6 +87,12 @@
 		req := moves.Request{Service: report.Service, To: report.Version, Duration: time.Duration(report.DurationMillis) * time.Millisecond}
 		age := time.Duration(report.AgeMillis) * time.Millisecond
 		m, ok := r.rollouts[report.Service]
+		if report.Ended {
+			if ok && m.Request() == req && (m.Age(now)-age).Abs() < rolloutAgeTolerance {
+				m.SetVerdict(moves.Verdict{Reason: moves.Reason(report.BadReason), JudgedAt: now})
+			}
+			continue
+		}
 		if !ok && age < req.Duration {
 			m, ok = r.startRollout(now, req, string(b.Process)), true
 			r.updatePool(report.Service)
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -24,6 +24,8 @@
 	retireDelay = 5 * time.Second
 	// rolloutListTimeout limits the time for which the first list of targets waits for the rollout requests.
 	rolloutListTimeout = time.Second
+	// endedEarlyMargin is the time before the deadline up to which a recorded rollback cannot be due to the deadline.
+	endedEarlyMargin = time.Second
 	// relistRetry is the pause after a failed attempt to list the rollout requests.
 	relistRetry = 200 * time.Millisecond
 )
@@ -181,6 +183,8 @@
 	case s == moves.Done:
 	case v != nil:
 		reason = v.Reason
+	case m.Age(now) < req.Duration-endedEarlyMargin:
+		reason = moves.ReasonUnknown
 	default:
 		reason = moves.ReasonDeadline
 	}
