Older copies of a registration bring no target back

Cause: a router without the store applies the list of a peer. A peer whose watch is behind still had a target that this router knew as leaving, or had seen removed, and the target was used again. Change: registrations carry their revision; a copy older than what is known of a target, or the last one of a removed target, is ignored. Measured: TestOlderCopyBringsNoTargetBack does not build without the revision; without the comparison its second check returns an event.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/store"
 )
 
 // ReappearTimeout is the time after an outage of the store within which expired entries reappear. The platform
@@ -35,6 +36,9 @@
 	// Boot identifies the start of the target's process; after a restart the process has no state of the earlier
 	// one.
 	Boot ident.Boot
+	// Rev is the revision of the registration in the store; empty if it is not known. A change of it alone is not
+	// reported.
+	Rev store.Rev
 	// ColdRemaining is the time for which the target is still slow after its start, as stated when it
 	// registered.
 	ColdRemaining time.Duration
@@ -70,6 +74,8 @@
 // Fleet is one router's view of the targets. It is not safe for concurrent use.
 type Fleet struct {
 	targets map[ident.TargetID]*entry
+	// removed holds the targets that were removed, so that an older copy of a registration does not bring one back.
+	removed map[ident.TargetID]removal
 	// unreachable is true while the store cannot be reached; reachableSince is the end of the last outage.
 	unreachable    bool
 	reachableSince time.Time
@@ -80,6 +86,15 @@
 	missing int
 }
 
+// removedMax limits the removed targets that are remembered; the oldest is forgotten first.
+const removedMax = 4096
+
+// removal is the last revision of a removed registration and the time of the removal.
+type removal struct {
+	rev store.Rev
+	at  time.Time
+}
+
 // entry is a registration and the time since which it is absent.
 type entry struct {
 	Target
@@ -97,7 +112,7 @@
 
 // New returns a fleet without targets.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{targets: map[ident.TargetID]*entry{}, removalHold: ReappearTimeout}
+	f := &Fleet{targets: map[ident.TargetID]*entry{}, removed: map[ident.TargetID]removal{}, removalHold: ReappearTimeout}
 	for _, o := range opts {
 		o(f)
 	}
@@ -125,10 +140,15 @@
 	return out
 }
 
-// Put adds or replaces one registration.
+// Put adds or replaces one registration. A copy that is older than what is known of the target, or that is the last
+// one of a removed target, is ignored: it comes from a router that is behind.
 func (f *Fleet) Put(t Target) []Event {
+	if f.outdated(t) {
+		return nil
+	}
 	e, ok := f.targets[t.ID]
 	if !ok {
+		delete(f.removed, t.ID)
 		f.targets[t.ID] = &entry{Target: t}
 		if t.Leaving {
 			return []Event{{t, Leaving}}
@@ -143,6 +163,7 @@
 		f.missing--
 	}
 	e.Target, e.missingSince = t, time.Time{}
+	old.Rev = t.Rev
 	switch {
 	case t.Leaving && !old.Leaving:
 		return []Event{{t, Leaving}}
@@ -167,10 +188,37 @@
 		}
 		return nil
 	}
-	delete(f.targets, id)
+	f.forget(now, e)
 	return []Event{{e.Target, Deregistered}}
 }
 
+// outdated reports whether a registration is older than what is known of its target.
+func (f *Fleet) outdated(t Target) bool {
+	if e, ok := f.targets[t.ID]; ok {
+		return store.Before(t.Rev, e.Rev)
+	}
+	r, ok := f.removed[t.ID]
+	return ok && t.Rev != "" && (t.Rev == r.rev || store.Before(t.Rev, r.rev))
+}
+
+// forget removes an entry and remembers its revision.
+func (f *Fleet) forget(now time.Time, e *entry) {
+	delete(f.targets, e.ID)
+	if e.Rev == "" {
+		return
+	}
+	if len(f.removed) >= removedMax {
+		oldest, at := ident.TargetID(""), now
+		for id, r := range f.removed {
+			if !r.at.After(at) {
+				oldest, at = id, r.at
+			}
+		}
+		delete(f.removed, oldest)
+	}
+	f.removed[e.ID] = removal{rev: e.Rev, at: now}
+}
+
 // Expire removes the entries that did not reappear in time.
 func (f *Fleet) Expire(now time.Time) (out []Event) {
 	if f.unreachable || f.missing == 0 || now.Sub(f.reachableSince) < ReappearTimeout {
@@ -178,7 +226,7 @@
 	}
 	for _, id := range f.ids() {
 		if e := f.targets[id]; !e.missingSince.IsZero() && now.Sub(e.missingSince) >= f.removalHold {
-			delete(f.targets, id)
+			f.forget(now, e)
 			f.missing--
 			out = append(out, Event{e.Target, Deregistered})
 		}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/store"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -100,3 +101,26 @@
 	g.Expect(f.Expire(at(1000))).To(BeEmpty())
 	g.Expect(changes(f.Expire(at(1100)))).To(Equal([]fleet.Change{fleet.Deregistered}))
 }
+
+// Guards against a target that left, or that is leaving, and is used again because another router whose copy of the
+// registrations is older passes it on.
+func TestOlderCopyBringsNoTargetBack(t *testing.T) {
+	g := NewWithT(t)
+	copyOf := func(rev store.Rev, leaving bool) fleet.Target {
+		x := target(leaving)
+		x.Rev = rev
+		return x
+	}
+	f := fleet.New()
+	f.Put(copyOf("9", false))
+	g.Expect(changes(f.Put(copyOf("10", true)))).To(Equal([]fleet.Change{fleet.Leaving}))
+	g.Expect(f.ApplyList(at(0), []fleet.Target{copyOf("9", false)})).To(BeEmpty(), "it is leaving")
+	g.Expect(changes(f.Remove(at(100), "t"))).To(Equal([]fleet.Change{fleet.Deregistered}))
+	for _, rev := range []store.Rev{"9", "10"} {
+		g.Expect(f.ApplyList(at(200), []fleet.Target{copyOf(rev, false)})).To(BeEmpty(), "it was removed")
+	}
+	g.Expect(changes(f.Put(copyOf("11", false)))).To(Equal([]fleet.Change{fleet.Up}), "it registered again")
+	f.Remove(at(300), "t")
+	g.Expect(changes(f.Expire(at(2300)))).To(Equal([]fleet.Change{fleet.Deregistered}))
+	g.Expect(f.Put(copyOf("11", false))).To(BeEmpty(), "it was removed without notice")
+}
