Bytes without end, stalled streams and untrue refusals

Causes, each shown by a test in router/direct/faults_test.go that fails on the base: - The stall timer also ran at the last target that a route allows, and without another target to go to. Change: a stalled request leaves its target only once another one has a free slot and the budget allows it; only events are progress; limits on heads, skipped answers, events and the memory of all buffered answers; the result of an attempt that may have run goes before a later refusal.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -119,18 +119,28 @@
 	return false
 }
 
-// riskLevel returns the worst risk of placing the job on the target: 0 none, 1 the answer would end after the
-// deadline, 2 the target is silent, 3 its registration is missing.
+// Risks of placing a job on a target, in the order in which they are avoided.
+const (
+	riskNone = iota
+	// riskLate: the answer would end after the deadline.
+	riskLate
+	// riskSilent: jobs at the target have waited for their first events much longer than expected.
+	riskSilent
+	// riskMissing: the registration of the target is missing.
+	riskMissing
+)
+
+// riskLevel returns the worst risk of placing the job on the target.
 func (p *Pool) riskLevel(now time.Time, t *target, j *Job) int {
 	switch {
 	case t.missing:
-		return 3
+		return riskMissing
 	case t.silent(now):
-		return 2
+		return riskSilent
 	case t.eventGap > 0 && j.Stride > 0 && now.Add(t.expectedFirstEvent(j)+t.eventGap*time.Duration(int64(j.Output)/int64(j.Stride))).After(j.Deadline):
-		return 1
+		return riskLate
 	}
-	return 0
+	return riskNone
 }
 
 // score returns the expected time to the first event plus the costs of the slot and of the distance. Lower is
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -216,6 +216,32 @@
 	p.removeDrained(t)
 }
 
+// PlaceElsewhere places a job that runs at a target also at another one, if one has a free slot and is not silent. The
+// caller then ends the job at the first target.
+func (p *Pool) PlaceElsewhere(now time.Time, j *Job, from ident.TargetID) (Placement, bool) {
+	p.collectUsable(now)
+	p.usable = slices.DeleteFunc(p.usable, func(t *target) bool {
+		return t.ID == from || slices.Contains(j.Avoid, t.ID) || p.riskLevel(now, t, j) >= riskSilent
+	})
+	t, firstEvent := p.bestTarget(now, j)
+	if t == nil {
+		return Placement{}, false
+	}
+	return p.begin(now, t, j, firstEvent), true
+}
+
+// Release frees the slot of a job that was placed on a target but not sent there.
+func (p *Pool) Release(now time.Time, id ident.TargetID, j *Job) { p.Done(now, id, j, Outcome{}) }
+
+// begin records that a job is placed on a target.
+func (p *Pool) begin(now time.Time, t *target, j *Job, firstEvent time.Duration) Placement {
+	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent}
+	p.countBorrowed(now, t)
+	t.start(now, j)
+	p.running++
+	return d
+}
+
 // Schedule places waiting jobs on targets with free slots and refuses those that cannot be served in time.
 func (p *Pool) Schedule(now time.Time) (placed []Placement, refused []Refusal) {
 	if len(p.waiting) == 0 {
@@ -234,10 +260,7 @@
 		}
 		t, firstEvent := p.place(now, j)
 		if t != nil {
-			placed = append(placed, Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent})
-			p.countBorrowed(now, t)
-			t.start(now, j)
-			p.running++
+			placed = append(placed, p.begin(now, t, j, firstEvent))
 			p.countPlacement(now, k)
 			continue
 		}
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -35,6 +35,8 @@
 	inlineBodyMax = 4 << 10
 	// strayAnswersMax limits the answers to other requests that are skipped on a connection.
 	strayAnswersMax = 3
+	// strayBodyMax limits the body of an answer that is skipped, in bytes.
+	strayBodyMax = 1 << 20
 )
 
 // errUnreachable means that no connection could be opened; nothing was sent.
@@ -42,7 +44,7 @@
 
 // conn is one connection to a target. One request uses it at a time.
 type conn struct {
-	net.Conn
+	limitedConn
 	r         *bufio.Reader
 	addr      string
 	idleSince time.Time
@@ -77,7 +79,9 @@
 	if err != nil {
 		return nil, errors.Wrap(errUnreachable, err.Error())
 	}
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBufferSize), addr: addr}, nil
+	k := &conn{limitedConn: limitedConn{Conn: n}, addr: addr}
+	k.r = bufio.NewReaderSize(&k.limitedConn, readBufferSize)
+	return k, nil
 }
 
 func (c *connPool) takeIdle(addr string) *conn {
@@ -204,6 +208,8 @@
 
 // readHead reads the status and headers of the answer and skips answers to other requests.
 func (x *exchange) readHead(d Dialect, o targetRequest) (err error) {
+	x.conn.limit(answerHeadMax)
+	defer x.conn.unlimit()
 	for range strayAnswersMax + 1 {
 		x.Response, err = http.ReadResponse(x.conn.r, &http.Request{Method: o.method})
 		if err != nil {
@@ -217,9 +223,11 @@
 			return nil
 		}
 		x.Close = true // a connection with answers to other requests is not reused
+		x.conn.limit(strayBodyMax)
 		if _, err = io.Copy(io.Discard, x.Body); err != nil {
 			return err
 		}
+		x.conn.limit(answerHeadMax)
 		x.conn.reused = true
 	}
 	return errors.New("connection holds only answers to other requests")
@@ -234,14 +242,16 @@
 		sent = err == nil
 	default: // the target answered before it read the whole body
 	}
-	framed := x.ContentLength >= 0 || len(x.TransferEncoding) > 0
-	if complete && sent && framed && !x.Close && x.conn.r.Buffered() == 0 && x.stopCancel() {
+	if complete && sent && x.framed() && !x.Close && x.conn.r.Buffered() == 0 && x.stopCancel() {
 		c.put(x.conn)
 		return
 	}
 	x.close()
 }
 
+// framed reports whether the end of the answer can be told from the end of the connection.
+func (x *exchange) framed() bool { return x.ContentLength >= 0 || len(x.TransferEncoding) > 0 }
+
 func (x *exchange) close() {
 	x.stopCancel()
 	_ = x.conn.Close() // nothing is read from it any more
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -111,6 +111,7 @@
 	meter       *meter.Meter
 	regions     map[ident.DataCentre]ident.Region
 	conns       *connPool
+	answers     *answerBudget
 	table       atomic.Pointer[route.Table]
 	// targetsListed is true once the list of targets was read. A shutdown sets stopping first, then
 	// outOfRotation, when the load balancer sends no new connections as long as other routers are ready, then
@@ -141,7 +142,9 @@
 	guard         *guard.Guard
 	// lostAnswers are lost answers that may turn out to be crashes, by target; recentCrashes are the crashes that
 	// are sent to other routers.
-	lostAnswers   map[ident.TargetID][]lostAnswer
+	lostAnswers map[ident.TargetID][]lostAnswer
+	// activity holds the time of the last event of each target.
+	activity      map[ident.TargetID]*targetActivity
 	peers         map[ident.ProcessID]*peer
 	recentCrashes []observedCrash
 	rnd           *rand.Rand
@@ -182,7 +185,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(),
+		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), answers: newAnswerBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, guard: guard.New(),
--- a/router/direct/eventreader.go
+++ b/router/direct/eventreader.go
@@ -4,48 +4,65 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"github.com/pkg/errors"
 )
 
-// eventSizeMax limits one event of a stream, in bytes.
+// eventSizeMax limits one event of a stream with the padding before it, in bytes.
 const eventSizeMax = 1 << 20
 
+// errEventTooLarge means that a target sent eventSizeMax bytes without completing an event.
+var errEventTooLarge = errors.Errorf("event of the stream is larger than %d bytes", eventSizeMax)
+
 // eventReader reads a stream of server-sent events one by one.
 type eventReader struct {
 	r *bufio.Reader
 	// lastID is the id of the last complete event that has one; count is the number of complete events read.
 	lastID string
 	count  int
+	// padding is the number of bytes of empty lines and comments since the last event.
+	padding int
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(r, readBufferSize)}
 }
 
-// next returns the next complete event with its final empty line. At the end of a complete stream it returns the
-// bytes after the last event, if any, and io.EOF. With any other error the event is incomplete and must not be
-// used.
-func (e *eventReader) next() (event []byte, err error) {
-	id := ""
+// next returns the next block of lines with its final empty line, and whether the block is an event; empty lines
+// and comments alone are padding. At the end of the stream it returns the bytes after the last block, if any, and
+// io.EOF. With any other error the block is incomplete and must not be used.
+func (e *eventReader) next() (block []byte, isEvent bool, err error) {
+	id, lineStart := "", 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := e.r.ReadSlice('\n')
+		block = append(block, part...)
 		switch {
-		case err == bufio.ErrBufferFull && len(event) < eventSizeMax:
+		case e.padding+len(block) > eventSizeMax:
+			return nil, false, errEventTooLarge
+		case err == bufio.ErrBufferFull:
 			continue
 		case err != nil:
-			return event, err
+			return block, isEvent, err
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if v, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+		line := bytes.TrimRight(block[lineStart:], "\r\n")
+		lineStart = len(block)
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
 		}
-		if len(trimmed) == 0 {
-			if id != "" {
-				e.lastID = id
-			}
-			e.count++
-			return event, nil
+		if len(line) > 0 {
+			isEvent = isEvent || line[0] != ':'
+			continue
+		}
+		if !isEvent {
+			e.padding += len(block)
+			return block, false, nil
+		}
+		e.padding = 0
+		e.count++
+		if id != "" {
+			e.lastID = id
 		}
+		return block, true, nil
 	}
 }
 
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -27,6 +27,21 @@
 	lagMax = 400 * time.Millisecond
 )
 
+// snapshotMax limits a snapshot, in bytes: the largest configuration and some thousand registrations.
+const snapshotMax = 8 << 20
+
+// boundedTransport limits the bodies of answers to snapshotMax, as a peer may be faulty.
+type boundedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (b boundedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, err := b.RoundTripper.RoundTrip(req)
+	if err == nil {
+		res.Body = http.MaxBytesReader(nil, res.Body, snapshotMax)
+	}
+	return res, err
+}
+
 // snapshot holds the objects of the store as a router last read them.
 type snapshot struct {
 	Config          store.Object
@@ -79,7 +94,7 @@
 // relaySnapshots reads the snapshot of another router while the store cannot be reached or delivers its changes
 // late.
 func (r *Router) relaySnapshots(ctx context.Context) error {
-	client := sling.New().Client(&http.Client{Timeout: relayTimeout, Transport: &http.Transport{DisableCompression: true}})
+	client := sling.New().Client(&http.Client{Timeout: relayTimeout, Transport: boundedTransport{&http.Transport{DisableCompression: true, MaxResponseHeaderBytes: headerMax}}})
 	var behindSince time.Time
 	for ctx.Err() == nil {
 		pause(ctx, relayInterval)
@@ -93,7 +108,7 @@
 		if admin == "" || r.storeReachable.Load() && r.table.Load() != nil && (behindSince.IsZero() || now.Sub(behindSince) < lagMax) {
 			continue
 		}
-		if err := r.fetchSnapshot(client, admin); err != nil {
+		if err := r.fetchSnapshot(ctx, client, admin); err != nil {
 			r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
 		}
 	}
@@ -126,11 +141,15 @@
 }
 
 // fetchSnapshot reads the snapshot of another router and applies it as data that is older than the store's.
-func (r *Router) fetchSnapshot(client *sling.Sling, admin string) (err error) {
+func (r *Router) fetchSnapshot(ctx context.Context, client *sling.Sling, admin string) (err error) {
 	defer func() { err = errors.WithMessage(err, "read snapshot") }()
 	began := time.Now()
+	req, err := client.New().Get("http://" + admin + snapshotPath).Request()
+	if err != nil {
+		return err
+	}
 	var s snapshot
-	res, err := client.New().Get("http://" + admin + snapshotPath).ReceiveSuccess(&s)
+	res, err := client.Do(req.WithContext(ctx), &s, nil)
 	if err != nil {
 		return err
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -75,7 +75,7 @@
 	}
 	srv := &http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, IdleTimeout: idleTimeout,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
 	}
 	work.Go(ctx, "callers", func(context.Context) error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -19,13 +19,10 @@
 )
 
 const (
-	// answerMax limits an answer that is buffered until it is complete, in bytes.
-	answerMax = 8 << 20
+	// refusalBodyMax limits the body that is read of an answer which states that the request has not run, in bytes.
+	refusalBodyMax = 64 << 10
 	// placementsMax limits the targets that a request is sent to, including those that did not run it.
 	placementsMax = 4
-	// minStallTimeout is the shortest silence after which a stream that can be resumed continues at another
-	// target. Callers disconnect after two seconds.
-	minStallTimeout = 1200 * time.Millisecond
 	// writeGrace is the time after the deadline of a request in which its last bytes may be written.
 	writeGrace = 500 * time.Millisecond
 	// allRefusedRetryAfter is the time after which a caller may retry a request that all targets refused.
@@ -71,63 +68,83 @@
 	body   []byte
 }
 
-// progress is the part of the answer that was forwarded to the caller.
+// progress is the part of the answer that was forwarded to the caller, and what became of earlier attempts.
 type progress struct {
 	started bool
 	// lastID is the id of the last event that was forwarded.
 	lastID string
 	events int
+	// placements counts the attempts, runs those in which the request may have run; lastRun is the last of these.
+	placements, runs int
+	lastRun          *attempt
+}
+
+// result returns the attempt that decides what the caller is told. A request that may have run earlier has not
+// become one that never ran because the last target refused it.
+func (p *progress) result(last *attempt) *attempt {
+	if last != nil && last.result == notRun && p.lastRun != nil {
+		return p.lastRun
+	}
+	return last
 }
 
 // serveCall places the request, forwards the answer, and retries where that is allowed.
 func (r *Router) serveCall(ctx context.Context, w http.ResponseWriter, c *call) {
 	var prog progress
 	var last *attempt
-	runs := 0 // attempts in which the request may have run
+	var next *decision // a placement that was reserved while the last attempt was stalled
 	r.countRequest(c.service)
 	c.job.Canary = r.assignCanary(c)
 	canary := c.job.Canary
-	for n := 1; ; n++ {
+	for {
 		c.job.AnswerStarted = prog.started
-		d, err := r.awaitPlacement(ctx, c.service, c.job)
-		if err != nil || d.refusal != nil {
+		d, err := decision{}, error(nil)
+		if next != nil {
+			d, next = *next, nil
+		} else if d, err = r.awaitPlacement(ctx, c.service, c.job); err != nil || d.refusal != nil {
 			if last == nil {
 				r.undoAssign(c, canary)
 			}
 			r.finishUnplaced(w, c, d.refusal, last, &prog, err)
 			return
 		}
-		r.logPlacement(c, d, n)
-		a := r.tryTarget(ctx, w, c, d.target, &prog)
+		prog.placements++
+		r.logPlacement(c, d, prog.placements)
+		var a *attempt
+		a, next = r.tryTarget(ctx, w, c, d.target, &prog)
 		r.recordOutcome(c.service, d.target.ID, c.job, a.outcome)
 		r.recordEvidence(c, a)
 		c.job.Canary = false // a retry goes to a version that is in use
+		if next != nil && a.result != answerLost {
+			r.releasePlacement(c, *next) // the answer ended after all
+			next = nil
+		}
 		if a.result == delivered || a.result == abandoned {
-			r.finish(w, c, a, &prog, n)
+			r.finish(w, c, a, &prog)
 			return
 		}
 		if a.result != notRun {
-			runs++
+			prog.runs++
+			prog.lastRun = a
 		}
 		last = a
 		c.job.Avoid = append(c.job.Avoid, d.target.ID)
-		if !r.mayRetry(c, a, runs, n) {
-			r.finish(w, c, a, &prog, n)
+		if next == nil && !r.mayRetry(c, a, &prog) {
+			r.finish(w, c, a, &prog)
 			return
 		}
 		r.meter.CountResent(c.service, a.result.String())
-		r.log.Log(event.RequestResent, "id", c.ID, "target", d.target.ID, "after", a.result, "error", a.err, "events", prog.events, "try", n+1)
+		r.log.Log(event.RequestResent, "id", c.ID, "target", d.target.ID, "after", a.result, "error", a.err, "events", prog.events, "try", prog.placements+1)
 	}
 }
 
-// mayRetry decides whether the request is sent to one more target. runs counts the attempts in which it may have
-// run, placements all attempts.
-func (r *Router) mayRetry(c *call, a *attempt, runs, placements int) bool {
+// mayRetry decides whether the request is sent to one more target.
+func (r *Router) mayRetry(c *call, a *attempt, prog *progress) bool {
 	now := time.Now()
-	if placements >= placementsMax || !now.Before(c.deadline) || r.closing.Load() && a.result == notRun {
+	if prog.placements >= placementsMax || !now.Before(c.deadline) || r.closing.Load() && a.result == notRun && prog.runs == 0 {
 		return false
 	}
-	if a.result != notRun && (!c.route.Repeatable() || runs >= c.route.Attempts) {
+	if a.result != notRun && (!c.route.Repeatable() || prog.runs >= c.route.Attempts) {
 		return false
 	}
 	if errors.Is(a.err, errUnreachable) {
@@ -138,8 +155,8 @@
 
 // finishUnplaced ends a request that found no target.
 func (r *Router) finishUnplaced(w http.ResponseWriter, c *call, ref *sched.Refusal, last *attempt, prog *progress, err error) {
-	if last != nil && last.result != notRun || prog.started {
-		r.finish(w, c, last, prog, len(c.job.Avoid))
+	if prog.runs > 0 || prog.started {
+		r.finish(w, c, last, prog)
 		return
 	}
 	f := fault.NotRunf(fault.Deadline, "no target had room in time")
@@ -161,25 +178,23 @@
 	return time.Duration(float64(d) * (0.75 + 0.5*r.rnd.Float64()))
 }
 
-// tryTarget sends the request to one target and forwards its answer.
-func (r *Router) tryTarget(ctx context.Context, w http.ResponseWriter, c *call, t fleet.Target, prog *progress) *attempt {
-	a := &attempt{target: t, sent: time.Now()}
+// tryTarget sends the request to one target and forwards its answer. next is a placement at another target, if one
+// was reserved because the target stalled.
+func (r *Router) tryTarget(ctx context.Context, w http.ResponseWriter, c *call, t fleet.Target, prog *progress) (a *attempt, next *decision) {
+	a = &attempt{target: t, sent: time.Now()}
 	maxIdle := maxIdleUnsafe
 	if c.route.Repeatable() {
 		maxIdle = maxIdleRepeatable
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var stalled *time.Timer
-	if c.route.Resumable && c.route.Kind == route.Stream && c.route.Attempts > 1 {
-		stalled = time.AfterFunc(r.stallTimeout(c, prog.started), cancel)
-		defer stalled.Stop()
-	}
+	stall := r.watchStall(c, t, prog, cancel)
+	defer func() { next = stall.stop() }()
 	x, err := r.send(attemptCtx, t.Address, maxIdle, r.newTargetRequest(c, t, prog))
 	if err != nil {
 		a.setError(ctx, err)
 		r.recordAnswerEnd(c, a)
-		return a
+		return a, nil
 	}
 	complete := false
 	defer func() { r.conns.release(x, complete) }()
@@ -187,27 +202,21 @@
 	case x.answer.NotRun || x.answer.Misdirected:
 		a.result, a.outcome.Full, a.outcome.Replaced = notRun, !x.answer.Misdirected, x.answer.Misdirected
 		a.err = errors.Errorf("status %d, not run", x.StatusCode)
-		_, err = io.Copy(io.Discard, io.LimitReader(x.Body, answerMax))
-		complete = err == nil
+		n, err := io.Copy(io.Discard, io.LimitReader(x.Body, refusalBodyMax))
+		complete = err == nil && n < refusalBodyMax
 	case c.route.Kind == route.Stream && x.StatusCode/100 == 2:
-		complete = r.streamAnswer(ctx, w, c, a, x, prog, stalled)
+		complete = r.streamAnswer(ctx, w, c, a, x, prog, stall)
 	default:
-		complete = r.bufferAnswer(ctx, c, a, x)
+		var release func()
+		complete, release = r.bufferAnswer(ctx, c, a, x)
+		defer release()
 	}
 	if a.result == delivered && a.answer != nil {
+		stall.stop()
 		r.writeAnswer(w, c, a.answer)
 	}
 	r.recordAnswerEnd(c, a)
-	return a
-}
-
-// stallTimeout returns the time without an event after which a stream continues at another target. started is true
-// once a part of the answer was forwarded.
-func (r *Router) stallTimeout(c *call, started bool) time.Duration {
-	if started {
-		return max(minStallTimeout, 3*c.route.EventGapGoal)
-	}
-	return max(minStallTimeout, 3*c.route.FirstEventGoal)
+	return a, nil
 }
 
 // setError classifies an error of sending or reading.
@@ -223,15 +232,12 @@
 	}
 }
 
-// bufferAnswer reads the complete answer into memory.
-func (r *Router) bufferAnswer(ctx context.Context, c *call, a *attempt, x *exchange) (complete bool) {
-	b, err := io.ReadAll(io.LimitReader(x.Body, answerMax+1))
-	if err == nil && len(b) > answerMax {
-		err = errors.Errorf("answer of the target is larger than %d bytes", answerMax)
-	}
+// bufferAnswer reads the complete answer into memory. The caller calls release when it no longer needs the answer.
+func (r *Router) bufferAnswer(ctx context.Context, c *call, a *attempt, x *exchange) (complete bool, release func()) {
+	b, release, err := r.answers.readAll(x.Body)
 	if err != nil {
 		a.setError(ctx, err)
-		return false
+		return false, release
 	}
 	a.timeToFirstEvent = time.Since(a.sent)
 	r.recordFirstEvent(c.service, a.target.ID, c.job)
@@ -243,35 +249,51 @@
 			a.result = delivered // the failure of the target is the answer
 		}
 	}
-	return true
+	if promisesNotRun(x.StatusCode) {
+		// The target does not state that it has not run the request, so the status must not reach the caller.
+		a.result, a.answer, a.err = answerLost, nil, errors.Errorf("status %d without the statement that the request has not run", x.StatusCode)
+	}
+	return true, release
+}
+
+// promisesNotRun reports whether callers take a status as the promise that their request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // streamAnswer forwards events as they arrive.
-func (r *Router) streamAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, x *exchange, prog *progress, stalled *time.Timer) (complete bool) {
+func (r *Router) streamAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, x *exchange, prog *progress, stall *stallWatch) (complete bool) {
 	rc := http.NewResponseController(w)
 	e := newEventReader(x.Body)
 	var firstAt, lastAt time.Time
 	for {
-		b, err := e.next()
+		b, isEvent, err := e.next()
+		if err == io.EOF && len(b) > 0 && !x.framed() {
+			err = io.ErrUnexpectedEOF // without framing, only the end of an event can be the end of the stream
+		}
 		if err != nil && err != io.EOF {
 			a.setError(ctx, err)
 			break
 		}
-		lastAt = time.Now()
-		if firstAt.IsZero() {
-			firstAt = lastAt
-			a.timeToFirstEvent = lastAt.Sub(a.sent)
-			r.recordFirstEvent(c.service, a.target.ID, c.job)
-		}
-		if stalled != nil {
-			stalled.Reset(r.stallTimeout(c, true))
+		if isEvent {
+			lastAt = time.Now()
+			if firstAt.IsZero() {
+				firstAt = lastAt
+				a.timeToFirstEvent = lastAt.Sub(a.sent)
+				r.recordFirstEvent(c.service, a.target.ID, c.job)
+			}
+			stall.recordEvent(lastAt)
 		}
 		if !prog.started {
 			prog.started = true
 			r.writeHead(w, c, x.StatusCode, x.Header)
 		}
 		_, werr := w.Write(b)
-		if err == nil {
+		if err == nil && isEvent {
 			prog.events++
 			prog.lastID = e.lastID
 		}
@@ -282,6 +304,9 @@
 			a.result, a.err = abandoned, werr
 			break
 		}
+		if isEvent {
+			stall.recordWritten(time.Now())
+		}
 		if err == io.EOF {
 			a.result, complete = delivered, true
 			break
@@ -293,10 +318,11 @@
 	return complete
 }
 
-// finish ends a request with the result of its last attempt.
-func (r *Router) finish(w http.ResponseWriter, c *call, a *attempt, prog *progress, tries int) {
+// finish ends a request with the result of its last attempt, or of the last one in which it may have run.
+func (r *Router) finish(w http.ResponseWriter, c *call, last *attempt, prog *progress) {
 	now := time.Now()
-	fields := []any{"id", c.ID, "target", a.target.ID, "end", a.result, "events", prog.events, "first", a.timeToFirstEvent.Milliseconds(), "ms", now.Sub(c.arrived).Milliseconds(), "tries", tries, "route", c.route.Name, "account", c.accountName()}
+	a := prog.result(last)
+	fields := []any{"id", c.ID, "target", a.target.ID, "end", a.result, "events", prog.events, "first", a.timeToFirstEvent.Milliseconds(), "ms", now.Sub(c.arrived).Milliseconds(), "tries", prog.placements, "route", c.route.Name, "account", c.accountName()}
 	if a.answer != nil {
 		fields = append(fields, "status", a.answer.status)
 	}
@@ -313,6 +339,7 @@
 			r.meter.CountGoodput(c.job.Tier)
 		}
 	case prog.started:
+		resetUnframed(c.r)
 		panic(http.ErrAbortHandler) // a truncated answer must not look complete
 	case a.result == targetFailed:
 		r.writeAnswer(w, c, a.answer)
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -244,6 +244,7 @@
 		r.targets[t.ID] = t
 		if e.Change == fleet.Deregistered {
 			delete(r.targets, t.ID)
+			delete(r.activity, t.ID)
 		}
 	}
 }
