Quota: routers that start together do not each use the whole limit

At 13.5 s all routers are killed and start again; each read the configuration before it knew any other router, began with the whole burst and filled its bucket at the whole rate until the others reported. Ruled out: the lowered limit at 5.75 s; the routers added at 2 s took no more than others. Change: buckets of the first configuration start empty. Registered routers that have not reported count as silent, so each fills at its share only. A starting router copies the level of one that has been running, which heartbeats carry now. What a router reports in its first heartbeats, or after its restart, is charged: its count began then.

--- a/core/quota/replicated.go
+++ b/core/quota/replicated.go
@@ -20,7 +20,8 @@
 // Replicated limits accounts by a replica of one bucket per account at each router. Each router reports the
 // tokens that it has taken since its start, and charges those of the others to its replica. The limit can be
 // exceeded by what the others take within the delay of a report. A silent router is charged with an equal share
-// of the rate. It is not safe for concurrent use.
+// of the rate. A router that starts copies the level of one that has been running; if all start at once, nobody knows
+// what was taken before, so the buckets are filled from zero. It is not safe for concurrent use.
 type Replicated struct {
 	accounts map[ident.AccountID]*replica
 	routers  map[ident.ProcessID]*routerUsage
@@ -34,6 +35,18 @@
 	filledAt time.Time
 	// used counts the tokens taken by this router since its start.
 	used ident.Tokens
+	// unsettled is true until the level was copied from a router that knows what was taken before.
+	unsettled bool
+}
+
+// UsageReport is what a router reports of its accounts.
+type UsageReport struct {
+	Boot ident.Boot
+	// Used holds the tokens taken since the start of the router, Levels the levels of its buckets.
+	Used, Levels map[ident.AccountID]ident.Tokens
+	// Starting is true for a router that has just started: all it took was taken a moment ago, and its levels
+	// show nothing of what was taken before.
+	Starting bool
 }
 
 type routerUsage struct {
@@ -47,15 +60,15 @@
 	return &Replicated{accounts: map[ident.AccountID]*replica{}, routers: map[ident.ProcessID]*routerUsage{}}
 }
 
-// SetLimit declares the limit of an account. A new account starts with the given fraction of its burst; how much
-// the other routers took before is not known.
+// SetLimit declares the limit of an account. A new account starts with the given fraction of its burst: that of this
+// router if nobody has used the account yet, or zero if that is not known.
 func (q *Replicated) SetLimit(now time.Time, a ident.AccountID, l Limit, fraction float64) {
 	b, ok := q.accounts[a]
 	if !ok {
 		if len(q.accounts) >= AccountsMax {
 			return
 		}
-		q.accounts[a] = &replica{limit: l, level: fraction * float64(l.Burst), filledAt: now}
+		q.accounts[a] = &replica{limit: l, level: fraction * float64(l.Burst), filledAt: now, unsettled: fraction == 0}
 		return
 	}
 	q.refill(now, b)
@@ -102,6 +115,18 @@
 	return out
 }
 
+// Levels returns the levels of all limited accounts.
+func (q *Replicated) Levels(now time.Time) map[ident.AccountID]ident.Tokens {
+	out := make(map[ident.AccountID]ident.Tokens, len(q.accounts))
+	for a, b := range q.accounts {
+		if b.limit.Rate > 0 {
+			q.refill(now, b)
+			out[a] = ident.Tokens(b.level)
+		}
+	}
+	return out
+}
+
 // Level returns the tokens that the account may use at once, for logging.
 func (q *Replicated) Level(now time.Time, a ident.AccountID) ident.Tokens {
 	b, ok := q.accounts[a]
@@ -112,23 +137,36 @@
 	return ident.Tokens(b.level)
 }
 
-// Merge applies the usage report of another router. The first report of a router or of a boot is not charged,
-// because this router may itself be the one that restarted.
-func (q *Replicated) Merge(
-	now time.Time, from ident.ProcessID, boot ident.Boot, used map[ident.AccountID]ident.Tokens,
-) {
+// AddRouter makes another router known that has not reported yet. It counts as silent, so that routers that start at
+// once do not each use the whole rate before they hear of each other.
+func (q *Replicated) AddRouter(now time.Time, id ident.ProcessID) {
+	if _, ok := q.routers[id]; !ok {
+		q.routers[id] = &routerUsage{receivedAt: now.Add(-SilentAfter)}
+	}
+}
+
+// Merge applies the report of another router. The first report of a router that has been running is not charged,
+// because most of it was taken before this router started.
+func (q *Replicated) Merge(now time.Time, from ident.ProcessID, rep UsageReport) {
 	r, ok := q.routers[from]
-	if !ok || r.boot != boot {
-		q.routers[from] = &routerUsage{boot: boot, receivedAt: now, used: used}
-		return
+	charged := ok && r.boot == rep.Boot && now.Sub(r.receivedAt) < SilentAfter
+	var before map[ident.AccountID]ident.Tokens
+	switch {
+	case charged:
+		before = r.used
+	case rep.Starting || ok && r.boot != 0 && r.boot != rep.Boot:
+		charged = true // its count began at its start, which was after the last report
 	}
 	for a, b := range q.accounts {
 		q.refill(now, b) // before the receipt time changes, so that silent time is charged as such
-		if now.Sub(r.receivedAt) < SilentAfter {
-			b.level = min(b.level-float64(used[a]-r.used[a]), float64(b.limit.Burst))
+		if charged {
+			b.level = min(b.level-float64(rep.Used[a]-before[a]), float64(b.limit.Burst))
+		}
+		if l, ok := rep.Levels[a]; ok && b.unsettled && !rep.Starting {
+			b.level, b.unsettled = min(float64(l-b.used), float64(b.limit.Burst)), false
 		}
 	}
-	r.receivedAt, r.used = now, used
+	q.routers[from] = &routerUsage{boot: rep.Boot, receivedAt: now, used: rep.Used}
 }
 
 // RemoveRouter removes a router that now belongs to another cell. Each cell is allotted its own share of the limits,
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -79,12 +79,14 @@
 	Target  ident.TargetID
 }
 
-// HeartbeatUsage is the number of tokens that an account has used at the sender since the sender's boot.
+// HeartbeatUsage is the number of tokens that an account has used at the sender since the sender's boot, and the
+// level of its bucket there.
 type HeartbeatUsage struct {
 	_struct bool `codec:",toarray"`
 
 	Account ident.AccountID
 	Tokens  ident.Tokens
+	Level   ident.Tokens
 }
 
 // HeartbeatFingerprint reports that a target crashed while a request was running.
--- a/router/direct/cells.go
+++ b/router/direct/cells.go
@@ -34,6 +34,7 @@
 			r.limiter.RemoveRouter(id)
 		} else {
 			r.cellPeers++
+			r.limiter.AddRouter(now, id)
 		}
 	}
 	if own == r.cell {
@@ -50,15 +51,19 @@
 }
 
 // applyLimits sets the limits of the accounts. Each cell gets an equal fraction of them, which the routers of
-// the cell share; r.mu is held.
+// the cell share. Accounts of the first configuration that this process reads may have been used before; those that a
+// later one adds have not; r.mu is held.
 func (r *Router) applyLimits(now time.Time, table *route.Table) {
-	fraction := r.cell.LimitShare()
+	fraction, unused := r.cell.LimitShare(), 0.0
+	if r.table.Load() != nil {
+		unused = 1 / float64(r.cellPeers+1)
+	}
 	for _, a := range table.Accounts {
 		l := quota.Limit{Rate: ident.Tokens(float64(a.Rate) * fraction), Burst: ident.Tokens(float64(a.Burst) * fraction)}
 		if a.Rate > 0 {
 			l.Rate = max(l.Rate, 1) // zero means no limit
 		}
-		r.limiter.SetLimit(now, a.Name, l, 1/float64(r.cellPeers+1))
+		r.limiter.SetLimit(now, a.Name, l, unused)
 	}
 }
 
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -11,6 +11,7 @@
 
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
@@ -167,8 +168,9 @@
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
 		}
 	}
-	for a, n := range r.limiter.Used() {
-		m.Usage = append(m.Usage, wire.HeartbeatUsage{Account: a, Tokens: n})
+	used := r.limiter.Used()
+	for a, l := range r.limiter.Levels(now) {
+		m.Usage = append(m.Usage, wire.HeartbeatUsage{Account: a, Tokens: used[a], Level: l})
 	}
 }
 
@@ -247,11 +249,22 @@
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
 	}
-	used := make(map[ident.AccountID]ident.Tokens, len(b.Usage))
+	r.limiter.Merge(now, b.Process, usageOf(b))
+}
+
+// startingHeartbeats is the number of heartbeats that a router sends while it counts as starting.
+const startingHeartbeats = 10
+
+// usageOf returns the usage report in a heartbeat.
+func usageOf(b *wire.Heartbeat) quota.UsageReport {
+	rep := quota.UsageReport{
+		Boot: b.Boot, Starting: b.Seq <= startingHeartbeats,
+		Used: make(map[ident.AccountID]ident.Tokens, len(b.Usage)), Levels: make(map[ident.AccountID]ident.Tokens, len(b.Usage)),
+	}
 	for _, u := range b.Usage {
-		used[u.Account] = u.Tokens
+		rep.Used[u.Account], rep.Levels[u.Account] = u.Tokens, u.Level
 	}
-	r.limiter.Merge(now, b.Process, b.Boot, used)
+	return rep
 }
 
 // reportsOf returns the reports in a heartbeat by service.
