Long answers go to targets that can end them in time

Each of 34 routers learnt the speed of a target alone, from answers that had ended; an estimate of the length was taken as exact. Ways weighed: cutting answers that will be late (loses what the caller waits for); moving them (only resumable ones, one more run); waiting for a better target, chosen. Change: heartbeats carry the time between events at a target; it is known after eight events. The ratio of actual over expected length is learnt as a distribution, and a target is taken only if the answer is nearly as likely to end in time as on the fastest one, as long as the request can be on time; after that half as likely is enough.

--- a/core/sched/classes.go
+++ b/core/sched/classes.go
@@ -24,6 +24,7 @@
 	placements, refusals rateCounter
 	// meanOutput is the mean length of answers, in tokens; zero for plain services, which generate none.
 	meanOutput float64
+	lengths    lengthStats
 }
 
 // arrivalClass returns the class under which the arrival and the refusal of a job are counted: that of a job that
@@ -34,7 +35,7 @@
 func (p *Pool) statsOf(k class) *classStats {
 	s, ok := p.classes[k]
 	if !ok {
-		s = &classStats{}
+		s = &classStats{lengths: newLengthStats()}
 		p.classes[k] = s
 	}
 	return s
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -23,6 +23,8 @@
 	// those without a first event.
 	Running       int
 	PendingPrompt ident.Tokens
+	// EventGap is the time between events that the router has measured at the target; zero if it has not.
+	EventGap time.Duration
 }
 
 // Report is the state of one router as published to the others.
@@ -51,7 +53,11 @@
 	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
-			r.Loads = append(r.Loads, Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt})
+			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt}
+			if t.observed {
+				l.EventGap = t.eventGap
+			}
+			r.Loads = append(r.Loads, l)
 		}
 	}
 	return r
@@ -90,6 +96,9 @@
 		if t, ok := p.targets[l.Target]; ok {
 			t.peerJobs += l.Running
 			t.peerPendingPrompt += l.PendingPrompt
+			if l.EventGap > 0 && !t.observed {
+				t.eventGap = l.EventGap
+			}
 		}
 	}
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -94,11 +94,19 @@
 	var bestScore time.Duration
 	bestRisk := 0
 	avoid := len(j.Avoid) > 0 && p.hasUntriedTarget(j)
+	chanceMin := 0.0
+	if len(p.usable) > 0 {
+		chanceMin = p.chanceMin(now, j)
+	}
 	for _, t := range p.usable {
 		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) {
 			continue
 		}
-		risk := p.riskLevel(now, t, j)
+		chance := p.chanceAt(now, t, j)
+		if chance < chanceMin {
+			continue
+		}
+		risk := p.riskLevel(now, t, chance)
 		score := p.score(t, j)
 		if best == nil || risk < bestRisk || risk == bestRisk && score < bestScore {
 			best, bestScore, bestRisk = t, score, risk
@@ -119,10 +127,13 @@
 	return false
 }
 
+// likelyChance is the chance to end in time below which a target is used only if no other one has a free slot.
+const likelyChance = 0.8
+
 // Risks of placing a job on a target, in the order in which they are avoided.
 const (
 	riskNone = iota
-	// riskLate: the answer would end after the deadline.
+	// riskLate: the answer is likely to end after the deadline.
 	riskLate
 	// riskSilent: jobs at the target have waited for their first events much longer than expected.
 	riskSilent
@@ -131,13 +142,13 @@
 )
 
 // riskLevel returns the worst risk of placing the job on the target.
-func (p *Pool) riskLevel(now time.Time, t *target, j *Job) int {
+func (p *Pool) riskLevel(now time.Time, t *target, chance float64) int {
 	switch {
 	case t.missing:
 		return riskMissing
 	case t.silent(now):
 		return riskSilent
-	case t.eventGap > 0 && j.Stride > 0 && now.Add(t.expectedFirstEvent(j)+t.eventGap*time.Duration(int64(j.Output)/int64(j.Stride))).After(j.Deadline):
+	case chance < likelyChance:
 		return riskLate
 	}
 	return riskNone
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -100,8 +100,9 @@
 	demandAt       time.Time
 	dividedAt      time.Time
 	dividedPeers   int
-	// meanEventGap is the mean time between events over the targets.
-	meanEventGap time.Duration
+	// meanEventGap is the mean time between events over the targets, shortestEventGap that of the fastest one, and
+	// shortestLatency the shortest time to a first event; see finish.go.
+	meanEventGap, shortestEventGap, shortestLatency time.Duration
 	// running is the number of own jobs at all targets. usable lists the targets that could accept a job when
 	// Schedule began.
 	running int
@@ -201,6 +202,8 @@
 	Full bool
 	// Gap is the mean time between two events; zero if there were too few.
 	Gap time.Duration
+	// Events is the number of events of a complete answer; zero if the answer is incomplete or began elsewhere.
+	Events int
 }
 
 // Done records that a job no longer runs at a target.
@@ -211,6 +214,7 @@
 	}
 	if t.done(now, j, o) {
 		p.running--
+		p.recordLength(j, o.Events)
 	}
 	p.updateEventGap()
 	p.removeDrained(t)
@@ -219,9 +223,10 @@
 // PlaceElsewhere places a job that runs at a target also at another one, if one has a free slot and is not silent. The
 // caller then ends the job at the first target.
 func (p *Pool) PlaceElsewhere(now time.Time, j *Job, from ident.TargetID) (Placement, bool) {
+	p.shortestLatency = p.minBaseLatency()
 	p.collectUsable(now)
 	p.usable = slices.DeleteFunc(p.usable, func(t *target) bool {
-		return t.ID == from || slices.Contains(j.Avoid, t.ID) || p.riskLevel(now, t, j) >= riskSilent
+		return t.ID == from || slices.Contains(j.Avoid, t.ID) || p.riskLevel(now, t, 1) >= riskSilent
 	})
 	t, firstEvent := p.bestTarget(now, j)
 	if t == nil {
@@ -248,6 +253,7 @@
 		return nil, nil
 	}
 	minLatency := p.minBaseLatency()
+	p.shortestLatency = minLatency
 	p.sortWaiting(now, minLatency)
 	p.collectUsable(now)
 	kept := p.waiting[:0]
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -68,8 +68,10 @@
 	// read per second.
 	baseLatency time.Duration
 	promptRate  float64
-	// eventGap is the time between events; zero until it is known.
+	// eventGap is the time between events; zero until it is known. observed is true once this router has measured it
+	// itself; until then it is what another router reported.
 	eventGap time.Duration
+	observed bool
 	// failures counts consecutive failures; no job is placed before backoffUntil.
 	failures     int
 	backoffUntil time.Time
@@ -146,6 +148,18 @@
 	t.baseLatency += time.Duration(sampleWeight * float64(max(elapsed-read, time.Millisecond)-t.baseLatency))
 }
 
+// learnGap updates the time between events with a sample, which may be zero.
+func (t *target) learnGap(gap time.Duration) {
+	if gap <= 0 {
+		return
+	}
+	if !t.observed || t.eventGap == 0 {
+		t.eventGap = gap
+	}
+	t.observed = true
+	t.eventGap += time.Duration(sampleWeight * float64(gap-t.eventGap))
+}
+
 // done records the end of a job; ok is false if it did not run here.
 func (t *target) done(now time.Time, j *Job, o Outcome) (ok bool) {
 	i := t.runIndex(j)
@@ -156,12 +170,7 @@
 		t.pendingPrompt -= j.Prompt
 	}
 	t.runs = append(t.runs[:i], t.runs[i+1:]...)
-	if o.Gap > 0 {
-		if t.eventGap == 0 {
-			t.eventGap = o.Gap
-		}
-		t.eventGap += time.Duration(sampleWeight * float64(o.Gap-t.eventGap))
-	}
+	t.learnGap(o.Gap)
 	switch {
 	case o.Full:
 		t.backoffUntil = later(t.backoffUntil, now.Add(fullBackoff))
@@ -186,18 +195,22 @@
 	return b
 }
 
-// updateEventGap updates meanEventGap, the mean time between events over the targets.
+// updateEventGap updates the mean and the shortest time between events over the targets.
 func (p *Pool) updateEventGap() {
-	var sum time.Duration
+	var sum, shortest time.Duration
 	n := 0
 	for _, t := range p.sorted {
-		if t.eventGap > 0 {
-			sum += t.eventGap
-			n++
+		if t.eventGap <= 0 || t.draining || t.missing {
+			continue
+		}
+		sum += t.eventGap
+		n++
+		if shortest == 0 || t.eventGap < shortest {
+			shortest = t.eventGap
 		}
 	}
 	if n > 0 {
-		p.meanEventGap = sum / time.Duration(n)
+		p.meanEventGap, p.shortestEventGap = sum/time.Duration(n), shortest
 	}
 }
 
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -69,6 +69,9 @@
 	Target        ident.TargetID
 	Running       int
 	PendingPrompt ident.Tokens
+	// GapMicros is the time between events at the target that the sender measured, in microseconds; zero if it has
+	// not.
+	GapMicros int64
 }
 
 // HeartbeatDown is a target that cannot be reached, or whose address is now used by another target.
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -162,7 +162,7 @@
 		rep := p.Report(now)
 		m.Demands = append(m.Demands, wire.HeartbeatDemand{Service: s, Mean: rep.Demand, Waiting: rep.Waiting})
 		for _, l := range rep.Loads {
-			m.Loads = append(m.Loads, wire.HeartbeatLoad{Service: s, Target: l.Target, Running: l.Running, PendingPrompt: l.PendingPrompt})
+			m.Loads = append(m.Loads, wire.HeartbeatLoad{Service: s, Target: l.Target, Running: l.Running, PendingPrompt: l.PendingPrompt, GapMicros: l.EventGap.Microseconds()})
 		}
 		for _, t := range p.RecentlyDown(now) {
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
@@ -275,7 +275,7 @@
 	}
 	for _, l := range b.Loads {
 		r := out[l.Service]
-		r.Loads = append(r.Loads, sched.Load{Target: l.Target, Running: l.Running, PendingPrompt: l.PendingPrompt})
+		r.Loads = append(r.Loads, sched.Load{Target: l.Target, Running: l.Running, PendingPrompt: l.PendingPrompt, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
 		out[l.Service] = r
 	}
 	return out
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -23,6 +23,8 @@
 	refusalBodyMax = 64 << 10
 	// placementsMax limits the targets that a request is sent to, including those that did not run it.
 	placementsMax = 4
+	// earlyGapEvents is the number of events after which the speed of a target is recorded while the answer runs.
+	earlyGapEvents = 8
 	// writeGrace is the time after the deadline of a request in which its last bytes may be written.
 	writeGrace = 500 * time.Millisecond
 	// allRefusedRetryAfter is the time after which a caller may retry a request that all targets refused.
@@ -287,6 +289,9 @@
 				r.recordFirstEvent(c.service, a.target.ID, c.job)
 			}
 			stall.recordEvent(lastAt)
+			if e.count == earlyGapEvents {
+				r.recordEventGap(c.service, a.target.ID, lastAt.Sub(firstAt)/(earlyGapEvents-1))
+			}
 		}
 		if !prog.started {
 			prog.started = true
@@ -315,6 +320,9 @@
 	if e.count > 1 {
 		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.count-1)
 	}
+	if complete && prog.runs == 0 {
+		a.outcome.Events = e.count
+	}
 	return complete
 }
 
