Scouts watch the store for the other routers

Ways weighed: followers without watches, fed by deltas of the scouts (more bytes, a second path for each change, and rules bind while it fails); watches of the scouts and long watches of the followers, which learn from heartbeats that theirs is silent, chosen. A claim that the list does not confirm is logged and ignored.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -26,6 +26,8 @@
 	ConfigInvalid         ID = 305
 	StoreHistoryLost      ID = 306
 	StoreReadFromPeer     ID = 307
+	WatchModeChanged      ID = 308
+	WatchBehind           ID = 309
 	RequestRefused        ID = 401
 	AnswerTruncated       ID = 402
 	FingerprintBlocked    ID = 403
@@ -76,6 +78,8 @@
 	{ConfigInvalid, log.ErrorLevel, "configuration from the object API is invalid"},
 	{StoreHistoryLost, log.InfoLevel, "history of the object API is lost, list read again"},
 	{StoreReadFromPeer, log.InfoLevel, "state of the object API read from a peer"},
+	{WatchModeChanged, log.InfoLevel, "mode of the watches changed"},
+	{WatchBehind, log.WarnLevel, "watch is behind that of a peer, list read again"},
 	{RequestRefused, log.DebugLevel, "request refused"},
 	{AnswerTruncated, log.WarnLevel, "answer cut"},
 	{FingerprintBlocked, log.WarnLevel, "request fingerprint blocked"},
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -31,6 +31,10 @@
 	Fingerprints []HeartbeatFingerprint
 	// Rollouts are the rollouts that the sender knows of.
 	Rollouts []HeartbeatRollout
+	// TargetRev is the newest revision of a registration of a target that the sender has read from the store, and
+	// TargetCount the number of registrations.
+	TargetRev   string
+	TargetCount int
 }
 
 // HeartbeatRollout is what the sender knows of the rollout of a service to the targets of a version.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -27,6 +27,7 @@
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 )
 
@@ -165,6 +166,13 @@
 	cellPeers       int
 	targetCounts    map[ident.Service]int
 	urgentHeartbeat bool
+	// pacer is nil if the store has no modes. watchCancels end the watches by kind; targetRev is the newest revision
+	// seen of a registration of a target; see scouts.go.
+	pacer        WatchPacer
+	watchMode    scout.Mode
+	watchCancels map[string]context.CancelCauseFunc
+	targetRev    store.Rev
+	lag          scout.Lag
 }
 
 // decision is the result of waiting for a target: a placement or a refusal.
@@ -191,7 +199,7 @@
 		retryBudgets: map[ident.Service]*retry.Budget{}, guard: guard.New(),
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
-		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
+		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	for _, c := range cfg.Centres {
@@ -292,7 +300,7 @@
 func (r *Router) tick(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	var lastSecond time.Time
+	var lastSecond, lastScouting time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -309,6 +317,10 @@
 		events := r.fleet.Expire(now)
 		r.applyFleetEvents(events)
 		r.judgeRollouts(now)
+		if now.Sub(lastScouting) >= scoutInterval {
+			lastScouting = now
+			r.followScouts(now)
+		}
 		everySecond := now.Sub(lastSecond) >= time.Second
 		if everySecond {
 			lastSecond = now
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -13,6 +13,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
 )
@@ -56,9 +57,14 @@
 	// sent in every interval.
 	otherCell bool
 	phase     uint64
+	// position is what the router knows of the registrations of targets.
+	position scout.Position
 }
 
-func newPeer(id ident.ProcessID) *peer { return &peer{phase: xxhash.Sum64String(string(id)) >> 32} }
+func newPeer(id ident.ProcessID) *peer { return &peer{phase: rankOf(id)} }
+
+// rankOf orders routers, alike at all of them.
+func rankOf(id ident.ProcessID) uint64 { return xxhash.Sum64String(string(id)) >> 32 }
 
 // registration is the value of a router's object in the store.
 type registration struct {
@@ -149,7 +155,7 @@
 
 // baseHeartbeat returns a heartbeat with the fields that are for all routers; r.mu is held.
 func (r *Router) baseHeartbeat(now time.Time, seq ident.Seq) *wire.Heartbeat {
-	m := &wire.Heartbeat{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Fingerprints: r.crashReports(now), Admin: r.cfg.Admin, StoreReachable: r.storeReachable.Load(), Ready: r.Ready(), Rollouts: r.rolloutReports(now)}
+	m := &wire.Heartbeat{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Fingerprints: r.crashReports(now), Admin: r.cfg.Admin, StoreReachable: r.storeReachable.Load(), Ready: r.Ready(), Rollouts: r.rolloutReports(now), TargetRev: string(r.targetRev), TargetCount: len(r.targetObjects)}
 	if table := r.table.Load(); table != nil {
 		m.Generation = table.Generation
 	}
@@ -220,6 +226,7 @@
 	if p == nil || b.Boot < p.boot || b.Boot == p.boot && b.Seq <= p.seq {
 		return
 	}
+	p.position = scout.Position{Rev: store.Rev(b.TargetRev), Count: b.TargetCount}
 	p.generation, p.admin, p.storeReachable = b.Generation, b.Admin, b.StoreReachable
 	if !b.Ready {
 		p.readySince = time.Time{}
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -50,19 +50,22 @@
 }
 
 // replaceTargetObjects replaces the registrations of targets that are kept for snapshots by those of a list.
-func (r *Router) replaceTargetObjects(l []store.Object) {
+func (r *Router) replaceTargetObjects(l []store.Object, asOf store.Rev) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.targetObjects)
 	for _, o := range l {
 		r.targetObjects[o.Name] = o
+		r.recordTargetRev(o.Rev)
 	}
+	r.reportWrongClaims(asOf)
 }
 
 // updateTargetObject applies a change of one registration to those kept for snapshots.
 func (r *Router) updateTargetObject(c store.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordTargetRev(c.Object.Rev)
 	if c.Deleted {
 		delete(r.targetObjects, c.Object.Name)
 		return
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -74,7 +74,7 @@
 }
 
 // applyRolloutList applies a list of rollout requests.
-func (r *Router) applyRolloutList(l []store.Object) {
+func (r *Router) applyRolloutList(l []store.Object, _ store.Rev) {
 	for _, o := range l {
 		r.applyRollout(o, "")
 	}
@@ -109,9 +109,9 @@
 		}
 		for ctx.Err() == nil {
 			began := time.Now()
-			l, _, err := r.store.List(ctx, r.catalogue.RolloutKind())
+			l, rev, err := r.store.List(ctx, r.catalogue.RolloutKind())
 			if err == nil {
-				r.applyRolloutList(l)
+				r.applyRolloutList(l, rev)
 				r.verifyVersions(began)
 				break
 			}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -23,8 +23,9 @@
 
 // kindHandler applies the objects of one kind and their changes.
 type kindHandler struct {
-	kind     string
-	onList   func([]store.Object)
+	kind string
+	// onList gets the objects and the revision of the store at the time of the list.
+	onList   func(l []store.Object, asOf store.Rev)
 	onChange func(store.Change)
 	// onUnreachable is called when the store cannot be reached.
 	onUnreachable func()
@@ -40,12 +41,14 @@
 				down, wait = false, minStoreRetry
 				r.log.Log(event.StoreUp, "sort", h.kind, "objects", len(objects), "rev", rev, "away", time.Since(downSince))
 			}
-			h.onList(objects)
-			err = r.store.Watch(ctx, h.kind, rev, h.onChange)
+			h.onList(objects, rev)
+			err = r.watchKind(ctx, h, rev)
 		}
 		switch {
 		case ctx.Err() != nil:
 			return nil
+		case errors.Is(err, errWatchRestarted):
+			continue
 		case errors.Is(err, store.ErrRevTooOld):
 			r.log.Log(event.StoreHistoryLost, "sort", h.kind, "rev", rev)
 			continue
@@ -65,6 +68,30 @@
 	return nil
 }
 
+// errWatchRestarted means that restartWatch ended a watch.
+var errWatchRestarted = errors.New("watch is started again")
+
+// watchKind watches a kind until an error or restartWatch.
+func (r *Router) watchKind(ctx context.Context, h kindHandler, rev store.Rev) error {
+	wctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.mu.Lock()
+	r.watchCancels[h.kind] = cancel
+	r.mu.Unlock()
+	err := r.store.Watch(wctx, h.kind, rev, h.onChange)
+	if errors.Is(context.Cause(wctx), errWatchRestarted) {
+		return errWatchRestarted
+	}
+	return err
+}
+
+// restartWatch makes the watch of a kind list the objects again; r.mu is held.
+func (r *Router) restartWatch(kind string) {
+	if cancel, ok := r.watchCancels[kind]; ok {
+		cancel(errWatchRestarted)
+	}
+}
+
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -85,7 +112,7 @@
 	}
 	return kindHandler{
 		kind: kind,
-		onList: func(l []store.Object) {
+		onList: func(l []store.Object, _ store.Rev) {
 			for _, o := range l {
 				apply(o)
 			}
@@ -151,10 +178,10 @@
 func (r *Router) targetHandler() kindHandler {
 	return kindHandler{
 		kind: r.catalogue.TargetKind(),
-		onList: func(l []store.Object) {
+		onList: func(l []store.Object, asOf store.Rev) {
 			r.awaitRolloutList()
 			list := r.decodeTargets(l)
-			r.replaceTargetObjects(l)
+			r.replaceTargetObjects(l, asOf)
 			r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
 				r.targetCounts = countTargets(list)
 				return f.ApplyList(time.Now(), list)
@@ -276,7 +303,7 @@
 	}
 	return kindHandler{
 		kind: RouterKind,
-		onList: func(l []store.Object) {
+		onList: func(l []store.Object, _ store.Rev) {
 			for _, o := range l {
 				put(o)
 			}
