Requests are not refused while most slots are free

Cause: a router may borrow only some of the free slots within a report interval. Change: while the free slots exceed what all routers have waiting, a request waits for the next interval instead of being refused before its limit. Ruled out: counting all free slots at once as borrowable; routers with old reports would take them together.

--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -103,6 +103,8 @@
 	// meanEventGap is the mean time between events over the targets, shortestEventGap that of the fastest one, and
 	// shortestLatency the shortest time to a first event; see finish.go.
 	meanEventGap, shortestEventGap, shortestLatency time.Duration
+	// spareSlots is the number of free slots beyond those that waiting jobs need, as of the last Schedule.
+	spareSlots int
 	// running is the number of own jobs at all targets. usable lists the targets that could accept a job when
 	// Schedule began.
 	running int
@@ -256,6 +258,7 @@
 	p.shortestLatency = minLatency
 	p.sortWaiting(now, minLatency)
 	p.collectUsable(now)
+	p.spareSlots = p.countSpareSlots(now)
 	kept := p.waiting[:0]
 	var last class
 	sameClass := 0
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -386,7 +386,7 @@
 	g := NewWithT(t)
 	p := pool(4, 10)
 	for i := range 9 {
-		p.MergeReport(at(0), sched.Report{Router: ident.ProcessID(fmt.Sprint("o", i)), Region: "a"})
+		p.MergeReport(at(-1000+50*i), sched.Report{Router: ident.ProcessID(fmt.Sprint("o", i)), Region: "a"})
 	}
 	placed := 0
 	for ms := 0; ms < 2000; ms += 50 {
@@ -510,3 +510,33 @@
 	placed, _ := p.Schedule(at(1000))
 	g.Expect(placed[0].Target).To(Equal(ident.TargetID("fast")))
 }
+
+// Load pattern: one router has many short requests while the others, between whom the slots are divided, are idle.
+// Guards against requests that are refused although most slots are free, because this router has borrowed as many
+// slots as it may within one report interval.
+func TestFreeSlotsAreNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	for n := range 10 { // the routers differ in their shares
+		p := sched.New(ident.ProcessID(fmt.Sprint("r", n)), "a1", "a")
+		p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4}, true)
+		p.SetReportInterval(200 * time.Millisecond)
+		for i := range 20 {
+			p.MergeReport(at(-1000+50*i), sched.Report{Router: ident.ProcessID(fmt.Sprint("o", i)), Region: "a"})
+		}
+		placements := 0
+		for ms := 0; ms < 1000; ms += 20 {
+			if ms <= 100 {
+				j := job(fmt.Sprint(ms), ms, 0, 0)
+				j.FirstEventDue, j.Deadline = at(ms+250), at(ms+1000)
+				p.Add(j)
+			}
+			placed, refused := p.Schedule(at(ms))
+			g.Expect(refused).To(BeEmpty())
+			placements += len(placed)
+			for _, d := range placed {
+				p.Done(at(ms+10), d.Target, d.Job, sched.Outcome{})
+			}
+		}
+		g.Expect(placements).To(Equal(6))
+	}
+}
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -32,6 +32,9 @@
 // refuse decides whether a job for which no target was found is refused. ahead is the number of waiting jobs
 // before it, sameClass the number of those in the job's own class.
 func (p *Pool) refuse(now time.Time, j *Job, k class, ahead, sameClass int) (r Refusal, ok bool) {
+	if p.spareSlots >= 0 && now.Before(j.waitLimit()) {
+		return r, false // borrowing is spread over time; it goes on with the next report interval
+	}
 	expected := p.expectedWait(now, k, ahead, sameClass)
 	if now.Add(deadlineMargin).Before(j.Deadline) && (j.AnswerStarted || !now.Add(expected).After(j.waitLimit())) {
 		return r, false
@@ -39,6 +42,19 @@
 	return Refusal{Job: j, JobsAhead: ahead, ExpectedWait: expected, RetryAfter: min(max(expected, shortestRetryAfter), longestRetryAfter)}, true
 }
 
+// countSpareSlots returns the number of free slots that remain if all waiting jobs of all routers get one.
+func (p *Pool) countSpareSlots(now time.Time) (n int) {
+	for _, t := range p.sorted {
+		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.backoffUntil) {
+			n += max(t.freeSlots(), 0)
+		}
+	}
+	for _, r := range p.peers {
+		n -= r.Waiting
+	}
+	return n - len(p.waiting)
+}
+
 // waitLimit returns the time until which the job may wait.
 func (j *Job) waitLimit() time.Time {
 	limit := j.Arrived.Add(time.Duration(waitFraction * float64(j.Deadline.Sub(j.Arrived))))
