Smaller heartbeats, more of them while requests wait; fewer calls at the start

Cause: what a router believes of the others is 340 ms old in a cell of 34, at 100 heartbeats a second. Each heartbeat repeated the name of the service and the id of each target, and all accounts. Change: loads stand under their service, with a hash of 32 bits for the target; accounts are sent when their use changed, all of them with their levels in every eighth heartbeat, speeds of targets in every fourth. While any router of the cell has waiting requests, a router sends up to 300 a second. The list of routers may be stale, and a router that finds its own registration there writes none.

--- a/core/quota/replicated.go
+++ b/core/quota/replicated.go
@@ -17,11 +17,16 @@
 	PresumedStoppedAfter = 30 * time.Second
 )
 
+// StartTime is the time for which the rate of an account is granted, divided over all routers, to routers that start
+// without knowing what was taken before. Callers return at once after an outage; the platform measures limits over
+// 8 s with a tolerance of a tenth, which is 0.8 s of the rate.
+const StartTime = 500 * time.Millisecond
+
 // Replicated limits accounts by a replica of one bucket per account at each router. Each router reports the
 // tokens that it has taken since its start, and charges those of the others to its replica. The limit can be
 // exceeded by what the others take within the delay of a report. A silent router is charged with an equal share
 // of the rate. A router that starts copies the level of one that has been running; if all start at once, nobody knows
-// what was taken before, so the buckets are filled from zero. It is not safe for concurrent use.
+// what was taken before, so that they begin with a small part of the limit. It is not safe for concurrent use.
 type Replicated struct {
 	accounts map[ident.AccountID]*replica
 	routers  map[ident.ProcessID]*routerUsage
@@ -35,14 +40,16 @@
 	filledAt time.Time
 	// used counts the tokens taken by this router since its start.
 	used ident.Tokens
-	// unsettled is true until the level was copied from a router that knows what was taken before.
-	unsettled bool
+	// unsettled is true until the level was copied from a router that knows what was taken before; granted is true
+	// once the account got its share of StartTime.
+	unsettled, granted bool
 }
 
 // UsageReport is what a router reports of its accounts.
 type UsageReport struct {
 	Boot ident.Boot
-	// Used holds the tokens taken since the start of the router, Levels the levels of its buckets.
+	// Used holds the tokens taken since the start of the router, without accounts that did not change since an
+	// earlier report. Levels holds the levels of its buckets, or nothing.
 	Used, Levels map[ident.AccountID]ident.Tokens
 	// Starting is true for a router that has just started: all it took was taken a moment ago, and its levels
 	// show nothing of what was taken before.
@@ -52,7 +59,10 @@
 type routerUsage struct {
 	boot       ident.Boot
 	receivedAt time.Time
-	used       map[ident.AccountID]ident.Tokens
+	// used holds the reported use; an account that is missing was not reported yet. fromZero is true if all of the
+	// router's use since its start is charged.
+	used     map[ident.AccountID]ident.Tokens
+	fromZero bool
 }
 
 // NewReplicated returns a Replicated without accounts and other routers.
@@ -145,28 +155,45 @@
 	}
 }
 
+// Start grants the accounts whose earlier use is not known the given share of StartTime, once.
+func (q *Replicated) Start(now time.Time, share float64) {
+	for _, b := range q.accounts {
+		if !b.unsettled || b.granted {
+			continue
+		}
+		q.refill(now, b)
+		b.level = min(b.level+share*StartTime.Seconds()*float64(b.limit.Rate), float64(b.limit.Burst))
+		b.granted = true
+	}
+}
+
 // Merge applies the report of another router. The first report of a router that has been running is not charged,
 // because most of it was taken before this router started.
 func (q *Replicated) Merge(now time.Time, from ident.ProcessID, rep UsageReport) {
 	r, ok := q.routers[from]
-	charged := ok && r.boot == rep.Boot && now.Sub(r.receivedAt) < SilentAfter
-	var before map[ident.AccountID]ident.Tokens
-	switch {
-	case charged:
-		before = r.used
-	case rep.Starting || ok && r.boot != 0 && r.boot != rep.Boot:
-		charged = true // its count began at its start, which was after the last report
+	known := ok && r.boot == rep.Boot
+	// The count of a router that has just started, or has started again, began after its last report.
+	fromZero := !known && (rep.Starting || ok && r.boot != 0)
+	charged := fromZero || known && now.Sub(r.receivedAt) < SilentAfter
+	if !known {
+		r = &routerUsage{boot: rep.Boot, used: map[ident.AccountID]ident.Tokens{}, fromZero: fromZero}
+		q.routers[from] = r
 	}
 	for a, b := range q.accounts {
 		q.refill(now, b) // before the receipt time changes, so that silent time is charged as such
-		if charged {
-			b.level = min(b.level-float64(rep.Used[a]-before[a]), float64(b.limit.Burst))
+		n, reported := rep.Used[a]
+		before, counted := r.used[a]
+		if reported && charged && (counted || r.fromZero) {
+			b.level = min(b.level-float64(n-before), float64(b.limit.Burst))
+		}
+		if reported {
+			r.used[a] = n
 		}
 		if l, ok := rep.Levels[a]; ok && b.unsettled && !rep.Starting {
 			b.level, b.unsettled = min(float64(l-b.used), float64(b.limit.Burst)), false
 		}
 	}
-	q.routers[from] = &routerUsage{boot: rep.Boot, receivedAt: now, used: rep.Used}
+	r.receivedAt = now
 }
 
 // RemoveRouter removes a router that now belongs to another cell. Each cell is allotted its own share of the limits,
--- a/core/quota/replicated_test.go
+++ b/core/quota/replicated_test.go
@@ -129,6 +129,7 @@
 					q.AddRouter(after(ms), id)
 				}
 			}
+			q.Start(after(ms), 1.0/routers)
 		}
 	}
 	boot(0)
@@ -177,3 +178,16 @@
 	q.Merge(start, "r3", quota.UsageReport{Boot: 1, Used: usage{"a": 10}, Levels: usage{"a": 900}})
 	g.Expect(q.Level(start, "a")).To(BeEquivalentTo(640), "it is copied once")
 }
+
+// Load pattern: an outage of all routers, after which callers return at once. Guards against a router that refuses
+// what the limit allows because it starts with empty buckets, and against a share that is granted again.
+func TestStartingRouterHasAShareOfTheRate(t *testing.T) {
+	g := NewWithT(t)
+	q := quota.NewReplicated()
+	q.SetLimit(start, "a", quota.Limit{Rate: 1000, Burst: 2000}, 0)
+	q.AddRouter(start, "r2")
+	q.Start(start, 1.0/2)
+	g.Expect(q.Level(start, "a")).To(BeEquivalentTo(250))
+	q.Start(start, 1.0/2)
+	g.Expect(q.Level(start, "a")).To(BeEquivalentTo(250))
+}
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -63,6 +63,9 @@
 	return r
 }
 
+// RequestsWait reports whether jobs wait here, or did at another router when it last reported.
+func (p *Pool) RequestsWait() bool { return len(p.waiting) > 0 || p.waitingRouters > 1 }
+
 // downReportTime is the time for which a target that was found down is reported to other routers, and the time
 // for which they then place no jobs on it.
 const downReportTime = 400 * time.Millisecond
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"hickoryvane.example/core/ident"
 )
 
@@ -23,8 +25,10 @@
 	// StoreReachable is true while the sender reaches the store.
 	StoreReachable bool
 	Demands        []HeartbeatDemand
-	Loads          []HeartbeatLoad
-	Usage          []HeartbeatUsage
+	// Usage holds the accounts whose use changed lately. In every few heartbeats it holds all limited accounts, and
+	// Levels the levels of their buckets in the same order; otherwise Levels is empty.
+	Usage  []HeartbeatUsage
+	Levels []ident.Tokens
 	// DownTargets are targets that the sender recently found down.
 	DownTargets []HeartbeatDown
 	// Fingerprints are those of requests that were running when a target crashed.
@@ -61,20 +65,28 @@
 
 	Service ident.Service
 	// Mean is the mean number of requests that ran or waited, Waiting the number that waits now.
-	Mean    float64
+	Mean    float32
 	Waiting int
+	// Loads omits targets without running requests.
+	Loads []HeartbeatLoad
 }
 
+// TargetKey stands for the id of a target in heartbeats, of which there are many. A receiver ignores the keys of
+// targets that it does not know, and those that two of its targets have in common.
+type TargetKey uint32
+
+// KeyOf returns the key of a target.
+func KeyOf(id ident.TargetID) TargetKey { return TargetKey(xxhash.Sum64String(string(id))) }
+
 // HeartbeatLoad is the load that the sender has placed on one target.
 type HeartbeatLoad struct {
 	_struct bool `codec:",toarray"`
 
-	Service       ident.Service
-	Target        ident.TargetID
+	Target        TargetKey
 	Running       int
 	PendingPrompt ident.Tokens
 	// GapMicros is the time between events at the target that the sender measured, in microseconds; zero if it has
-	// not.
+	// not, and in most heartbeats.
 	GapMicros int64
 }
 
@@ -86,14 +98,12 @@
 	Target  ident.TargetID
 }
 
-// HeartbeatUsage is the number of tokens that an account has used at the sender since the sender's boot, and the
-// level of its bucket there.
+// HeartbeatUsage is the number of tokens that an account has used at the sender since the sender's boot.
 type HeartbeatUsage struct {
 	_struct bool `codec:",toarray"`
 
 	Account ident.AccountID
 	Tokens  ident.Tokens
-	Level   ident.Tokens
 }
 
 // HeartbeatFingerprint reports that a target crashed while a request was running.
--- a/router/direct/cells.go
+++ b/router/direct/cells.go
@@ -37,6 +37,7 @@
 			r.limiter.AddRouter(now, id)
 		}
 	}
+	defer r.startLimits(now)
 	if own == r.cell {
 		return
 	}
@@ -67,6 +68,14 @@
 	}
 }
 
+// startLimits grants a starting router its share of the accounts' limits, once the number of routers is known; r.mu is
+// held.
+func (r *Router) startLimits(now time.Time) {
+	if r.routersListed {
+		r.limiter.Start(now, 1/float64(r.cellPeers+1))
+	}
+}
+
 // countTargets returns the number of targets of each service in a list.
 func countTargets(list []fleet.Target) map[ident.Service]int {
 	counts := map[ident.Service]int{}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -29,6 +29,7 @@
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
 )
 
 // Catalogue reads the objects that the platform keeps in its store.
@@ -145,7 +146,11 @@
 	// are sent to other routers.
 	lostAnswers map[ident.TargetID][]lostAnswer
 	// activity holds the time of the last event of each target.
-	activity      map[ident.TargetID]*targetActivity
+	activity map[ident.TargetID]*targetActivity
+	// targetKeys are the targets by their keys in heartbeats; empty for a key that two targets have in common.
+	targetKeys map[wire.TargetKey]ident.TargetID
+	// reportedUsage is the use of accounts as last reported.
+	reportedUsage map[ident.AccountID]reportedUsage
 	peers         map[ident.ProcessID]*peer
 	recentCrashes []observedCrash
 	rnd           *rand.Rand
@@ -159,6 +164,12 @@
 	relist         chan struct{}
 	// stateWrites are objects whose status is to be written.
 	stateWrites chan store.Object
+	// ownAddress is the address under which the store has this router registered; registered gets whether that is
+	// its present one, once the routers were listed.
+	ownAddress string
+	// routersListed is true once the routers were listed.
+	routersListed bool
+	registered    chan bool
 	// cell is the cell of this router in a large deployment, cellPeers the number of other routers in it;
 	// targetCounts are the numbers of targets of each service. urgentHeartbeat makes the next heartbeat go to
 	// all routers.
@@ -166,6 +177,8 @@
 	cellPeers       int
 	targetCounts    map[ident.Service]int
 	urgentHeartbeat bool
+	// busyUntil is the time until which heartbeats are more frequent because requests wait.
+	busyUntil time.Time
 	// pacer is nil if the store has no modes. watchCancels end the watches by kind; targetRev is the newest revision
 	// seen of a registration of a target; see scouts.go.
 	pacer        WatchPacer
@@ -194,12 +207,13 @@
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
 		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), answers: newAnswerBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
+		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, guard: guard.New(),
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
-		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
+		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	for _, c := range cfg.Centres {
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -22,9 +22,13 @@
 	// RouterKind is the kind of the objects in which routers register.
 	RouterKind = "routers"
 	// minHeartbeatInterval is the interval between heartbeats with one other router. It grows with the number
-	// of routers, so that a router receives at most maxHeartbeatsPerSecond.
-	minHeartbeatInterval   = 50 * time.Millisecond
-	maxHeartbeatsPerSecond = 100
+	// of routers, so that a router receives at most maxHeartbeatsPerSecond, or busyHeartbeatsPerSecond while requests
+	// wait: then the age of the reports decides how many slots are left free or filled twice.
+	minHeartbeatInterval    = 50 * time.Millisecond
+	maxHeartbeatsPerSecond  = 100
+	busyHeartbeatsPerSecond = 300
+	// busyTime is the time after the last waiting request for which a router counts as busy, several intervals.
+	busyTime = time.Second
 	// maxDatagramBytes limits the size of a datagram.
 	maxDatagramBytes = 60_000
 	// minPeerTimeout is the silence after which a router counts as down, or peerTimeoutIntervals intervals
@@ -120,7 +124,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	interval = heartbeatInterval(r.cellPeers)
+	interval = r.reportInterval(now)
 	if len(r.peers) == 0 {
 		return nil, interval
 	}
@@ -164,20 +168,61 @@
 
 // addLoads adds the fields that are for the routers of the same cell only; r.mu is held.
 func (r *Router) addLoads(now time.Time, m *wire.Heartbeat) {
+	turn := uint64(m.Seq) + rankOf(r.cfg.Name) // routers add the rarer fields in different heartbeats
 	for s, p := range r.pools {
 		rep := p.Report(now)
-		m.Demands = append(m.Demands, wire.HeartbeatDemand{Service: s, Mean: rep.Demand, Waiting: rep.Waiting})
+		d := wire.HeartbeatDemand{Service: s, Mean: float32(rep.Demand), Waiting: rep.Waiting, Loads: make([]wire.HeartbeatLoad, 0, len(rep.Loads))}
 		for _, l := range rep.Loads {
-			m.Loads = append(m.Loads, wire.HeartbeatLoad{Service: s, Target: l.Target, Running: l.Running, PendingPrompt: l.PendingPrompt, GapMicros: l.EventGap.Microseconds()})
+			load := wire.HeartbeatLoad{Target: wire.KeyOf(l.Target), Running: l.Running, PendingPrompt: l.PendingPrompt}
+			if turn%gapEvery == 0 {
+				load.GapMicros = l.EventGap.Microseconds()
+			}
+			d.Loads = append(d.Loads, load)
 		}
+		m.Demands = append(m.Demands, d)
 		for _, t := range p.RecentlyDown(now) {
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
 		}
 	}
-	used := r.limiter.Used()
-	for a, l := range r.limiter.Levels(now) {
-		m.Usage = append(m.Usage, wire.HeartbeatUsage{Account: a, Tokens: used[a], Level: l})
+	if turn%levelsEvery == 0 {
+		used := r.limiter.Used()
+		for a, l := range r.limiter.Levels(now) {
+			m.Usage = append(m.Usage, wire.HeartbeatUsage{Account: a, Tokens: used[a]})
+			m.Levels = append(m.Levels, l)
+		}
+		return
+	}
+	m.Usage = r.changedUsage(m.Seq)
+}
+
+const (
+	// gapEvery and levelsEvery are the numbers of heartbeats of which one carries the speeds of targets, and all
+	// accounts with their levels.
+	gapEvery    = 4
+	levelsEvery = 8
+	// usageRepeats is the number of heartbeats that report a changed use, as some are lost.
+	usageRepeats = 3
+)
+
+// reportedUsage is the use of an account that was last reported, and the first heartbeat that reported it.
+type reportedUsage struct {
+	tokens ident.Tokens
+	since  ident.Seq
+}
+
+// changedUsage returns the accounts whose use changed within the last heartbeats; r.mu is held.
+func (r *Router) changedUsage(seq ident.Seq) (out []wire.HeartbeatUsage) {
+	for a, n := range r.limiter.Used() {
+		u, ok := r.reportedUsage[a]
+		if !ok || u.tokens != n {
+			u = reportedUsage{tokens: n, since: seq}
+			r.reportedUsage[a] = u
+		}
+		if seq < u.since+usageRepeats {
+			out = append(out, wire.HeartbeatUsage{Account: a, Tokens: n})
+		}
 	}
+	return out
 }
 
 // encodeHeartbeat returns the encoded heartbeat, or nil if it is too large for a datagram.
@@ -243,7 +288,7 @@
 	if p.otherCell {
 		return
 	}
-	reports := reportsOf(b)
+	reports := r.reportsOf(b)
 	for _, d := range b.DownTargets {
 		if pool, ok := r.pools[d.Service]; ok {
 			pool.PeerFoundDown(now, d.Target)
@@ -252,7 +297,7 @@
 	for s, pool := range r.pools {
 		rep := reports[s]
 		rep.Router, rep.Region = b.Process, b.Region
-		pool.SetReportInterval(heartbeatInterval(r.cellPeers))
+		pool.SetReportInterval(r.reportInterval(now))
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
 	}
@@ -264,33 +309,59 @@
 
 // usageOf returns the usage report in a heartbeat.
 func usageOf(b *wire.Heartbeat) quota.UsageReport {
-	rep := quota.UsageReport{
-		Boot: b.Boot, Starting: b.Seq <= startingHeartbeats,
-		Used: make(map[ident.AccountID]ident.Tokens, len(b.Usage)), Levels: make(map[ident.AccountID]ident.Tokens, len(b.Usage)),
-	}
+	rep := quota.UsageReport{Boot: b.Boot, Starting: b.Seq <= startingHeartbeats, Used: make(map[ident.AccountID]ident.Tokens, len(b.Usage))}
 	for _, u := range b.Usage {
-		rep.Used[u.Account], rep.Levels[u.Account] = u.Tokens, u.Level
+		rep.Used[u.Account] = u.Tokens
+	}
+	if len(b.Levels) == len(b.Usage) {
+		rep.Levels = make(map[ident.AccountID]ident.Tokens, len(b.Levels))
+		for i, l := range b.Levels {
+			rep.Levels[b.Usage[i].Account] = l
+		}
 	}
 	return rep
 }
 
-// reportsOf returns the reports in a heartbeat by service.
-func reportsOf(b *wire.Heartbeat) map[ident.Service]sched.Report {
+// reportsOf returns the reports in a heartbeat by service; r.mu is held.
+func (r *Router) reportsOf(b *wire.Heartbeat) map[ident.Service]sched.Report {
 	out := map[ident.Service]sched.Report{}
 	for _, d := range b.Demands {
-		out[d.Service] = sched.Report{Demand: d.Mean, Waiting: d.Waiting}
-	}
-	for _, l := range b.Loads {
-		r := out[l.Service]
-		r.Loads = append(r.Loads, sched.Load{Target: l.Target, Running: l.Running, PendingPrompt: l.PendingPrompt, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
-		out[l.Service] = r
+		rep := sched.Report{Demand: float64(d.Mean), Waiting: d.Waiting, Loads: make([]sched.Load, 0, len(d.Loads))}
+		for _, l := range d.Loads {
+			if id := r.targetKeys[l.Target]; id != "" {
+				rep.Loads = append(rep.Loads, sched.Load{Target: id, Running: l.Running, PendingPrompt: l.PendingPrompt, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
+			}
+		}
+		out[d.Service] = rep
 	}
 	return out
 }
 
-// heartbeatInterval returns the time between two heartbeats to each of n other routers.
-func heartbeatInterval(n int) time.Duration {
-	return max(minHeartbeatInterval, time.Duration(n)*time.Second/maxHeartbeatsPerSecond)
+// addTargetKey makes a target known by its key; r.mu is held.
+func (r *Router) addTargetKey(id ident.TargetID) {
+	k := wire.KeyOf(id)
+	if other, ok := r.targetKeys[k]; ok && other != id {
+		id = "" // ambiguous
+	}
+	r.targetKeys[k] = id
+}
+
+// heartbeatInterval returns the time between two heartbeats to each of n other routers at a rate per second.
+func heartbeatInterval(n int, perSecond time.Duration) time.Duration {
+	return max(minHeartbeatInterval, time.Duration(n)*time.Second/perSecond)
+}
+
+// reportInterval returns the present interval between two heartbeats to a router of the same cell; r.mu is held.
+func (r *Router) reportInterval(now time.Time) time.Duration {
+	for _, p := range r.pools {
+		if p.RequestsWait() {
+			r.busyUntil = now.Add(busyTime)
+		}
+	}
+	if now.Before(r.busyUntil) {
+		return heartbeatInterval(r.cellPeers, busyHeartbeatsPerSecond)
+	}
+	return heartbeatInterval(r.cellPeers, maxHeartbeatsPerSecond)
 }
 
 // peerTimeout returns the silence after which a router counts as down; r.mu is held.
@@ -298,7 +369,7 @@
 	if p.otherCell {
 		return peerTimeoutIntervals * otherCellInterval
 	}
-	return max(minPeerTimeout, peerTimeoutIntervals*heartbeatInterval(r.cellPeers))
+	return max(minPeerTimeout, peerTimeoutIntervals*heartbeatInterval(r.cellPeers, maxHeartbeatsPerSecond))
 }
 
 // routerCount returns the number of routers that may be running, including this one; r.mu is held.
@@ -314,13 +385,14 @@
 
 // applyRegistration adds or updates another router from its registration; r.mu is held.
 func (r *Router) applyRegistration(now time.Time, o store.Object) error {
-	if o.Name == string(r.cfg.Name) {
-		return nil
-	}
 	var g registration
 	if err := json.Unmarshal(o.Value, &g); err != nil {
 		return err
 	}
+	if o.Name == string(r.cfg.Name) {
+		r.ownAddress = g.Address
+		return nil
+	}
 	addr, err := net.ResolveUDPAddr("udp4", g.Address)
 	if err != nil {
 		return err
@@ -337,8 +409,22 @@
 	return nil
 }
 
-// register writes this router's registration to the store and retries until that succeeds or ctx ends.
+// routerListTimeout limits the time for which the registration waits for the list of routers.
+const routerListTimeout = time.Second
+
+// register writes this router's registration to the store and retries until that succeeds or ctx ends. Nothing is
+// written if an earlier process of the same name registered the same address.
 func (r *Router) register(ctx context.Context) error {
+	t := time.NewTimer(routerListTimeout)
+	defer t.Stop()
+	select {
+	case registered := <-r.registered:
+		if registered {
+			return nil
+		}
+	case <-t.C:
+	case <-ctx.Done():
+	}
 	v, err := json.Marshal(registration{Address: r.cfg.Heartbeat, Boot: r.boot})
 	if err != nil {
 		return err
--- a/router/direct/scouts_test.go
+++ b/router/direct/scouts_test.go
@@ -90,7 +90,7 @@
 	}, 3*time.Second, 100*time.Millisecond).Should(ContainSubstring("target is leaving"))
 	before := len(x.requests())
 	for range 5 {
-		e.g.Expect(e.request("GET", "/safe/", "").code).To(Equal(200))
+		e.g.Expect(e.request("GET", "/safe/", "").code).To(Equal(200), e.log.String())
 	}
 	e.g.Expect(x.requests()).To(HaveLen(before))
 }
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -12,6 +12,7 @@
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
 )
 
 const (
@@ -149,6 +150,7 @@
 		services = append(services, s)
 	}
 	r.meter.Configure(accounts, services)
+	r.startLimits(now)
 	r.table.Store(table)
 	r.configObject = o
 	r.logReady()
@@ -255,6 +257,7 @@
 				r.pool(old.Service).Drain(t.ID)
 			}
 			r.targets[t.ID] = t
+			r.addTargetKey(t.ID)
 			r.observeVersion(t)
 			if !r.usable(t) {
 				continue
@@ -272,6 +275,7 @@
 		if e.Change == fleet.Deregistered {
 			delete(r.targets, t.ID)
 			delete(r.activity, t.ID)
+			delete(r.targetKeys, wire.KeyOf(t.ID))
 		}
 	}
 }
@@ -309,7 +313,12 @@
 			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
+			r.routersListed = true
 			r.assignCells(time.Now())
+			select {
+			case r.registered <- r.ownAddress == r.cfg.Heartbeat:
+			default: // register has read an earlier value
+			}
 		},
 		onChange: func(c store.Change) {
 			if !c.Deleted {
