One stall of a machine is not blamed on a new version

Cause: while a version gets all requests there are none of the old one to compare with, and each slow answer counts by itself. A stall that makes 25 of 60 answers of one epoch slow passed the alarm threshold. Change: in an epoch without enough requests of the old version, slow answers that are fewer than half add at most 8 to the sum (suspicion 6, alarm 14). A version that is slow for most answers is judged as before. Measured: TestOneStallIsNotBlamedOnNewVersion failed before (bad after one stall), passes now; core/moves and core/trace pass.

--- a/core/moves/stage.go
+++ b/core/moves/stage.go
@@ -190,10 +190,10 @@
 			out[s] = max(out[s], sums[i])
 		}
 	}
-	note(routeClass{route: r}, cumulativeSums(ev.failureEvents(routeClass{route: r})))
+	note(routeClass{route: r}, cumulativeSums(ev.failureEvents(routeClass{route: r}), alarmThreshold))
 	for _, k := range classes {
-		note(k, cumulativeSums(ev.failureEvents(k)))
-		note(k, cumulativeSums(ev.slowEvents(k)))
+		note(k, cumulativeSums(ev.failureEvents(k), alarmThreshold))
+		note(k, cumulativeSums(ev.slowEvents(k), uncontrolledStepMax))
 	}
 	return out
 }
@@ -246,7 +246,7 @@
 // lastSuspicion returns the start of the newest span after which a score was at or above suspicionThreshold, or -1.
 func (ev *Evidence) lastSuspicion(cfg JudgeConfig) int64 {
 	newest := int64(-1)
-	all := cumulativeSums(ev.failureEvents(routeClass{}))
+	all := cumulativeSums(ev.failureEvents(routeClass{}), alarmThreshold)
 	for i, s := range ev.spans(routeClass{}) {
 		if all[i] >= suspicionThreshold {
 			newest = int64(s.Start)
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -71,9 +71,18 @@
 	return x*math.Log(q/p) + y*math.Log((1-q)/(1-p))
 }
 
-// cumulativeSums returns the highest cumulative sum over the odds ratios after each span. A sum that has reached
-// alarmThreshold stays as it is.
-func cumulativeSums(all []events) []float64 {
+// uncontrolledStepMax is the most that the slow answers of one span without enough requests of the old version add
+// to a sum, as long as they are fewer than slowMajority of its answers. A stall of the whole machine makes all answers
+// of some seconds slow, and nothing in such a span tells it from a version that is slow at times. The bound lies between
+// suspicionThreshold and alarmThreshold, so that one such span stops a rollout from going on, and two roll it back.
+const (
+	uncontrolledStepMax = 8
+	slowMajority        = 0.5
+)
+
+// cumulativeSums returns the highest cumulative sum over the odds ratios after each span. A span without enough
+// requests of the old version, in which fewer than slowMajority are events, adds at most uncontrolledMax. A sum that has reached alarmThreshold stays as it is.
+func cumulativeSums(all []events, uncontrolledMax float64) []float64 {
 	var n, x float64
 	for _, e := range all {
 		n, x = n+e.oldN, x+e.oldX
@@ -84,7 +93,11 @@
 		sum := 0.0
 		for i, e := range all {
 			if sum < alarmThreshold {
-				sum = max(0, sum+logLikelihoodRatio(e, theta, base))
+				step := logLikelihoodRatio(e, theta, base)
+				if !e.hasControl() && e.newX < slowMajority*e.newN {
+					step = min(step, uncontrolledMax)
+				}
+				sum = max(0, sum+step)
 			}
 			out[i] = max(out[i], sum)
 		}
@@ -93,11 +106,11 @@
 }
 
 // lastSum returns the last of the cumulative sums, or zero without spans.
-func lastSum(all []events) float64 {
+func lastSum(all []events, uncontrolledMax float64) float64 {
 	if len(all) == 0 {
 		return 0
 	}
-	sums := cumulativeSums(all)
+	sums := cumulativeSums(all, uncontrolledMax)
 	return sums[len(sums)-1]
 }
 
@@ -147,13 +160,13 @@
 // within one hardware class, as classes differ in speed.
 func (ev *Evidence) worstScore() (worst float64, reason Reason, at routeClass) {
 	for _, k := range ev.routeClasses() {
-		if s := lastSum(ev.failureEvents(k)); s > worst {
+		if s := lastSum(ev.failureEvents(k), alarmThreshold); s > worst {
 			worst, reason, at = s, ReasonFailures, k
 		}
 		if k.class == "" {
 			continue
 		}
-		if s := lastSum(ev.slowEvents(k)); s > worst {
+		if s := lastSum(ev.slowEvents(k), uncontrolledStepMax); s > worst {
 			worst, reason, at = s, ReasonSlow, k
 		}
 	}
