Declared limits on headers and resting connections apply

Cause: both were fixed (64 KiB, 10 s for headers, 2 min of rest). A configuration that allows more had its callers refused or cut; one that allows less was not followed. Change: both come from the configuration in force, per request and when a connection begins to rest; a connection is closed a second after its time. The fixed bounds of the server are above (1 MB, 30 s, 10 min). Left: the declared time to read headers, and the connections that a target accepts.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -105,8 +105,10 @@
 
 // Limits bounds the requests of callers.
 type Limits struct {
-	// BodyBytesMax bounds the body of a request; zero if no limit is declared.
-	BodyBytesMax ident.Bytes
+	// BodyBytesMax and HeaderBytesMax bound a request; zero means that the router's own limit applies.
+	BodyBytesMax, HeaderBytesMax ident.Bytes
+	// IdleTimeout is the time for which a caller's connection may rest; zero means the router's own limit.
+	IdleTimeout time.Duration
 }
 
 // Table is the routing table of one configuration. It is immutable after New.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -61,6 +61,9 @@
 	case r.closing.Load():
 		return withRetryAfter(fault.NotRunf(fault.Draining, "this process stops"), 10*time.Millisecond)
 	}
+	if f := c.checkHeader(table); f != nil {
+		return f
+	}
 	path, _, _ := strings.Cut(c.uri, "?")
 	if c.route = table.Match(c.r.Host, path); c.route == nil {
 		return fault.NotRunf(fault.Route, "no route matches in generation %d", table.Generation)
@@ -79,6 +82,29 @@
 	return r.checkLimits(c)
 }
 
+// defaultHeaderMax limits the headers of a request, in bytes, when the configuration does not.
+const defaultHeaderMax = 64 << 10
+
+// checkHeader refuses a request whose request line and headers are larger than the configuration allows.
+func (c *call) checkHeader(table *route.Table) *fault.Error {
+	limit := int(table.Limits.HeaderBytesMax)
+	if limit <= 0 {
+		limit = defaultHeaderMax
+	}
+	n := len(c.r.Method) + len(c.uri) + len(" HTTP/1.1\r\n") + 1 + len("Host: \r\n") + len(c.r.Host)
+	for k, values := range c.r.Header {
+		for _, v := range values {
+			n += len(k) + len(v) + len(": \r\n")
+		}
+	}
+	if n <= limit {
+		return nil
+	}
+	f := fault.NotRunf(fault.Invalid, "the headers have %d bytes; the limit is %d", n, limit)
+	f.StatusOverride = http.StatusRequestHeaderFieldsTooLarge
+	return f
+}
+
 // chooseService chooses the service by a hash of the request's id, so that the same request always goes to the
 // same one.
 func (c *call) chooseService() {
--- a/router/direct/callerconn.go
+++ b/router/direct/callerconn.go
@@ -4,8 +4,51 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 )
 
+const (
+	// defaultIdleTimeout is the time for which a caller's connection may rest when the configuration sets none.
+	defaultIdleTimeout = 2 * time.Minute
+	// idleGrace is added to it, so that a caller which keeps the limit does not find its connection closed.
+	idleGrace = time.Second
+)
+
+// idleConns closes the connections of callers that rest for too long. The limit is that of the configuration in force
+// when a connection begins to rest.
+type idleConns struct {
+	timeout func() time.Duration
+
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func newIdleConns(timeout func() time.Duration) *idleConns {
+	return &idleConns{timeout: timeout, timers: map[net.Conn]*time.Timer{}}
+}
+
+// track follows the states of connections; see http.Server.ConnState.
+func (c *idleConns) track(k net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok := c.timers[k]; ok {
+		t.Stop()
+		delete(c.timers, k)
+	}
+	if s == http.StateIdle {
+		c.timers[k] = time.AfterFunc(c.timeout()+idleGrace, func() { _ = k.Close() }) // the server then forgets it
+	}
+}
+
+// idleTimeout returns the time for which a caller's connection may rest.
+func (r *Router) idleTimeout() time.Duration {
+	if table := r.table.Load(); table != nil && table.Limits.IdleTimeout > 0 {
+		return table.Limits.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
 // callerConnKey is the key of the caller's connection in the context of a request.
 type callerConnKey struct{}
 
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -65,6 +65,7 @@
 	Generation ident.Generation
 	Routes     []route.Route
 	Accounts   []route.Account
+	Limits     route.Limits
 }
 
 func (catalogue) ConfigObject() (kind, name string) { return "config", "main" }
@@ -75,7 +76,7 @@
 	if err := json.Unmarshal(o.Value, &c); err != nil {
 		return nil, err
 	}
-	return route.New(c.Generation, c.Routes, nil, c.Accounts, route.Limits{}), nil
+	return route.New(c.Generation, c.Routes, nil, c.Accounts, c.Limits), nil
 }
 
 func (catalogue) DecodeTarget(o store.Object) (t fleet.Target, err error) {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -20,10 +20,10 @@
 const (
 	// headerTimeout limits the time in which the headers of a request are read; headerMax limits their size
 	// in bytes. Both are above the limits that configurations set.
-	headerTimeout = 10 * time.Second
-	headerMax     = 64 << 10
-	// idleTimeout is the idle time after which a caller's connection is closed, above what configurations set.
-	idleTimeout = 2 * time.Minute
+	headerTimeout = 30 * time.Second
+	headerMax     = 1 << 20
+	// idleTimeoutMax is the idle time after which a caller's connection is closed in any case.
+	idleTimeoutMax = 10 * time.Minute
 	// rotationTime is the time after the start of a shutdown within which the load balancer stops sending new
 	// connections: two failed probes, one second apart, and some delay.
 	rotationTime = 2500 * time.Millisecond
@@ -74,8 +74,8 @@
 		return err
 	}
 	srv := &http.Server{
-		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, IdleTimeout: idleTimeout,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
+		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, IdleTimeout: idleTimeoutMax,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn, ConnState: newIdleConns(r.idleTimeout).track,
 	}
 	work.Go(ctx, "callers", func(context.Context) error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
