--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -17,6 +17,8 @@
 const (
 	// snapshotPath is the path on the admin address at which a router serves its snapshot.
 	snapshotPath = "/snapshot"
+	// withoutTargets is the query of a snapshot without the registrations of targets, which are most of its bytes.
+	withoutTargets = "targets=no"
 	// relayInterval is the interval at which a router that lacks data asks another router for it, well below
 	// the time within which a change has to be in force.
 	relayInterval = 250 * time.Millisecond
@@ -74,11 +76,14 @@
 }
 
 // serveSnapshot serves this router's snapshot to other routers.
-func (r *Router) serveSnapshot(w http.ResponseWriter, _ *http.Request) {
+func (r *Router) serveSnapshot(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
-	s := snapshot{Config: r.configObject, Targets: make([]store.Object, 0, len(r.targetObjects))}
-	for _, o := range r.targetObjects {
-		s.Targets = append(s.Targets, o)
+	s := snapshot{Config: r.configObject}
+	if req.URL.RawQuery != withoutTargets {
+		s.Targets = make([]store.Object, 0, len(r.targetObjects))
+		for _, o := range r.targetObjects {
+			s.Targets = append(s.Targets, o)
+		}
 	}
 	for _, m := range r.rollouts {
 		if m.object.Name != "" {
@@ -147,7 +152,11 @@
 func (r *Router) fetchSnapshot(ctx context.Context, client *sling.Sling, admin string) (err error) {
 	defer func() { err = errors.WithMessage(err, "read snapshot") }()
 	began := time.Now()
-	req, err := client.New().Get("http://" + admin + snapshotPath).Request()
+	url := "http://" + admin + snapshotPath
+	if r.storeReachable.Load() {
+		url += "?" + withoutTargets // those of the store are newer
+	}
+	req, err := client.New().Get(url).Request()
 	if err != nil {
 		return err
 	}
@@ -164,8 +173,8 @@
 		r.applyRollout(o, admin)
 	}
 	r.verifyVersions(began)
-	if r.storeReachable.Load() {
-		return nil // the store has answered in the meantime, and its list is newer
+	if s.Targets == nil || r.storeReachable.Load() {
+		return nil // the store has answered, and its list is newer
 	}
 	list := r.decodeTargets(s.Targets)
 	r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
