--- a/router/direct/direct_test.go
+++ b/router/direct/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -431,3 +432,26 @@
 	other.awaitReady()
 	other.g.Expect(other.request("GET", "/safe/", "").code).To(Equal(200))
 }
+
+// Guards against a snapshot for a newer configuration that carries all registrations of targets, and against a whole
+// one that lacks them.
+func TestSnapshotWithoutTargets(t *testing.T) {
+	x := startTarget(t, "t1", func(_ int, r *http.Request, c net.Conn) bool { return writeAnswer(c, r, 200, "ok") })
+	e := startRouter(t, x)
+	read := func(query string) (targets int, generation string) {
+		res, err := http.Get("http://" + e.cfg.Admin + "/snapshot" + query)
+		e.g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = res.Body.Close() }()
+		var s struct {
+			Config  struct{ Value []byte }
+			Targets []any
+		}
+		e.g.Expect(json.NewDecoder(res.Body).Decode(&s)).To(Succeed())
+		return len(s.Targets), string(s.Config.Value)
+	}
+	n, c := read("")
+	e.g.Expect(n).To(Equal(1))
+	n, without := read("?targets=no")
+	e.g.Expect(n).To(BeZero())
+	e.g.Expect(without).To(Equal(c))
+}
