BUDGET: logs show the parts of prompts and the requests behind a suspicion

Cause of the gap: 405 and 409 could not tell a guard that never links two requests from one that links them and weighs the crash too little, nor how late a crash is noticed. 405 now lists the parts of the prompt that others may share; 409 the ids of the lost requests, how many events each had got, and how long ago the first answer was lost.

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -30,6 +30,9 @@
 	Region string
 )
 
+// PromptPart is the id of a part of a prompt that other prompts may have in common, as callers state it.
+type PromptPart string
+
 // Units.
 type (
 	// Tier is the rank of a priority tier; 0 is the highest.
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -21,8 +21,11 @@
 
 // lostAnswer is an answer that was lost while it was read from a target.
 type lostAnswer struct {
+	id          ident.RequestID
 	fingerprint ident.Fingerprint
-	at          time.Time
+	// events is the number of events of the answer that the target had sent.
+	events int
+	at     time.Time
 }
 
 // observedCrash is a crash that this router observed and sends to the other routers.
@@ -42,7 +45,7 @@
 	now := time.Now()
 	switch a.result {
 	case answerLost:
-		r.lostAnswers[a.target.ID] = append(r.lostAnswers[a.target.ID], lostAnswer{fingerprint: c.fingerprint, at: now})
+		r.lostAnswers[a.target.ID] = append(r.lostAnswers[a.target.ID], lostAnswer{id: c.ID, fingerprint: c.fingerprint, events: a.events, at: now})
 	case delivered:
 		r.guard.RecordFinish(now, c.fingerprint)
 		delete(r.lostAnswers, a.target.ID)
@@ -52,16 +55,20 @@
 // confirmCrashes turns the recent lost answers of a target that is down into crashes; r.mu is held.
 func (r *Router) confirmCrashes(now time.Time, t ident.TargetID) {
 	var fingerprints []ident.Fingerprint
+	var ids []ident.RequestID
+	var events []int
+	var since time.Duration
 	for _, l := range r.lostAnswers[t] {
-		if now.Sub(l.at) < crashConfirmWindow {
-			fingerprints = append(fingerprints, l.fingerprint)
+		if age := now.Sub(l.at); age < crashConfirmWindow {
+			fingerprints, ids, events = append(fingerprints, l.fingerprint), append(ids, l.id), append(events, l.events)
+			since = max(since, age)
 		}
 	}
 	delete(r.lostAnswers, t)
 	if len(fingerprints) == 0 {
 		return
 	}
-	r.log.Log(event.RequestSuspected, "target", t, "prints", fingerprints, "among", len(fingerprints))
+	r.log.Log(event.RequestSuspected, "target", t, "prints", fingerprints, "among", len(fingerprints), "ids", ids, "events", events, "since", since.Milliseconds())
 	r.guard.RecordCrash(now, t, fingerprints)
 	r.urgentHeartbeat = true
 	for _, f := range fingerprints {
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -72,6 +72,8 @@
 	// it states none.
 	HasTokenCounts                bool
 	Prompt, MaxOutput, OutputHint ident.Tokens
+	// Parts are the parts of the prompt that other requests may have in common, in their order.
+	Parts []ident.PromptPart
 }
 
 // Forward holds what the router states to a target in the headers of a request.
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -229,5 +229,5 @@
 	r.meter.RecordLength(c.job.Tier, c.accountName(), c.service, c.Prompt+c.MaxOutput)
 	r.log.Log(event.RequestPlaced, "id", c.ID, "route", c.route.Name, "account", c.accountName(), "tier", c.job.Tier,
 		"target", d.target.ID, "mine", d.placement.OwnJobs, "others", d.placement.OtherJobs, "expected", d.placement.ExpectedFirstEvent.Milliseconds(),
-		"waited", now.Sub(c.arrived).Milliseconds(), "prompt", c.Prompt, "tokens", c.tokens, "level", c.quotaLevel, "left", c.deadline.Sub(now).Milliseconds(), "try", try)
+		"waited", now.Sub(c.arrived).Milliseconds(), "prompt", c.Prompt, "tokens", c.tokens, "level", c.quotaLevel, "left", c.deadline.Sub(now).Milliseconds(), "try", try, "parts", c.Parts)
 }
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -59,8 +59,10 @@
 	result           attemptResult
 	outcome          sched.Outcome
 	timeToFirstEvent time.Duration
-	answer           *bufferedAnswer
-	err              error
+	// events is the number of events that the target sent.
+	events int
+	answer *bufferedAnswer
+	err    error
 }
 
 // bufferedAnswer is a complete answer that was not forwarded yet.
@@ -317,6 +319,7 @@
 			break
 		}
 	}
+	a.events = e.count
 	if e.count > 1 {
 		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.count-1)
 	}
