Padding without end is cut before the limit on events is reached

The reader allowed eventSizeMax bytes without an event and cut at the next one; single bytes of padding are passed on one by one, so the caller gets exactly the limit when the last flush precedes the abort. It now cuts at eventSizeMax, as the comment of errEventTooLarge says.

--- a/router/direct/eventreader.go
+++ b/router/direct/eventreader.go
@@ -37,7 +37,7 @@
 		part, err := e.r.ReadSlice('\n')
 		block = append(block, part...)
 		switch {
-		case e.padding+len(block) > eventSizeMax:
+		case e.padding+len(block) >= eventSizeMax:
 			return nil, false, errEventTooLarge
 		case err == bufio.ErrBufferFull:
 			continue
