--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -42,6 +42,9 @@
 	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
 		c.HasTokenCounts, c.Prompt = true, ident.Tokens(n)
 	}
+	for _, p := range strings.Fields(h.Get("X-Parts")) {
+		c.Parts = append(c.Parts, ident.PromptPart(p))
+	}
 	return c
 }
 
@@ -254,6 +257,7 @@
 // scriptedTarget is a target that records its requests; a script writes the answers.
 type scriptedTarget struct {
 	id, addr string
+	ln       net.Listener
 	mu       sync.Mutex
 	seen     []*http.Request
 	bodies   []string
@@ -266,7 +270,7 @@
 	g := NewWithT(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	x := &scriptedTarget{id: id, addr: ln.Addr().String()}
+	x := &scriptedTarget{id: id, addr: ln.Addr().String(), ln: ln}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
