--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -237,6 +237,13 @@
 	return p.begin(now, t, j, firstEvent), true
 }
 
+// MarkDown records that a target was found down without a job being sent there.
+func (p *Pool) MarkDown(now time.Time, id ident.TargetID) {
+	if t, ok := p.targets[id]; ok && !now.Before(t.backoffUntil) {
+		t.foundDown(now)
+	}
+}
+
 // Release frees the slot of a job that was placed on a target but not sent there.
 func (p *Pool) Release(now time.Time, id ident.TargetID, j *Job) { p.Done(now, id, j, Outcome{}) }
 
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -177,8 +177,7 @@
 	case o.Replaced:
 		t.markDown(now, backoffMax)
 	case o.Unreachable:
-		t.failures++
-		t.markDown(now, min(downBackoff<<min(t.failures-1, 8), backoffMax))
+		t.foundDown(now)
 	case o.Failed:
 		t.failures++
 		if t.failures >= failMin {
@@ -214,6 +213,12 @@
 	}
 }
 
+// foundDown records that the target cannot be reached. The back-off time doubles with each time in a row.
+func (t *target) foundDown(now time.Time) {
+	t.failures++
+	t.markDown(now, min(downBackoff<<min(t.failures-1, 8), backoffMax))
+}
+
 // markDown starts a back-off time after this router found that the target cannot be reached or was replaced by
 // another one.
 func (t *target) markDown(now time.Time, d time.Duration) {
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -72,12 +72,21 @@
 		}
 		_ = k.Close() // nothing is read from it any more
 	}
+	k, err := dial(ctx, addr)
+	if err != nil {
+		return nil, errors.Wrap(errUnreachable, err.Error())
+	}
+	return k, nil
+}
+
+// dial opens a connection.
+func dial(ctx context.Context, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1}
 	n, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(errUnreachable, err.Error())
+		return nil, err
 	}
 	k := &conn{limitedConn: limitedConn{Conn: n}, addr: addr}
 	k.r = bufio.NewReaderSize(&k.limitedConn, readBufferSize)
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"hickoryvane.example/core/event"
@@ -46,14 +47,27 @@
 	switch a.result {
 	case answerLost:
 		r.lostAnswers[a.target.ID] = append(r.lostAnswers[a.target.ID], lostAnswer{id: c.ID, fingerprint: c.fingerprint, events: a.events, at: now})
+		r.requestVerify(a.target)
 	case delivered:
 		r.guard.RecordFinish(now, c.fingerprint)
 		delete(r.lostAnswers, a.target.ID)
 	}
 }
 
+// forgetLostAnswers forgets the answers that a target lost before a time at which it was up; r.mu is held.
+func (r *Router) forgetLostAnswers(t ident.TargetID, up time.Time) {
+	kept := slices.DeleteFunc(r.lostAnswers[t], func(l lostAnswer) bool { return l.at.Before(up) })
+	if r.lostAnswers[t] = kept; len(kept) == 0 {
+		delete(r.lostAnswers, t)
+	}
+}
+
 // confirmCrashes turns the recent lost answers of a target that is down into crashes; r.mu is held.
 func (r *Router) confirmCrashes(now time.Time, t ident.TargetID) {
+	if registered, ok := r.targets[t]; !ok || registered.Leaving {
+		delete(r.lostAnswers, t) // it was to end
+		return
+	}
 	var fingerprints []ident.Fingerprint
 	var ids []ident.RequestID
 	var events []int
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -125,6 +125,9 @@
 		g.Go(ctx, "follow "+f.kind, func(ctx context.Context) error { return r.followKind(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.runHeartbeats)
+	for range verifyWorkers {
+		g.Go(ctx, "verify", r.verifyTargets)
+	}
 	g.Go(ctx, "tick", r.tick)
 	g.Go(ctx, "relay", r.relaySnapshots)
 	g.Go(ctx, "moves", r.writeStates)
