--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -32,6 +32,8 @@
 	// massTargets targets that crash within massGap of each other accuse only what requests on all of them had.
 	massTargets = 3
 	massGap     = 100 * time.Millisecond
+	// settleTime is the time after a crash in which all routers report what ran there; until then it accuses nobody.
+	settleTime = 250 * time.Millisecond
 	// targetsMin is the least number of different targets of a suspicion.
 	targetsMin = 2
 	// A crash counts earlyWeight against the requests whose answers had just begun or were still to begin. Only if
@@ -103,8 +105,8 @@
 	recentPasses, olderPasses map[ident.Fingerprint]time.Time
 	// blocks has no block whose features contain all those of another one in force. Expired ones are kept to be renewed.
 	blocks []*block
-	// dirty is true if a crash or a pass came since the last Step.
-	dirty bool
+	// due is the time of the next look at the crashes; zero if there is nothing new.
+	due time.Time
 	// accused are the features that were running at more than one crash, as of the last Step.
 	accused []ident.Fingerprint
 	lifted  []Block
@@ -126,7 +128,14 @@
 			continue
 		}
 		k.requests = append(k.requests, runner{Request: r, own: own})
-		d.dirty = true
+		d.look(k.at.Add(settleTime))
+	}
+}
+
+// look makes Step look at the crashes at the given time or earlier.
+func (d *Detector) look(at time.Time) {
+	if d.due.IsZero() || at.Before(d.due) {
+		d.due = at
 	}
 }
 
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -47,6 +47,7 @@
 		at := after(begin + float64(i))
 		d.RecordCrash(poison.Crash{Target: targetID(int(begin) + i), At: at, Requests: r})
 		d.Step(at)
+		d.Step(at.Add(500 * time.Millisecond))
 	}
 }
 
@@ -162,3 +163,22 @@
 		g.Expect(blocked[0].Own).To(BeFalse())
 	}
 }
+
+// Guards against blaming a sound part on what one router saw, before the others told what else ran on the targets.
+func TestBestExplanationComesFirst(t *testing.T) {
+	g := NewWithT(t)
+	d := poison.New()
+	for i := range 4 {
+		at := after(float64(i))
+		if i < 3 {
+			d.RecordCrash(poison.Crash{Target: targetID(i), At: at, Requests: early(request(other))})
+		}
+		d.Step(at.Add(50 * time.Millisecond))
+		g.Expect(refused(d, float64(i), other)).To(BeFalse())
+		d.MergeCrash(poison.Crash{Target: targetID(i), At: at, Requests: early(request(deadly))})
+		d.Step(at.Add(60 * time.Millisecond))
+	}
+	d.Step(after(4))
+	g.Expect(refused(d, 4, deadly)).To(BeTrue())
+	g.Expect(refused(d, 4, other)).To(BeFalse())
+}
--- a/core/poison/step.go
+++ b/core/poison/step.go
@@ -19,40 +19,59 @@
 func (d *Detector) Step(now time.Time) (blocked, lifted []Block) {
 	lifted, d.lifted = d.lifted, nil
 	d.expire(now)
-	if !d.dirty {
+	if d.due.IsZero() || now.Before(d.due) {
 		return nil, lifted
 	}
-	d.dirty = false
+	d.due = time.Time{}
 	blocked = d.renew(now)
+	for {
+		b := d.strongest(now)
+		if b == nil {
+			return blocked, lifted
+		}
+		d.insert(b) // the next round takes it into account
+		blocked = append(blocked, b.Block)
+	}
+}
+
+// strongest returns a new block on the feature that explains most crashes, or nil if none explains enough.
+func (d *Detector) strongest(now time.Time) (best *block) {
 	accusations := map[ident.Fingerprint][]accusation{}
 	for _, k := range d.crashes {
+		if now.Sub(k.at) < settleTime {
+			d.look(k.at.Add(settleTime))
+			continue
+		}
 		d.accuse(k, accusations)
 	}
 	d.accused = d.accused[:0]
-	var found []*block
+	most := 0
 	for f, list := range accusations {
 		if len(list) > 1 {
 			d.accused = append(d.accused, f)
 		}
-		if list = d.withoutMassCrashes(list); d.convicted(f, list) {
-			found = append(found, d.newBlock(now, f, list))
+		list = d.withoutMassCrashes(list)
+		weight, ok := d.convicted(f, list)
+		if !ok || weight < most {
+			continue
 		}
-	}
-	// The wider blocks come first, whatever the order of the map.
-	slices.SortFunc(found, func(a, b *block) int {
-		if n := len(a.Features) - len(b.Features); n != 0 {
-			return n
+		b := d.newBlock(now, f, list)
+		if d.covering(b.Features) != nil {
+			continue // an expired block is renewed only by another crash
 		}
-		return slices.Compare(a.Features, b.Features)
-	})
-	for _, b := range found {
-		if d.covering(b.Features) == nil { // an expired block is renewed only by another crash
-			d.insert(b)
-			blocked = append(blocked, b.Block)
+		if weight > most || wider(b, best) {
+			best, most = b, weight
 		}
 	}
-	slices.Sort(d.accused)
-	return blocked, lifted
+	return best
+}
+
+// wider orders blocks of the same weight, whatever the order of a map: those on fewer features come first.
+func wider(a, b *block) bool {
+	if len(a.Features) != len(b.Features) {
+		return len(a.Features) < len(b.Features)
+	}
+	return slices.Compare(a.Features, b.Features) < 0
 }
 
 func (d *Detector) expire(now time.Time) {
@@ -151,9 +170,9 @@
 	return out
 }
 
-// convicted reports whether the crashes of which a feature is accused suffice to block it.
-func (d *Detector) convicted(f ident.Fingerprint, list []accusation) bool {
-	weight, targets := 0, map[ident.TargetID]bool{}
+// convicted returns the weight of the crashes of which a feature is accused, and whether they suffice to block it.
+func (d *Detector) convicted(f ident.Fingerprint, list []accusation) (weight int, ok bool) {
+	targets := map[ident.TargetID]bool{}
 	var last time.Time
 	for _, a := range list {
 		if !last.IsZero() && a.at.Sub(last) < episodeGap {
@@ -167,7 +186,7 @@
 	if !d.lastPass(f).IsZero() {
 		needed = passedWeight
 	}
-	return weight >= needed && len(targets) >= targetsMin
+	return weight, weight >= needed && len(targets) >= targetsMin
 }
 
 // newBlock returns a block on the features that occurred with f in a request at each of its crashes, as nothing tells
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -24,7 +24,7 @@
 	recentCrashesMax    = 64
 	urgentHeartbeatsMax = 3
 	// passTime is the time from the first event of an answer after which its request has not crashed the target.
-	passTime = time.Second
+	passTime = 500 * time.Millisecond
 	// blockRetryMax limits the time after which the caller of a blocked request may retry.
 	blockRetryMax = time.Minute
 	// partNamesMax limits the parts whose ids are kept for log lines.
