BUDGET: blocks outlive a stop of all routers

Cause: what is known of crashes was in memory only; the same class as a key that is in use again after a restart.

Routers whose requests were involved record a block in the store (kind blocks: one write, one delete when it is lifted); a router that starts lists them once. TestBlockOutlivesAllRouters fails without the reader and writer.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -47,6 +47,8 @@
 	// for twice the time, at most longestBlock.
 	firstBlock   = 2 * time.Minute
 	longestBlock = 30 * time.Minute
+	// RenewTime is the time after the end of a block in which another crash renews it.
+	RenewTime = longestBlock
 	// passesMax bounds the features whose last pass is remembered.
 	passesMax = 1 << 14
 )
@@ -244,7 +246,7 @@
 
 // MergeBlock adds a block of another router or of an earlier process, unless its features have passed since.
 func (d *Detector) MergeBlock(now time.Time, b Block) {
-	if len(b.Features) == 0 || !b.Until.After(now) {
+	if len(b.Features) == 0 || now.Sub(b.Until) >= RenewTime {
 		return
 	}
 	b.Own = false
--- a/core/poison/step.go
+++ b/core/poison/step.go
@@ -76,7 +76,7 @@
 
 func (d *Detector) expire(now time.Time) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(k *crash) bool { return now.Sub(k.at) >= crashTTL })
-	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.Until) >= longestBlock })
+	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.Until) >= RenewTime })
 }
 
 // renew renews the expired blocks whose requests crashed a target again.
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -146,10 +146,14 @@
 	blocked, lifted := r.poison.Step(now)
 	for _, b := range blocked {
 		r.log.Log(event.RequestsBlocked, "prints", b.Features, "parts", r.namesOf(b.Features), "until", b.Until.Sub(now), "own", b.Own)
+		if b.Own {
+			r.recordBlock(b, false)
+		}
 		r.urgentHeartbeats = urgentHeartbeatsMax
 	}
 	for _, b := range lifted {
 		r.log.Log(event.BlockLifted, "prints", b.Features, "parts", r.namesOf(b.Features), "after", now.Sub(b.At))
+		r.recordBlock(b, true)
 	}
 }
 
--- a/router/direct/poison_test.go
+++ b/router/direct/poison_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -88,6 +89,39 @@
 	e.g.Expect(served).To(Equal(24), "requests without the part")
 }
 
+// Guards against learning by more crashes what was known before all routers stopped.
+func TestBlockOutlivesAllRouters(t *testing.T) {
+	e := newEnv(t)
+	f := newPoisonedFleet(t, e, 5)
+	e.runRouter(t, e.store)
+	for f.crashes() < crashesAllowed {
+		if e.request("POST", "/unsafe/", fmt.Sprint(f.crashes()), "X-Parts", "shared deadly").code == 503 {
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	e.g.Eventually(func() error { _, err := e.store.Get(t.Context(), "blocks", blocksOf(e)); return err }, time.Second).Should(Succeed())
+	known := f.crashes()
+	e.stop()
+	next := newEnv(t)
+	next.store = e.store
+	e.g.Eventually(func() error { _, err := net.Dial("tcp", e.cfg.Listen); return err }, 6*time.Second).ShouldNot(Succeed())
+	e = next
+	e.runRouter(t, e.store)
+	e.g.Eventually(func() int { return e.request("POST", "/unsafe/", "again", "X-Parts", "shared deadly").code }, time.Second).Should(Equal(503))
+	e.g.Expect(f.crashes()).To(BeNumerically("<=", known+1), "the block may be read after the router is ready")
+	e.g.Expect(e.request("POST", "/safe/", "x", "X-Parts", "shared").code).To(Equal(200))
+}
+
+// blocksOf returns the name of the first recorded block.
+func blocksOf(e *env) string {
+	list, _, err := e.store.List(context.Background(), "blocks")
+	if err != nil || len(list) == 0 {
+		return ""
+	}
+	return list[0].Name
+}
+
 // Guards against a crash that counts only if another request happens to go to the same target within seconds.
 func TestCrashIsNoticedWithoutAnotherRequest(t *testing.T) {
 	e := newEnv(t)
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -125,6 +125,7 @@
 		g.Go(ctx, "follow "+f.kind, func(ctx context.Context) error { return r.followKind(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.runHeartbeats)
+	g.Go(ctx, "blocks", r.keepBlocks)
 	for range verifyWorkers {
 		g.Go(ctx, "verify", r.verifyTargets)
 	}
