An empty stream without framing is not delivered as complete

Cause: the end of the connection counted as the end of the stream whenever no event was open.

A stream without framing is complete only after a whole event. TestUnframedStreamWithoutEventsFails had 200 before, has 502 now.

--- a/router/direct/faults_test.go
+++ b/router/direct/faults_test.go
@@ -245,6 +245,16 @@
 	e.g.Expect(a.body).To(Equal(streamEvent(1)))
 }
 
+// Guards against an empty stream that is delivered as complete when its target crashed before the first event.
+func TestUnframedStreamWithoutEventsFails(t *testing.T) {
+	x := startTarget(t, "t1", func(_ int, r *http.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("X-Id"))
+		return false
+	})
+	e := startRouter(t, x)
+	e.g.Expect(e.request("POST", "/stream/", "p").code).To(Equal(502))
+}
+
 // Guards against a truncated stream that looks complete to a caller without HTTP/1.1, which reads to the end of the
 // connection.
 func TestTruncatedStreamIsResetForOldCallers(t *testing.T) {
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -284,7 +284,7 @@
 	var firstAt, lastAt time.Time
 	for {
 		b, isEvent, err := e.next()
-		if err == io.EOF && len(b) > 0 && !x.framed() {
+		if err == io.EOF && !x.framed() && (len(b) > 0 || e.count == 0) {
 			err = io.ErrUnexpectedEOF // without framing, only the end of an event can be the end of the stream
 		}
 		if err != nil && err != io.EOF {
