LIMIT: logs show the rate that a target states

Cause of the gap: no line showed what a target states of itself, so that routers which don't read it, which each keep to it alone, and which pass it by repeats looked alike. The dialect reads the limit that an answer names; 509 is written when a target states a rate, or another one, 510 when an answer comes without. No decision uses it yet.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -47,6 +47,8 @@
 	TargetDeregistered    ID = 506
 	TargetInvalid         ID = 507
 	TargetMissing         ID = 508
+	TargetRate            ID = 509
+	TargetRateEnded       ID = 510
 	RolloutShareChanged   ID = 601
 	VersionJudgedBad      ID = 602
 	RolloutConcluded      ID = 603
@@ -101,6 +103,8 @@
 	{TargetDeregistered, log.InfoLevel, "target is no longer registered"},
 	{TargetInvalid, log.WarnLevel, "registration of a target cannot be read"},
 	{TargetMissing, log.InfoLevel, "registration of a target was removed without notice"},
+	{TargetRate, log.InfoLevel, "target states a rate"},
+	{TargetRateEnded, log.InfoLevel, "target states no rate any more"},
 	{RolloutShareChanged, log.InfoLevel, "move changed its share"},
 	{VersionJudgedBad, log.WarnLevel, "version judged bad"},
 	{RolloutConcluded, log.InfoLevel, "move ended"},
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -207,6 +207,7 @@
 		r.recordAnswerEnd(c, a)
 		return a, nil
 	}
+	r.recordRate(t, x.answer)
 	complete := false
 	defer func() { r.conns.release(x, complete) }()
 	switch {
