--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -58,7 +58,11 @@
 }
 
 func (dialect) Answer(status int, h http.Header) direct.Answer {
-	return direct.Answer{ID: ident.RequestID(h.Get("X-Id")), NotRun: h.Get("X-Refused") != "", Misdirected: status == 421}
+	a := direct.Answer{ID: ident.RequestID(h.Get("X-Id")), NotRun: h.Get("X-Refused") != "", Misdirected: status == 421}
+	if n, err := strconv.ParseFloat(h.Get("X-Rate"), 64); err == nil {
+		a.HasRate, a.Rate = true, n
+	}
+	return a
 }
 
 // catalogue implements direct.Catalogue; routing tables and targets are JSON of their Go types.
