LIMIT: routers keep together to the rate that a target states

What back ends saw: targets in need state in their answers how many requests a second they take from all routers together, and got up to four times that. Class: what a target says of itself in its answers is back-pressure that placement did not know; slots were the only limit.

The newest statement counts, whoever got it. Heartbeats carry statements and counts of requests; each router keeps a replica of one bucket per target and takes from it by its part of the demand, so that late reports and bursts don't add up. A cell has its part of the rate of a target that several cells use. A request at such a target costs the same whatever its length, so while the others are more than half full, long answers wait for targets with a rate and short ones for the others (three quarters of their goal at most).

--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -36,6 +36,8 @@
 	Waiting int
 	// Loads omits targets without running jobs.
 	Loads []Load
+	// Rates are those of targets that state one. A report may omit those that have not changed lately.
+	Rates []Rate
 }
 
 // report is the last report received from another router.
@@ -50,7 +52,7 @@
 // Report returns the state of this router.
 func (p *Pool) Report(now time.Time) Report {
 	p.updateDemand(now)
-	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting)}
+	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Rates: p.rates(now)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
 			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt}
@@ -104,6 +106,7 @@
 			}
 		}
 	}
+	p.mergeRates(now, r.Router, r.Rates)
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
 	p.ExpireReports(now)
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,7 +48,7 @@
 	mean := p.meanJobs()
 	var below, above *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || t.draining || t.missing || now.Before(t.backoffUntil) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 {
+		if !t.CanaryOnly || t.draining || t.missing || now.Before(t.backoffUntil) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) {
 			continue
 		}
 		switch n := t.jobs(); {
@@ -99,7 +99,7 @@
 		chanceMin = p.chanceMin(now, j)
 	}
 	for _, t := range p.usable {
-		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) {
+		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.suits(now, t, j) {
 			continue
 		}
 		chance := p.chanceAt(now, t, j)
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -54,6 +54,9 @@
 	// CanaryOnly is true for a target that gets only canary jobs because its version is a canary or was rolled
 	// back.
 	CanaryOnly bool
+	// RateShare is the part of a rate that the target states for all routers which those that report to each other
+	// share; zero means all of it.
+	RateShare float64
 }
 
 // Placement assigns a job to a target.
@@ -103,6 +106,11 @@
 	// meanEventGap is the mean time between events over the targets, shortestEventGap that of the fastest one, and
 	// shortestLatency the shortest time to a first event; see finish.go.
 	meanEventGap, shortestEventGap, shortestLatency time.Duration
+	// split is true while long and short answers are separated, by meanDuration; see ratesplit.go.
+	split        bool
+	meanDuration time.Duration
+	// demandShare is this router's part of the demand of all routers.
+	demandShare float64
 	// spareSlots is the number of free slots beyond those that waiting jobs need, as of the last Schedule.
 	spareSlots int
 	// running is the number of own jobs at all targets. usable lists the targets that could accept a job when
@@ -114,7 +122,7 @@
 // New returns an empty pool for the router self in the given data centre and region.
 func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
 	return &Pool{
-		self: self, reportInterval: initialReportInterval, waitingRouters: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
+		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
 	}
 }
 
@@ -168,6 +176,7 @@
 // Add adds a job to the waiting jobs.
 func (p *Pool) Add(j *Job) {
 	j.orderTime = j.Arrived.Add(p.deferral(j))
+	p.learnDuration(j)
 	p.waiting = append(p.waiting, j)
 	p.statsOf(arrivalClass(j)).recordArrival(j)
 }
@@ -251,6 +260,7 @@
 func (p *Pool) begin(now time.Time, t *target, j *Job, firstEvent time.Duration) Placement {
 	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent}
 	p.countBorrowed(now, t)
+	p.countRate(now, t)
 	t.start(now, j)
 	p.running++
 	return d
@@ -265,6 +275,7 @@
 	p.shortestLatency = minLatency
 	p.sortWaiting(now, minLatency)
 	p.collectUsable(now)
+	p.updateSplit(now)
 	p.spareSlots = p.countSpareSlots(now)
 	kept := p.waiting[:0]
 	var last class
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -86,6 +86,11 @@
 		anyWaiting = anyWaiting || r.Waiting > 0
 	}
 	slices.SortFunc(all, func(a, b participant) int { return cmp.Compare(a.hash, b.hash) })
+	sum := 0.0
+	for _, s := range all {
+		sum += max(s.demand, demandMin)
+	}
+	p.demandShare = max(p.demand, demandMin) / sum
 	divisions := map[ident.Region]division{}
 	for _, t := range p.sorted {
 		d, ok := divisions[t.Region]
@@ -149,7 +154,7 @@
 func (p *Pool) mayPlace(now time.Time, t *target) bool {
 	free := t.freeSlots()
 	switch {
-	case free <= 0:
+	case free <= 0 || !p.withinRate(now, t):
 		return false
 	case len(p.peers) == 0, len(t.runs) < t.allotted:
 		return true
@@ -159,10 +164,15 @@
 	if t.borrowInterval == interval {
 		borrowed = t.borrowed
 	}
+	return float64(borrowed)+p.draw(now, t) < borrowFraction*float64(free-t.peerUnfilled+borrowed)/float64(p.waitingRouters)
+}
+
+// draw returns a number in [0, 1) for a target in the present report interval, which differs between routers.
+func (p *Pool) draw(now time.Time, t *target) float64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], t.hash)
-	binary.LittleEndian.PutUint64(b[8:], uint64(interval))
-	return float64(borrowed)+fraction(xxhash.Sum64(b[:])) < borrowFraction*float64(free-t.peerUnfilled+borrowed)/float64(p.waitingRouters)
+	binary.LittleEndian.PutUint64(b[8:], uint64(p.intervalNumber(now)))
+	return fraction(xxhash.Sum64(b[:]))
 }
 
 // intervalNumber returns the number of the report interval that contains now.
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -46,7 +46,7 @@
 func (p *Pool) countSpareSlots(now time.Time) (n int) {
 	for _, t := range p.sorted {
 		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.backoffUntil) {
-			n += max(t.freeSlots(), 0)
+			n += p.rateRoom(now, t, max(t.freeSlots(), 0))
 		}
 	}
 	for _, r := range p.peers {
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -72,6 +72,8 @@
 	// itself; until then it is what another router reported.
 	eventGap time.Duration
 	observed bool
+	// rate is nil unless the target has stated one.
+	rate *rate
 	// failures counts consecutive failures; no job is placed before backoffUntil.
 	failures     int
 	backoffUntil time.Time
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -29,6 +29,8 @@
 	// Levels the levels of their buckets in the same order; otherwise Levels is empty.
 	Usage  []HeartbeatUsage
 	Levels []ident.Tokens
+	// Rates are those that targets state in their answers. Most heartbeats hold only what changed lately.
+	Rates []HeartbeatRate
 	// DownTargets are targets that the sender recently found down.
 	DownTargets []HeartbeatDown
 	// Crashes are recent crashes of targets. Passes and Blocks tell which requests did not cause them and which are
@@ -143,3 +145,15 @@
 	// AgeMillis is the time since the block, LeftMillis that until its end.
 	AgeMillis, LeftMillis int64
 }
+
+// HeartbeatRate is the rate that a target states in its answers, and how much of it the sender has used.
+type HeartbeatRate struct {
+	_struct bool `codec:",toarray"`
+
+	Target TargetKey
+	// MilliPerSecond is the rate in thousandths of a request a second, zero if the target states none any more;
+	// AgeMillis is the time since the newest answer.
+	MilliPerSecond, AgeMillis int64
+	// Sent counts the requests that the sender has sent to the target since it knows the rate.
+	Sent uint64
+}
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -181,6 +181,7 @@
 			d.Loads = append(d.Loads, load)
 		}
 		m.Demands = append(m.Demands, d)
+		r.addRates(now, m, rep.Rates, turn%levelsEvery == 0)
 		for _, t := range p.RecentlyDown(now) {
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
 		}
@@ -295,9 +296,10 @@
 			pool.PeerFoundDown(now, d.Target)
 		}
 	}
+	rates := r.ratesOf(now, b)
 	for s, pool := range r.pools {
 		rep := reports[s]
-		rep.Router, rep.Region = b.Process, b.Region
+		rep.Router, rep.Region, rep.Rates = b.Process, b.Region, rates[s]
 		pool.SetReportInterval(r.reportInterval(now))
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -170,6 +170,7 @@
 // poolTarget returns a target in the form that the pool takes.
 func (r *Router) poolTarget(t fleet.Target, table *route.Table) sched.Target {
 	out := sched.Target{ID: t.ID, Centre: t.Centre, Region: r.regions[t.Centre], Slots: t.Slots, CanaryOnly: r.canaryOnly(t)}
+	out.RateShare = float64(r.cell.ForService(r.targetCounts[t.Service]).Count) / float64(r.cell.Count)
 	if table != nil && table.Services[t.Service].Slots > 0 {
 		out.Slots = table.Services[t.Service].Slots
 	}
