--- a/agent/node/answers.go
+++ b/agent/node/answers.go
@@ -104,6 +104,7 @@
 	for _, f := range c.guard.RecordCrash(now, c.decl.Name, fingerprints) {
 		c.publishGuardEntry(now, f)
 	}
+	c.recordPoisonCrash(now)
 	c.markTargetDown(now)
 }
 
--- a/agent/node/core.go
+++ b/agent/node/core.go
@@ -18,6 +18,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/lease"
 	"hickoryvane.example/core/ledger"
+	"hickoryvane.example/core/poison"
 	"hickoryvane.example/core/queue"
 	"hickoryvane.example/core/wire"
 )
@@ -53,6 +54,7 @@
 	// answers holds the answers of dispatched requests.
 	answers     *answer.Store
 	guard       *guard.Guard
+	poison      *poison.Detector
 	gossipTable *facts.Gossiper
 	fence       *lease.CommandGate
 	peers       map[answer.Peer]*peer
@@ -176,6 +178,7 @@
 		claims:        ledger.NewClaims(),
 		answers:       answer.New(boot),
 		guard:         guard.New(),
+		poison:        poison.New(),
 		gossipTable:   active.NewTable(self, boot, rnd),
 		fence:         lease.NewCommandGate(false),
 		peers:         make(map[answer.Peer]*peer),
--- a/agent/node/core_test.go
+++ b/agent/node/core_test.go
@@ -29,6 +29,11 @@
 const self, boot = ident.ProcessID("a1"), ident.Boot(7)
 
 func newHarness(t *testing.T, opts ...node.Option) *harness {
+	return newHarnessOf(t, self, "e1", opts...)
+}
+
+// newHarnessOf returns a harness of the agent with the given name and target.
+func newHarnessOf(t *testing.T, self ident.ProcessID, name ident.TargetID, opts ...node.Option) *harness {
 	h := &harness{g: NewWithT(t), now: time.Unix(1_800_000_000, 0), sent: make(map[answer.Peer][]wire.Message)}
 	h.c = node.New(self, boot, "d", rand.New(rand.NewPCG(1, 1)), opts...)
 	h.c.HandleConnect(1, wire.Hello{Process: "r1", Role: "router", Boot: 1})
@@ -39,7 +44,7 @@
 		Tiers:    []conf.Tier{{Name: "low", Rank: 1, Wait: 5000}},
 		Accounts: []conf.Account{{Name: "acme", Keys: []string{ident.HashKey("key")}, Weight: 1, Tier: "low", Tiers: []string{"low"}}},
 		Services: []conf.Service{{Name: "llm", Kind: conf.ModelService, Versions: []ident.Version{"v1"}, Current: "v1", Routes: []conf.Route{{Name: "chat", Method: "POST", Path: "/c"}}}},
-		Targets:  []conf.Target{{Name: "e1", VM: self, Centre: "west-a", Service: "llm", Version: "v1", Class: "x"}},
+		Targets:  []conf.Target{{Name: name, VM: self, Centre: "west-a", Service: "llm", Version: "v1", Class: "x"}},
 		Limits:   conf.Limits{ClaimsPerSecond: 100, LinkBytesPerSecond: 1 << 20, LoadsPerMinute: 60},
 	})
 	h.g.Expect(err).NotTo(HaveOccurred())
--- a/agent/node/gossip.go
+++ b/agent/node/gossip.go
@@ -23,6 +23,7 @@
 
 // gossipTick starts a round of gossip when it is due.
 func (c *Core) gossipTick(now time.Time) {
+	c.updateBlocks(now)
 	c.sendEntries(c.gossipTable.PushUrgent(now))
 	if now.Before(c.nextGossip) {
 		return
@@ -57,6 +58,8 @@
 			c.applyConfig(now, f)
 		case facts.KindBlock:
 			c.mergeGuardEntry(now, f)
+		case facts.KindPoison:
+			c.mergePoison(now, f)
 		case active.KindVMList:
 			c.applyVMList(now, f)
 		case facts.KindFence:
--- a/agent/node/offer.go
+++ b/agent/node/offer.go
@@ -47,7 +47,7 @@
 		return fault.NotRunf(fault.BadVersion, "version %s was judged bad", m.Version)
 	case !c.targetUp:
 		return fault.NotRunf(fault.Target, "target does not answer")
-	case c.guard.Check(now, m.Fingerprint) == guard.Blocked:
+	case c.guard.Check(now, m.Fingerprint) == guard.Blocked || c.blocked(now, m):
 		return fault.NotRunf(fault.Crashes, "the request crashed several targets")
 	case c.ledger.State(now, m.ID) != ledger.Absent || c.offers[m.ID] != nil:
 		return &fault.Error{Run: fault.Unknown, Reason: fault.Duplicate, Detail: "the request is known to this agent"}
@@ -139,7 +139,7 @@
 		return fault.NotRunf(fault.BadVersion, "version %s was judged bad", o.Version)
 	case !c.targetUp:
 		return fault.NotRunf(fault.Target, "target does not answer")
-	case c.guard.Check(now, o.Fingerprint) == guard.Blocked:
+	case c.guard.Check(now, o.Fingerprint) == guard.Blocked || c.blocked(now, &o.Offer):
 		return fault.NotRunf(fault.Crashes, "the request crashed several targets")
 	}
 	return nil
--- a/agent/node/rollout.go
+++ b/agent/node/rollout.go
@@ -84,6 +84,9 @@
 		for _, f := range c.guard.RecordFinish(now, o.Fingerprint) {
 			c.publishGuardEntry(now, f)
 		}
+		if o.status < failureStatusMin {
+			c.recordPoisonPass(now, o)
+		}
 	}
 	v := &c.rollout
 	if v.recorder == nil {
@@ -105,7 +108,7 @@
 func (c *Core) outcome(now time.Time, o *offer, out target.Outcome) moves.Outcome {
 	result := moves.Outcome{
 		Route: o.Route, Fingerprint: o.Fingerprint, Failed: !out.Complete || o.status >= failureStatusMin,
-		Excluded: o.abandoned || c.guard.Check(now, o.Fingerprint) == guard.Blocked,
+		Excluded: o.abandoned || c.guard.Check(now, o.Fingerprint) == guard.Blocked || c.blocked(now, &o.Offer),
 	}
 	if !o.firstPartAt.IsZero() {
 		// An engine reads prompts in the order of arrival: a short prompt behind a long one is no evidence of a slow
--- a/core/facts/rule.go
+++ b/core/facts/rule.go
@@ -21,6 +21,8 @@
 	KindConclusion = "end"
 	// KindBlock holds fingerprints of requests that crash targets.
 	KindBlock = "block"
+	// KindPoison holds crashes of targets with the requests that ran there, and what follows from them.
+	KindPoison = "poison"
 	// KindDemand holds the recent demand per router and account.
 	KindDemand = "demand"
 	// KindFence holds the highest fencing token of a lease.
@@ -56,6 +58,7 @@
 		KindEvidence:   {TTL: 24 * time.Hour},
 		KindConclusion: {TTL: 7 * 24 * time.Hour, Urgent: true},
 		KindBlock:      {TTL: 10 * time.Minute, Urgent: true},
+		KindPoison:     {TTL: 10 * time.Minute, Urgent: true},
 		KindDemand:     {TTL: 4 * time.Second},
 		KindFence:      {TTL: 24 * time.Hour, Urgent: true},
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -173,7 +173,12 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(d.blocks, func(b *block) bool { return slices.Contains(b.Features, content) })
+	return d.inBlock(content)
+}
+
+// inBlock reports whether a block has the feature.
+func (d *Detector) inBlock(f ident.Fingerprint) bool {
+	return slices.ContainsFunc(d.blocks, func(b *block) bool { return slices.Contains(b.Features, f) })
 }
 
 // MergePass records that a request with the feature passed at another router.
@@ -297,7 +302,12 @@
 
 // Passes returns the last passes of the features that are accused or blocked, for the other routers.
 func (d *Detector) Passes() (out []Pass) {
-	for _, f := range d.accused {
+	features := slices.Clone(d.accused)
+	for _, b := range d.blocks {
+		features = append(features, b.Features...)
+	}
+	slices.Sort(features)
+	for _, f := range slices.Compact(features) {
 		if at := d.lastPass(f); !at.IsZero() {
 			out = append(out, Pass{Feature: f, At: at})
 		}
--- a/router/entry/begin.go
+++ b/router/entry/begin.go
@@ -48,7 +48,7 @@
 	switch {
 	case !c.drainStart.IsZero():
 		return fault.NotRunf(fault.Draining, "this router is stopping")
-	case c.guard.Check(now, k.Fingerprint) == guard.Blocked:
+	case c.guard.Check(now, k.Fingerprint) == guard.Blocked || c.blocked(now, k):
 		return fault.NotRunf(fault.Crashes, "this request crashed several targets and is blocked for a while")
 	}
 	return nil
--- a/router/entry/core.go
+++ b/router/entry/core.go
@@ -24,6 +24,7 @@
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/orders"
 	"hickoryvane.example/core/pick"
+	"hickoryvane.example/core/poison"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/core/wire"
@@ -78,6 +79,7 @@
 	quota       *quota.Quota
 	retry       *retry.Budget
 	guard       *guard.Guard
+	poison      *poison.Detector
 	gossipTable *facts.Gossiper
 	members     *member.Membership
 	rollouts    *active.RolloutSet
@@ -191,6 +193,7 @@
 		quota:             quota.New(id),
 		retry:             retry.New(rnd),
 		guard:             guard.New(),
+		poison:            poison.New(),
 		gossipTable:       active.NewTable(id, boot, rnd),
 		members:           member.New(self, member.Regions{self.Centre: region}),
 		rollouts:          active.New(),
@@ -262,6 +265,7 @@
 		c.periodic.lastSecondTick = now
 		c.applyMemberChanges(now, c.members.Tick(now))
 		c.guard.Expire(now)
+		c.poison.Step(now) // agents publish the blocks
 		c.updateStoreWatch()
 		c.logStatus()
 		c.updateConnections(now)
--- a/router/entry/gossip.go
+++ b/router/entry/gossip.go
@@ -12,6 +12,7 @@
 	"hickoryvane.example/core/guard"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/member"
+	"hickoryvane.example/core/poison"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/wire"
 )
@@ -109,6 +110,8 @@
 			c.mergeDemand(now, e)
 		case facts.KindBlock:
 			c.mergeGuard(now, e)
+		case facts.KindPoison:
+			c.mergePoison(now, e)
 		case facts.KindBadVersion, facts.KindConclusion, facts.KindEvidence, active.KindRecord:
 			c.periodic.rolloutsChanged = true
 		case active.KindLoaded:
@@ -139,6 +142,19 @@
 	}
 }
 
+func (c *Core) mergePoison(now time.Time, e wire.GossipEntry) {
+	var p poison.Entry
+	if e.Origin != c.self && json.Unmarshal(e.Value, &p) == nil {
+		c.poison.MergeEntry(now, p)
+	}
+}
+
+// blocked reports whether requests like this one crashed targets.
+func (c *Core) blocked(now time.Time, k *call) bool {
+	_, ok := c.poison.Match(now, poison.FeaturesOf(k.Fingerprint, k.Blocks))
+	return ok
+}
+
 // mergeList applies the newest list of all watchers.
 func (c *Core) mergeList(now time.Time, e wire.GossipEntry) {
 	if c.periodic.watchingStore {
