EXPOSURE: the time between events shows a slow version, target by target

Cause: evidence was failures and the time to the first event, which a few requests nearly alone on their targets hardly show (113 for 75 ms, score 5.29 of 6), while events were 39 for 17 ms apart.

--- a/core/moves/short.go
+++ b/core/moves/short.go
@@ -26,6 +26,9 @@
 	// decision is written to the store, which answers within a few milliseconds.
 	switchMargin = 300 * time.Millisecond
 	recordMargin = 200 * time.Millisecond
+	// suspectMargin is the time before the deadline from which a version under suspicion is rolled back at once; the
+	// store and whoever reads the state there need some of it.
+	suspectMargin = time.Second
 	// minRateWindow is the shortest time over which the request rate is averaged that is projected to the deadline.
 	minRateWindow = time.Second
 	// successesMin is the number of successes that the new version needs to be proven.
@@ -72,7 +75,10 @@
 	// lastCrash holds the time of the last lost answer per target, as all answers lost by one crash count as one
 	// failure.
 	lastCrash map[ident.TargetID]time.Time
-	judgement Judgement
+	// oldGaps and newGaps are the speeds of targets at this router, peerGaps those of the new version at the others.
+	oldGaps, newGaps gapStats
+	peerGaps         map[processBoot]gapStats
+	judgement        Judgement
 	// judgementStale is true when outcomes were counted since the judgement made at judgedAt.
 	judgementStale bool
 	judgedAt       time.Time
@@ -89,6 +95,7 @@
 	return &ShortRollout{
 		request: r, limit: limit, startedAt: now, state: Running, tallies: map[ident.Route]*tally{}, localCounts: groupCounts{},
 		peerCounts: map[processBoot]groupCounts{}, lastCrash: map[ident.TargetID]time.Time{},
+		oldGaps: gapStats{}, newGaps: gapStats{}, peerGaps: map[processBoot]gapStats{},
 	}
 }
 
@@ -212,6 +219,9 @@
 		return "", false
 	}
 	age := sr.Age(now)
+	if age >= sr.request.Duration-suspectMargin && sr.decision == "" && sr.judge(now).Suspected {
+		sr.decision = RolledBack
+	}
 	if proven := sr.judge(now).Proven; age >= sr.request.Duration-switchMargin && sr.decision != RolledBack {
 		sr.decision = RolledBack
 		if proven {
@@ -219,7 +229,7 @@
 		}
 	}
 	switch {
-	case sr.verdict != nil:
+	case sr.verdict != nil || sr.decision == RolledBack && sr.judgement.Suspected:
 		return RolledBack, true
 	case sr.decision != "" && age >= sr.request.Duration-recordMargin:
 		return sr.decision, true
@@ -237,9 +247,17 @@
 	var at routeClass
 	j := Judgement{}
 	j.Score, j.Reason, at = ev.worstScore()
+	gap := sr.gapScore()
+	if gap > 0 {
+		if gap > j.Score {
+			j.Reason, at = ReasonSlow, routeClass{}
+		}
+		j.Score += gap
+	}
 	j.Route, j.Class, j.Bad = at.route, at.class, j.Score >= alarmThreshold
 	all := ev.total(routeClass{})
-	j.Proven = j.Score < suspicionThreshold && all.new.Successes() >= successesMin
+	j.Suspected = j.Score >= suspicionThreshold || gap >= gapSuspicion
+	j.Proven = !j.Suspected && all.new.Successes() >= successesMin
 	sr.judgement = j
 	if j.Bad && sr.verdict == nil {
 		sr.verdict = &Verdict{Reason: j.Reason, Route: j.Route, Class: j.Class, JudgedAt: now}
--- a/core/moves/short_outcomes.go
+++ b/core/moves/short_outcomes.go
@@ -32,6 +32,8 @@
 	Failed, AnswerLost bool
 	// TimeToFirstEvent is zero if it is not to be counted, because the target was still warming up.
 	TimeToFirstEvent time.Duration
+	// EventGap is the mean time between events; zero if it is not to be counted.
+	EventGap time.Duration
 }
 
 // Add counts an outcome. Callers do not add requests that did not run or whose client disconnected.
@@ -61,6 +63,7 @@
 	case o.TimeToFirstEvent > 0:
 		c.LatencyBins[latencyBin(o.TimeToFirstEvent)]++
 	}
+	sr.addGap(o)
 	sr.judgementStale = true
 }
 
--- a/core/moves/stage.go
+++ b/core/moves/stage.go
@@ -74,6 +74,8 @@
 	Score float64
 	// Proven is true when all routes with enough traffic are at StageFull and the soak is complete.
 	Proven bool
+	// Suspected is true when a short rollout has evidence against the new version that does not suffice for Bad.
+	Suspected bool
 }
 
 // Share returns the share of the new version on a route.
--- a/core/sched/canary_test.go
+++ b/core/sched/canary_test.go
@@ -44,6 +44,26 @@
 	g.Expect(jobs).To(Equal(map[ident.TargetID]int{"t0": 2, "t1": 2, "n0": 3, "n1": 1}))
 }
 
+// Guards against canary requests that all go to few targets before the speeds of several are known.
+func TestCanaryTargetsOfUnknownSpeedAreTriedFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := canaryPool()
+	for i := range 4 {
+		j := canaryJob(fmt.Sprint("trial", i), i)
+		if i < 3 {
+			j.Prefer = []ident.TargetID{"n1", "n2"}
+		}
+		p.Add(j)
+	}
+	placed, _ := p.Schedule(at(20))
+	jobs := map[ident.TargetID]int{}
+	for _, d := range placed {
+		jobs[d.Target]++
+	}
+	g.Expect(jobs["n1"]).To(BeNumerically(">=", 1))
+	g.Expect(jobs["n2"]).To(BeNumerically(">=", 1))
+}
+
 // Guards against other requests at canary targets, whose version may have been rolled back, and against canary
 // requests that wait although a target for all jobs has a free slot.
 func TestCanaryTargetsGetOnlyCanaryJobs(t *testing.T) {
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -39,18 +39,21 @@
 	return p.bestTarget(now, j)
 }
 
-// canaryTarget returns the canary target with the most jobs among those with at most as many as the other
+// canaryTarget returns an idle target that the job prefers, or the canary target with the most jobs among those with at most as many as the other
 // targets have on average; if there is none, the one with the fewest jobs.
 //
 // Load pattern: a canary version gets a small fraction of the requests. Spread over all its targets they would
 // run nearly alone, and a version that fails under load would pass.
 func (p *Pool) canaryTarget(now time.Time, j *Job) *target {
 	mean := p.meanJobs()
-	var below, above *target
+	var below, above, preferred *target
 	for _, t := range p.sorted {
 		if !t.CanaryOnly || t.draining || t.missing || now.Before(t.backoffUntil) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) {
 			continue
 		}
+		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
+			preferred = t
+		}
 		switch n := t.jobs(); {
 		case float64(n) <= mean:
 			if below == nil || n > below.jobs() {
@@ -60,7 +63,10 @@
 			above = t
 		}
 	}
-	if below != nil {
+	switch {
+	case preferred != nil:
+		return preferred
+	case below != nil:
 		return below
 	}
 	return above
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -40,6 +40,8 @@
 	// Canary is true for a job that goes to a canary target. Placing the job clears it if no canary target had a
 	// free slot.
 	Canary bool
+	// Prefer lists canary targets that a canary job goes to first, if one of them is idle.
+	Prefer []ident.TargetID
 	// orderTime is the arrival time plus the deferral of long jobs; see wait.go.
 	orderTime time.Time
 }
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -59,6 +59,8 @@
 	BadReason string
 	// Evidence holds the outcomes counted at the sender, encoded.
 	Evidence []byte
+	// Gaps are the speeds of the targets of the version as the sender measured them.
+	Gaps []HeartbeatGap
 	// Ended is true once the sender knows the recorded end of the rollout. It then reports only BadReason, for
 	// routers that learn of the end before they learn of the verdict.
 	Ended bool
@@ -157,3 +159,13 @@
 	// Sent counts the requests that the sender has sent to the target since it knows the rate.
 	Sent uint64
 }
+
+// HeartbeatGap is the speed of a target: the mean natural logarithm of the times between events, in seconds.
+type HeartbeatGap struct {
+	_struct bool `codec:",toarray"`
+
+	Target  TargetKey
+	MeanLog float32
+	// Answers is the number of answers that were measured.
+	Answers int
+}
--- a/router/direct/canary.go
+++ b/router/direct/canary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/wire"
 )
@@ -18,7 +19,34 @@
 	}
 	// Plain calls need no estimate: they end within the margin that a rollout keeps before its deadline.
 	duration, _ := r.pool(c.service).StreamDuration(c.expectedOutput(), c.job.Stride)
-	return m.AssignCanary(time.Now(), r.routerCount(time.Now()), c.route.Name, duration)
+	canary := m.AssignCanary(time.Now(), r.routerCount(time.Now()), c.route.Name, duration)
+	if canary {
+		c.job.Prefer = r.unsampledTargets(time.Now(), m)
+	}
+	return canary
+}
+
+// sampledTargetsMin is the number of targets of a version whose speeds should be known before requests gather on few of
+// them, to have the load that the others have.
+const sampledTargetsMin = 8
+
+// unsampledTargets returns the warm targets of the new version whose speed is not known, while it is known of fewer than
+// sampledTargetsMin; r.mu is held.
+func (r *Router) unsampledTargets(now time.Time, m *rollout) (out []ident.TargetID) {
+	sampled := 0
+	for id, warmAt := range m.warmAt {
+		switch t, ok := r.targets[id]; {
+		case !ok || t.Leaving || now.Before(warmAt):
+		case m.Sampled(id):
+			sampled++
+		default:
+			out = append(out, id)
+		}
+	}
+	if sampled >= sampledTargetsMin {
+		return nil
+	}
+	return out
 }
 
 // undoAssign reverts assignCanary for a request that was refused before it was sent to any target.
@@ -47,6 +75,12 @@
 	if a.answer != nil && a.answer.status >= 500 {
 		outcome.Failed = true
 	}
+	if a.events >= gapEventsMin {
+		outcome.EventGap = a.outcome.Gap
+	}
+	if a.sent.Before(m.warmAt[a.target.ID]) {
+		outcome.EventGap = 0
+	}
 	if now.Before(m.warmAt[a.target.ID]) {
 		outcome.TimeToFirstEvent = 0
 	}
@@ -54,6 +88,8 @@
 }
 
 const (
+	// gapEventsMin is the least number of events of an answer whose speed counts as evidence.
+	gapEventsMin = 3
 	// verdictReportTime is the time after the end of a rollout for which the verdict on its version is reported.
 	// It covers some lost heartbeats at the longest interval between two of them.
 	verdictReportTime = 5 * time.Second
@@ -73,6 +109,9 @@
 		}
 		if m.State() == moves.Running {
 			report.Evidence = m.EncodeOutcomes()
+			for _, g := range m.CanaryGaps() {
+				report.Gaps = append(report.Gaps, wire.HeartbeatGap{Target: wire.KeyOf(g.Target), MeanLog: float32(g.MeanLog), Answers: g.N})
+			}
 		} else if report.Ended = true; v == nil || m.withdrawn || now.Sub(m.endedAt) >= verdictReportTime {
 			continue
 		}
@@ -104,6 +143,13 @@
 		if err := m.SetPeerOutcomes(b.Process, b.Boot, report.Evidence); err != nil {
 			r.log.Log(event.MalformedFrame, "peer", b.Process, "error", err)
 		}
+		var gaps []moves.GapSample
+		for _, g := range report.Gaps {
+			if id := r.targetKeys[g.Target]; id != "" {
+				gaps = append(gaps, moves.GapSample{Target: id, MeanLog: float64(g.MeanLog), N: g.Answers})
+			}
+		}
+		m.SetPeerGaps(b.Process, b.Boot, gaps)
 		if report.BadReason != "" {
 			m.SetVerdict(moves.Verdict{Reason: moves.Reason(report.BadReason), JudgedAt: now})
 		}
