BUDGET: reserved placements are checked, lost answers expire

Read again as a newcomer: a request that moves to a reserved target because its own stalled was not checked against blocks, and lost answers of a target that no check reached stayed in memory for good. Tests of router/direct pass.

--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -59,18 +58,18 @@
 	return withRetryAfter(f, min(b.Until.Sub(now), blockRetryMax))
 }
 
-// placeUnlessBlocked waits for a placement. A request that was blocked meanwhile is refused.
-func (r *Router) placeUnlessBlocked(ctx context.Context, c *call) (d decision, f *fault.Error, err error) {
-	if d, err = r.awaitPlacement(ctx, c.service, c.job); err != nil || d.refusal != nil {
-		return d, nil, err
+// releaseIfBlocked refuses a request that was blocked while it waited for its placement, which is released.
+func (r *Router) releaseIfBlocked(c *call, d decision) *fault.Error {
+	if d.placement.Job == nil {
+		return nil
 	}
 	r.mu.Lock()
-	f = r.checkBlocked(time.Now(), c)
+	f := r.checkBlocked(time.Now(), c)
 	r.mu.Unlock()
 	if f != nil {
 		r.releasePlacement(c, d)
 	}
-	return d, f, nil
+	return f
 }
 
 // recordAnswerEnd records a lost answer, or that a request did not crash its target. A target that breaks off an
@@ -116,6 +115,13 @@
 	}
 }
 
+// expireLostAnswers forgets the lost answers of targets that were not found down in time; r.mu is held.
+func (r *Router) expireLostAnswers(now time.Time) {
+	for t := range r.lostAnswers {
+		r.forgetLostAnswers(t, now.Add(-crashConfirmWindow))
+	}
+}
+
 // confirmCrashes turns the recent lost answers of a target that is down into a crash; r.mu is held.
 func (r *Router) confirmCrashes(now time.Time, t ident.TargetID) {
 	lost := slices.DeleteFunc(r.lostAnswers[t], func(l lostAnswer) bool { return now.Sub(l.at) >= crashConfirmWindow })
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -354,6 +354,7 @@
 			for _, p := range r.pools {
 				p.ExpireReports(now)
 			}
+			r.expireLostAnswers(now)
 			r.assignCells(now)
 			r.updateTargetCounts()
 		}
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -105,10 +105,13 @@
 	for {
 		c.job.AnswerStarted = prog.started
 		d, err := decision{}, error(nil)
-		var blocked *fault.Error
 		if next != nil {
 			d, next = *next, nil
-		} else if d, blocked, err = r.placeUnlessBlocked(ctx, c); err != nil || d.refusal != nil || blocked != nil {
+		} else {
+			d, err = r.awaitPlacement(ctx, c.service, c.job)
+		}
+		blocked := r.releaseIfBlocked(c, d)
+		if err != nil || d.refusal != nil || blocked != nil {
 			if last == nil {
 				r.undoAssign(c, canary)
 			}
