LIMIT: the kind of an answer is found once per placement

Read again as a newcomer: whether a target suits a job was asked with the duration of its answer for each target, and that duration scans all targets. It is found once per job now, and not at all while no target states a rate; the part of the goal that a request waits has a name.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -39,8 +39,8 @@
 	return p.bestTarget(now, j)
 }
 
-// canaryTarget returns an idle target that the job prefers, or the canary target with the most jobs among those with at most as many as the other
-// targets have on average; if there is none, the one with the fewest jobs.
+// canaryTarget returns an idle canary target that the job prefers. If there is none, it returns the one with the most
+// jobs among those with at most as many as the other targets have on average, or else the one with the fewest jobs.
 //
 // Load pattern: a canary version gets a small fraction of the requests. Spread over all its targets they would
 // run nearly alone, and a version that fails under load would pass.
@@ -104,8 +104,9 @@
 	if len(p.usable) > 0 {
 		chanceMin = p.chanceMin(now, j)
 	}
+	kind := p.answerKind(j)
 	for _, t := range p.usable {
-		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.suits(now, t, j) {
+		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.suits(now, t, j, kind) {
 			continue
 		}
 		chance := p.chanceAt(now, t, j)
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -56,8 +56,7 @@
 	// CanaryOnly is true for a target that gets only canary jobs because its version is a canary or was rolled
 	// back.
 	CanaryOnly bool
-	// RateShare is the part of a rate that the target states for all routers which those that report to each other
-	// share; zero means all of it.
+	// RateShare is the fraction of a stated rate that belongs to the routers of this cell; zero means all of it.
 	RateShare float64
 }
 
--- a/core/sched/ratesplit.go
+++ b/core/sched/ratesplit.go
@@ -9,6 +9,8 @@
 // long answers go to targets that state a rate and short ones to the others, as long as neither has to wait for it.
 
 const (
+	// splitWait is the part of the time until its first event is due for which a request waits for a target of its kind.
+	splitWait = 0.75
 	// splitFree is the fraction of free slots at the targets without a rate above which requests go to any target.
 	splitFree = 0.5
 	// durationWeight is the weight of a new request in the mean duration.
@@ -48,11 +50,35 @@
 	}
 }
 
-// suits reports whether the job may take the target now although another kind of target suits it better.
-func (p *Pool) suits(now time.Time, t *target, j *Job) bool {
+// answerKind tells which targets suit a job while long and short answers are separated.
+type answerKind uint8
+
+const (
+	anyAnswer answerKind = iota
+	shortAnswer
+	longAnswer
+)
+
+// answerKind returns the kind of the job's answer; anyAnswer while answers are not separated.
+func (p *Pool) answerKind(j *Job) answerKind {
+	if !p.split {
+		return anyAnswer
+	}
 	d, ok := p.StreamDuration(j.Output, j.Stride)
-	if !p.split || !ok || t.rated() == (d >= p.meanDuration) {
+	switch {
+	case !ok:
+		return anyAnswer
+	case d < p.meanDuration:
+		return shortAnswer
+	}
+	return longAnswer
+}
+
+// suits reports whether a job with an answer of the given kind may take the target now.
+func (p *Pool) suits(now time.Time, t *target, j *Job, k answerKind) bool {
+	if k == anyAnswer || t.rated() == (k == longAnswer) || j.AnswerStarted {
 		return true
 	}
-	return j.AnswerStarted || 4*now.Sub(j.Arrived) >= 3*j.FirstEventDue.Sub(j.Arrived) || t.rated() && t.rate.full(t.rateShare())
+	waited := float64(now.Sub(j.Arrived)) >= splitWait*float64(j.FirstEventDue.Sub(j.Arrived))
+	return waited || t.rated() && t.rate.full(t.rateShare())
 }
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -104,7 +104,8 @@
 	canary := c.job.Canary
 	for {
 		c.job.AnswerStarted = prog.started
-		d, err := decision{}, error(nil)
+		var d decision
+		var err error
 		if next != nil {
 			d, next = *next, nil
 		} else {
