--- a/core/prop/addr.go
+++ b/core/prop/addr.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 )
 
@@ -19,15 +20,32 @@
 // addrCount counts the ports tried by this process.
 var addrCount atomic.Int64
 
-// FreeAddr returns a loopback address on which nothing listens. It returns each address at most once per process.
+// claims holds a listener on another loopback address for each port that was returned. It keeps other test processes
+// from using the port until this process ends.
+var claims struct {
+	mu        sync.Mutex
+	listeners []net.Listener
+}
+
+// FreeAddr returns a loopback address on which nothing listens. It returns each address at most once in all processes
+// that run at the same time.
 func FreeAddr() (string, error) {
 	for range portCount {
 		n := (int64(os.Getpid())*portStep + addrCount.Add(1)) % portCount
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", portFirst+n))
+		if err != nil {
+			continue // another process has claimed it
+		}
 		addr := fmt.Sprintf("127.0.0.1:%d", portFirst+n)
 		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			return addr, ln.Close()
+		if err != nil {
+			_ = claim.Close() // the port is not used
+			continue
 		}
+		claims.mu.Lock()
+		claims.listeners = append(claims.listeners, claim)
+		claims.mu.Unlock()
+		return addr, ln.Close()
 	}
 	return "", fmt.Errorf("no free port from %d on", portFirst)
 }
