LOST: logs show connections that routers close

Cause: 408 with reason "left" was written alike whether the caller left or the router had closed the connection itself, and no line showed such a close, so the hypotheses of the timeline could not be told apart.

412 (debug) names the address of a resting connection that was closed, why, and how long it had rested; 406 and 408 name the address of a caller whose connection ended first; 301 names the idle time in force.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -39,6 +39,7 @@
 	RequestSuspected      ID = 409
 	RequestsBlocked       ID = 410
 	BlockLifted           ID = 411
+	CallerClosed          ID = 412
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -95,6 +96,7 @@
 	{RequestSuspected, log.InfoLevel, "request suspected of a crash"},
 	{RequestsBlocked, log.WarnLevel, "requests that crash targets blocked"},
 	{BlockLifted, log.InfoLevel, "block of requests lifted"},
+	{CallerClosed, log.DebugLevel, "resting connection of a caller closed"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -254,6 +254,9 @@
 	if table := r.table.Load(); table != nil {
 		fields = append(fields, "generation", table.Generation)
 	}
+	if c.r.Context().Err() != nil {
+		fields = append(fields, "from", c.r.RemoteAddr)
+	}
 	r.log.Log(event.RequestTurnedAway, fields...)
 	r.meter.CountRefused(f.Reason)
 	if f.Reason == fault.Quota {
--- a/router/direct/callerconn.go
+++ b/router/direct/callerconn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hickoryvane.example/core/event"
 )
 
 const (
@@ -19,13 +21,15 @@
 // when a connection begins to rest.
 type idleConns struct {
 	timeout func() time.Duration
+	// closed is called when a connection was closed after a rest.
+	closed func(remote net.Addr, rested time.Duration)
 
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
 }
 
-func newIdleConns(timeout func() time.Duration) *idleConns {
-	return &idleConns{timeout: timeout, timers: map[net.Conn]*time.Timer{}}
+func newIdleConns(timeout func() time.Duration, closed func(net.Addr, time.Duration)) *idleConns {
+	return &idleConns{timeout: timeout, closed: closed, timers: map[net.Conn]*time.Timer{}}
 }
 
 // track follows the states of connections; see http.Server.ConnState.
@@ -37,10 +41,19 @@
 		delete(c.timers, k)
 	}
 	if s == http.StateIdle {
-		c.timers[k] = time.AfterFunc(c.timeout()+idleGrace, func() { _ = k.Close() }) // the server then forgets it
+		began := time.Now()
+		c.timers[k] = time.AfterFunc(c.timeout()+idleGrace, func() {
+			_ = k.Close() // the server then forgets it
+			c.closed(k.RemoteAddr(), time.Since(began))
+		})
 	}
 }
 
+// logClosed logs that this router closed the connection of a caller.
+func (r *Router) logClosed(remote net.Addr, rested time.Duration) {
+	r.log.Log(event.CallerClosed, "from", remote, "cause", "idle", "rested", rested)
+}
+
 // idleTimeout returns the time for which a caller's connection may rest.
 func (r *Router) idleTimeout() time.Duration {
 	if table := r.table.Load(); table != nil && table.Limits.IdleTimeout > 0 {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -75,7 +75,7 @@
 	}
 	srv := &http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, IdleTimeout: idleTimeoutMax,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn, ConnState: newIdleConns(r.idleTimeout).track,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn, ConnState: newIdleConns(r.idleTimeout, r.logClosed).track,
 	}
 	work.Go(ctx, "callers", func(context.Context) error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -356,6 +356,9 @@
 	if a.err != nil {
 		fields = append(fields, "error", a.err)
 	}
+	if a.result == abandoned {
+		fields = append(fields, "from", c.r.RemoteAddr)
+	}
 	r.log.Log(event.RequestEnded, fields...)
 	if a.timeToFirstEvent > 0 {
 		r.meter.RecordFirstToken(c.job.Tier, c.accountName(), c.service, a.sent.Add(a.timeToFirstEvent).Sub(c.arrived))
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -154,7 +154,7 @@
 	r.table.Store(table)
 	r.configObject = o
 	r.logReady()
-	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services))
+	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout())
 	r.applySlots(table)
 }
 
