--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -113,6 +113,8 @@
 	stop  context.CancelFunc
 	done  chan error
 	log   *safeBuffer
+	// targets are those that startRouter registered.
+	targets []*scriptedTarget
 }
 
 type safeBuffer struct {
@@ -156,6 +158,7 @@
 // startRouter runs a router in front of the targets and waits until it is ready.
 func startRouter(t *testing.T, targets ...*scriptedTarget) *env {
 	e := newEnv(t)
+	e.targets = targets
 	for _, x := range targets {
 		e.registerTarget(x, false)
 	}
