LOST: callers' connections end at rest only

Callers saw: a request sent on a kept connection gets neither an answer nor a refusal, though a target runs it. Cause: a timer closed connections by the state that http.Server reports, which is "idle" until the head of the next request was read whole. Ruled out: a deadline that passes early (the same happens with 1 s of grace).

core/accept ends a resting connection by its read deadline instead: the read that finds it passed returns no bytes, and once a byte was read the deadline is that of the head. Stops still go through http.Server.

--- /dev/null
+++ b/core/accept/accept.go
@@ -0,0 +1,134 @@
+// Package accept serves HTTP and ends the connections of callers between two requests only.
+//
+// Load pattern: callers send the next request at the moment at which their connection has rested for too long.
+// http.Server counts a connection as idle until it has read the whole head of the next
+// request, so whoever closes idle connections by that state also closes some whose request has been read. Here a
+// connection ends by its read deadline, which cannot pass once a byte of the next request was read.
+package accept
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// idleGrace is added to the idle time, so that a caller which keeps to it does not find its connection closed.
+	idleGrace = time.Second
+	// defaultIdleTime is the idle time of a server without WithIdleTime.
+	defaultIdleTime = 2 * time.Minute
+)
+
+// Cause is the reason for which a server ends a connection.
+type Cause uint8
+
+// Causes.
+const (
+	// Idle means that the connection rested longer than the idle time.
+	Idle Cause = iota
+	// Stopping means that the server is shut down.
+	Stopping
+)
+
+var causeNames = [...]string{Idle: "idle", Stopping: "stopping"}
+
+// String returns the name used in log lines.
+func (c Cause) String() string { return causeNames[c] }
+
+// Option sets one property of a Server.
+type Option func(*Server)
+
+// WithIdleTime sets the time for which a connection may rest between two requests. f is called when a connection begins
+// to rest.
+func WithIdleTime(f func() time.Duration) Option { return func(s *Server) { s.idleTime = f } }
+
+// WithClosed makes the server call f after it has ended a connection that rested.
+func WithClosed(f func(remote net.Addr, c Cause, rested time.Duration)) Option {
+	return func(s *Server) { s.closed = f }
+}
+
+// Server serves HTTP on one listener.
+type Server struct {
+	http     *http.Server
+	idleTime func() time.Duration
+	closed   func(remote net.Addr, c Cause, rested time.Duration)
+	stopping atomic.Bool
+}
+
+// New returns a server that serves by srv, whose ConnState, IdleTimeout and Handler it replaces.
+func New(srv *http.Server, opts ...Option) *Server {
+	s := &Server{
+		http: srv, idleTime: func() time.Duration { return defaultIdleTime },
+		closed: func(net.Addr, Cause, time.Duration) {},
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	h := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+	srv.ConnState, srv.IdleTimeout = s.track, 0
+	return s
+}
+
+// Serve accepts connections on ln until Shutdown or Close, and then returns nil.
+func (s *Server) Serve(ln net.Listener) (err error) {
+	defer func() { err = errors.WithMessagef(err, "serve %s", ln.Addr()) }()
+	err = s.http.Serve(listener{Listener: ln, server: s})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops the server as http.Server.Shutdown does.
+func (s *Server) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "shut down") }()
+	s.stopping.Store(true)
+	return s.http.Shutdown(ctx)
+}
+
+// Close closes all connections at once, also those with running requests.
+func (s *Server) Close() error {
+	s.stopping.Store(true)
+	return s.http.Close()
+}
+
+// track follows the states of connections; see http.Server.ConnState.
+func (s *Server) track(k net.Conn, state http.ConnState) {
+	c, ok := k.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.rest()
+	case http.StateClosed, http.StateHijacked:
+		if cause, rested, ok := c.endedAtRest(); ok {
+			s.closed(c.RemoteAddr(), cause, rested)
+		}
+	}
+}
+
+// listener makes the connections of a listener known to a server.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	k, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: k, server: l.server, state: fresh, since: time.Now()}, nil
+}
--- /dev/null
+++ b/core/accept/conn.go
@@ -0,0 +1,103 @@
+package accept
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// state is what a connection waits for.
+type state uint8
+
+const (
+	// fresh: no byte was read yet.
+	fresh state = iota
+	// active: a request is read or answered.
+	active
+	// answered: the answer is complete, but http.Server may hold bytes of the next request.
+	answered
+	// resting: http.Server waits for the next request.
+	resting
+)
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	server *Server
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	state state
+	// since is the time at which the connection was accepted or began to rest.
+	since time.Time
+	// expired is true when the connection ended because it rested.
+	expired bool
+}
+
+// rest records that an answer is complete.
+func (c *conn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.since = answered, time.Now()
+}
+
+// SetReadDeadline implements net.Conn. After an answer, http.Server sets a deadline before it waits for the next
+// request, and another one once it has the first bytes of that request.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.state {
+	case answered:
+		c.state = resting
+		return c.Conn.SetReadDeadline(c.since.Add(c.server.idleTime() + idleGrace))
+	default:
+		c.state = active
+		return c.Conn.SetReadDeadline(t)
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.state == active:
+	case n > 0:
+		c.state = active
+		_ = c.Conn.SetReadDeadline(c.headDeadline()) // fails only when the connection is closed
+	case c.state == resting && errors.Is(err, os.ErrDeadlineExceeded):
+		c.expired = true
+	}
+	return n, err
+}
+
+// headDeadline returns the time until which the head of a request has to be read whose first bytes were just read.
+func (c *conn) headDeadline() time.Time {
+	if d := c.server.http.ReadHeaderTimeout; d > 0 {
+		return time.Now().Add(d)
+	}
+	return time.Time{}
+}
+
+// endedAtRest returns why the connection ended and how long it had rested; ok is false if it did not end because it
+// rested.
+func (c *conn) endedAtRest() (cause Cause, rested time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.server.stopping.Load() {
+		cause = Stopping
+	}
+	return cause, time.Since(c.since), c.expired
+}
+
+// SetLinger sets what a close does with data that was not sent yet; see net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if k, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return k.SetLinger(seconds)
+	}
+	return nil
+}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -117,6 +118,7 @@
 	asyncWriter *event.AsyncWriter
 	meter       *meter.Meter
 	regions     map[ident.DataCentre]ident.Region
+	callers     *accept.Server
 	conns       *connPool
 	answers     *answerBudget
 	table       atomic.Pointer[route.Table]
@@ -234,6 +236,9 @@
 	for _, o := range opts {
 		o(r)
 	}
+	r.callers = accept.New(&http.Server{
+		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
+	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed))
 	return r
 }
 
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -22,8 +22,6 @@
 	// in bytes. Both are above the limits that configurations set.
 	headerTimeout = 30 * time.Second
 	headerMax     = 1 << 20
-	// idleTimeoutMax is the idle time after which a caller's connection is closed in any case.
-	idleTimeoutMax = 10 * time.Minute
 	// rotationTime is the time after the start of a shutdown within which the load balancer stops sending new
 	// connections: two failed probes, one second apart, and some delay.
 	rotationTime = 2500 * time.Millisecond
@@ -73,26 +71,17 @@
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{
-		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, IdleTimeout: idleTimeoutMax,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn, ConnState: newIdleConns(r.idleTimeout, r.logClosed).track,
-	}
-	work.Go(ctx, "callers", func(context.Context) error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	work.Go(ctx, "callers", func(context.Context) error { return r.callers.Serve(ln) })
 	r.startWorkers(ctx, work)
 	select {
 	case <-stop.Done():
-		r.shutdown(ctx, srv)
+		r.shutdown(ctx)
 	case e := <-work.Exits():
 		work.CountExit()
 		err = errors.WithMessage(e.Err, e.Name)
 	}
 	cancel()
-	_ = srv.Close() // the grace period is over
+	_ = r.callers.Close() // the grace period is over
 	if werr := work.Wait(); err == nil {
 		err = werr
 	}
@@ -142,7 +131,7 @@
 
 // shutdown lets running requests end. New requests are accepted until the load balancer sends none any more, and
 // after that as long as no other router is ready, if they are expected to end in time.
-func (r *Router) shutdown(ctx context.Context, srv *http.Server) {
+func (r *Router) shutdown(ctx context.Context) {
 	r.mu.Lock()
 	grace := conf.Seconds(r.cfg.GraceSeconds)
 	r.mu.Unlock()
@@ -158,7 +147,7 @@
 	r.closing.Store(true)
 	sctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	if err := srv.Shutdown(sctx); err != nil {
+	if err := r.callers.Shutdown(sctx); err != nil {
 		r.log.Log(event.AnswerTruncated, "running", r.activeRequests.Load(), "error", err)
 	}
 }
