LOST: a raised idle time applies to connections that rest

Callers saw: a connection that they may keep by the newest configuration is closed while they send on it. Cause: the limit was taken once, when a connection began to rest. Now ApplyIdleTime moves the deadlines of resting connections when a configuration comes into force; a connection keeps the longest idle time that was in force while it rests, so a lowered one closes none that callers may still use.

--- a/core/accept/accept.go
+++ b/core/accept/accept.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,7 @@
 type Option func(*Server)
 
 // WithIdleTime sets the time for which a connection may rest between two requests. f is called when a connection begins
-// to rest.
+// to rest and by ApplyIdleTime. A connection that rests keeps the longest time that was in force meanwhile.
 func WithIdleTime(f func() time.Duration) Option { return func(s *Server) { s.idleTime = f } }
 
 // WithClosed makes the server call f after it has ended a connection that rested.
@@ -57,12 +58,17 @@
 	idleTime func() time.Duration
 	closed   func(remote net.Addr, c Cause, rested time.Duration)
 	stopping atomic.Bool
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// conns are the open connections.
+	conns map[*conn]struct{}
 }
 
 // New returns a server that serves by srv, whose ConnState, IdleTimeout and Handler it replaces.
 func New(srv *http.Server, opts ...Option) *Server {
 	s := &Server{
-		http: srv, idleTime: func() time.Duration { return defaultIdleTime },
+		http: srv, conns: map[*conn]struct{}{}, idleTime: func() time.Duration { return defaultIdleTime },
 		closed: func(net.Addr, Cause, time.Duration) {},
 	}
 	for _, o := range opts {
@@ -102,6 +108,15 @@
 	return s.http.Close()
 }
 
+// ApplyIdleTime applies an idle time that has become longer to the connections that rest.
+func (s *Server) ApplyIdleTime() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.applyDeadline()
+	}
+}
+
 // track follows the states of connections; see http.Server.ConnState.
 func (s *Server) track(k net.Conn, state http.ConnState) {
 	c, ok := k.(*conn)
@@ -112,6 +127,9 @@
 	case http.StateIdle:
 		c.rest()
 	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
 		if cause, rested, ok := c.endedAtRest(); ok {
 			s.closed(c.RemoteAddr(), cause, rested)
 		}
@@ -130,5 +148,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: k, server: l.server, state: fresh, since: time.Now()}, nil
+	c := &conn{Conn: k, server: l.server, state: fresh, since: time.Now()}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.conns[c] = struct{}{}
+	return c, nil
 }
--- a/core/accept/conn.go
+++ b/core/accept/conn.go
@@ -33,6 +33,8 @@
 	state state
 	// since is the time at which the connection was accepted or began to rest.
 	since time.Time
+	// idleTime is the longest idle time that was in force since then.
+	idleTime time.Duration
 	// expired is true when the connection ended because it rested.
 	expired bool
 }
@@ -41,7 +43,7 @@
 func (c *conn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = answered, time.Now()
+	c.state, c.since, c.idleTime = answered, time.Now(), 0
 }
 
 // SetReadDeadline implements net.Conn. After an answer, http.Server sets a deadline before it waits for the next
@@ -52,7 +54,7 @@
 	switch c.state {
 	case answered:
 		c.state = resting
-		return c.Conn.SetReadDeadline(c.since.Add(c.server.idleTime() + idleGrace))
+		return c.Conn.SetReadDeadline(c.restDeadline())
 	default:
 		c.state = active
 		return c.Conn.SetReadDeadline(t)
@@ -75,6 +77,21 @@
 	return n, err
 }
 
+// applyDeadline applies a changed idle time to a connection that rests.
+func (c *conn) applyDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == resting {
+		_ = c.Conn.SetReadDeadline(c.restDeadline()) // fails only when the connection is closed
+	}
+}
+
+// restDeadline returns the time until which the first byte of the next request has to be read; c.mu is held.
+func (c *conn) restDeadline() time.Time {
+	c.idleTime = max(c.idleTime, c.server.idleTime())
+	return c.since.Add(c.idleTime + idleGrace)
+}
+
 // headDeadline returns the time until which the head of a request has to be read whose first bytes were just read.
 func (c *conn) headDeadline() time.Time {
 	if d := c.server.http.ReadHeaderTimeout; d > 0 {
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -152,6 +152,7 @@
 	r.meter.Configure(accounts, services)
 	r.startLimits(now)
 	r.table.Store(table)
+	r.callers.ApplyIdleTime()
 	r.configObject = o
 	r.logReady()
 	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout())
