LOST: a stop drops no request that was read

Callers saw: a request that arrives on a kept connection as the process stops is closed without an answer. Same class as the idle timer: a connection is closed from outside by a state that lags behind what was read.

Server.Shutdown of core/accept ends resting connections by their deadline, and lets the others answer with Connection: close; one without any request ends after a second.

--- a/core/accept/accept.go
+++ b/core/accept/accept.go
@@ -1,7 +1,7 @@
 // Package accept serves HTTP and ends the connections of callers between two requests only.
 //
-// Load pattern: callers send the next request at the moment at which their connection has rested for too long.
-// http.Server counts a connection as idle until it has read the whole head of the next
+// Load pattern: callers send the next request at the moment at which their connection has rested for too long, or at
+// which the process stops. http.Server counts a connection as idle until it has read the whole head of the next
 // request, so whoever closes idle connections by that state also closes some whose request has been read. Here a
 // connection ends by its read deadline, which cannot pass once a byte of the next request was read.
 package accept
@@ -20,6 +20,8 @@
 const (
 	// idleGrace is added to the idle time, so that a caller which keeps to it does not find its connection closed.
 	idleGrace = time.Second
+	// firstRequestTime is the time that a connection without any request has during a shutdown.
+	firstRequestTime = time.Second
 	// defaultIdleTime is the idle time of a server without WithIdleTime.
 	defaultIdleTime = 2 * time.Minute
 )
@@ -61,8 +63,11 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
+	ln net.Listener
 	// conns are the open connections.
 	conns map[*conn]struct{}
+	// empty is closed when the last connection ends after the shutdown began; nil before.
+	empty chan struct{}
 }
 
 // New returns a server that serves by srv, whose ConnState, IdleTimeout and Handler it replaces.
@@ -88,18 +93,43 @@
 // Serve accepts connections on ln until Shutdown or Close, and then returns nil.
 func (s *Server) Serve(ln net.Listener) (err error) {
 	defer func() { err = errors.WithMessagef(err, "serve %s", ln.Addr()) }()
+	s.mu.Lock()
+	s.ln = ln
+	s.mu.Unlock()
+	if s.stopping.Load() {
+		return ln.Close()
+	}
 	err = s.http.Serve(listener{Listener: ln, server: s})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// Shutdown stops the server as http.Server.Shutdown does.
+// Shutdown accepts no more connections, ends those that rest, and waits until the others have got their answers or ctx
+// ends.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "shut down") }()
 	s.stopping.Store(true)
-	return s.http.Shutdown(ctx)
+	s.mu.Lock()
+	if s.ln != nil {
+		_ = s.ln.Close() // it may be closed already
+	}
+	if s.empty == nil {
+		s.empty = make(chan struct{})
+		s.closeIfEmpty()
+	}
+	for c := range s.conns {
+		c.applyDeadline()
+	}
+	empty := s.empty
+	s.mu.Unlock()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Close closes all connections at once, also those with running requests.
@@ -129,6 +159,7 @@
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.conns, c)
+		s.closeIfEmpty()
 		s.mu.Unlock()
 		if cause, rested, ok := c.endedAtRest(); ok {
 			s.closed(c.RemoteAddr(), cause, rested)
@@ -136,6 +167,18 @@
 	}
 }
 
+// closeIfEmpty closes the channel empty, if there is one, once no connection is open; s.mu is held.
+func (s *Server) closeIfEmpty() {
+	if s.empty == nil || len(s.conns) > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
+
 // listener makes the connections of a listener known to a server.
 type listener struct {
 	net.Listener
--- a/core/accept/accept_test.go
+++ b/core/accept/accept_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,6 +61,64 @@
 	return res, err
 }
 
+// Guards against requests that are read and dropped because the server stops while they arrive on resting connections.
+func TestRequestReadWhileStoppingIsAnswered(t *testing.T) {
+	const conns, rest, spread = 600, 150 * time.Millisecond, 3 * time.Millisecond
+	g := NewWithT(t)
+	l, s := start(t)
+	var all, ready sync.WaitGroup
+	for i := range conns {
+		c := dial(g, l)
+		defer func() { _ = c.Close() }()
+		ready.Add(1)
+		all.Go(func() {
+			_, err := c.ask()
+			ready.Done()
+			if err == nil {
+				time.Sleep(rest + spread*time.Duration(i)/conns)
+				_, _ = c.ask() // it may cross the close
+			}
+		})
+	}
+	ready.Wait()
+	time.Sleep(rest)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	g.Expect(s.Shutdown(ctx)).To(Succeed())
+	all.Wait()
+	g.Expect(l.Unanswered(len(request))).To(BeZero())
+}
+
+// Guards against a shutdown that waits for connections which rest, and against new ones that are refused at once.
+func TestShutdownEndsRestingConnections(t *testing.T) {
+	g := NewWithT(t)
+	causes := make(chan accept.Cause, 1)
+	l, s := start(t, accept.WithClosed(func(_ net.Addr, c accept.Cause, _ time.Duration) { causes <- c }))
+	rests, fresh := dial(g, l), dial(g, l)
+	defer func() { _ = rests.Close() }()
+	defer func() { _ = fresh.Close() }()
+	_, err := rests.ask()
+	g.Expect(err).NotTo(HaveOccurred())
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	g.Eventually(causes).Should(Receive(Equal(accept.Stopping)))
+	res, err := fresh.ask()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Close).To(BeTrue())
+	g.Eventually(done).Should(Receive(BeNil()))
+}
+
+// Guards against a shutdown that never ends because a connection has no request.
+func TestShutdownEndsConnectionsWithoutRequest(t *testing.T) {
+	g := NewWithT(t)
+	l, s := start(t)
+	c := dial(g, l)
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	g.Expect(s.Shutdown(ctx)).To(Succeed())
+}
+
 // Guards against a slow beginning of a request that counts as rest, or keeps a connection open for ever.
 func TestIdleTimeEndsWithFirstByte(t *testing.T) {
 	g := NewWithT(t)
--- a/core/accept/conn.go
+++ b/core/accept/conn.go
@@ -52,9 +52,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.state {
+	case fresh:
+		return c.Conn.SetReadDeadline(earlier(t, c.ownDeadline()))
 	case answered:
 		c.state = resting
-		return c.Conn.SetReadDeadline(c.restDeadline())
+		return c.Conn.SetReadDeadline(c.ownDeadline())
 	default:
 		c.state = active
 		return c.Conn.SetReadDeadline(t)
@@ -77,17 +79,27 @@
 	return n, err
 }
 
-// applyDeadline applies a changed idle time to a connection that rests.
+// applyDeadline applies what has changed at the server to a connection that waits for a request.
 func (c *conn) applyDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == resting {
-		_ = c.Conn.SetReadDeadline(c.restDeadline()) // fails only when the connection is closed
+	if c.state == resting || c.state == fresh && c.server.stopping.Load() {
+		_ = c.Conn.SetReadDeadline(c.ownDeadline()) // fails only when the connection is closed
 	}
 }
 
-// restDeadline returns the time until which the first byte of the next request has to be read; c.mu is held.
-func (c *conn) restDeadline() time.Time {
+// ownDeadline returns the time until which the first byte of a request has to be read; zero if there is no limit. c.mu
+// is held.
+func (c *conn) ownDeadline() time.Time {
+	stopping := c.server.stopping.Load()
+	switch {
+	case c.state == fresh && stopping:
+		return c.since.Add(firstRequestTime)
+	case c.state == fresh:
+		return time.Time{}
+	case stopping:
+		return c.since
+	}
 	c.idleTime = max(c.idleTime, c.server.idleTime())
 	return c.since.Add(c.idleTime + idleGrace)
 }
@@ -118,3 +130,11 @@
 	}
 	return nil
 }
+
+// earlier returns the earlier of two deadlines, of which zero ones are none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/core/admin/admin.go
+++ b/core/admin/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/wire"
 )
@@ -72,7 +73,7 @@
 // Serve serves h on ln until ctx ends.
 func Serve(ctx context.Context, ln net.Listener, h http.Handler) (err error) {
 	defer func() { err = errors.WithMessagef(err, "serve %s", ln.Addr()) }()
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytesMax}
+	srv := accept.New(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytesMax})
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	select {
@@ -85,8 +86,5 @@
 	if srv.Shutdown(sctx) != nil {
 		_ = srv.Close()
 	}
-	if err = <-done; errors.Is(err, http.ErrServerClosed) {
-		err = nil
-	}
-	return err
+	return <-done
 }
