LOST: requests that run at the end of a shutdown are answered

Cause: the end of a shutdown closed all connections. Now the contexts of these requests end first: one that waits is told that it has not run and when to come back, one that runs at a target gets 502, and 150 ms are left to write that. Answers that have begun are cut as before.

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -49,6 +49,7 @@
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(r.requestsEnded, cancel)()
 	r.serveCall(ctx, w, c)
 }
 
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -129,6 +129,9 @@
 	// storeReachable is true while the registrations of targets can be read from the store.
 	storeReachable atomic.Bool
 	activeRequests atomic.Int64
+	// requestsEnded ends when endRequests is called, at the end of a shutdown; running requests are answered then.
+	requestsEnded context.Context
+	endRequests   context.CancelFunc
 	// readyLogged is true once the router has been ready; started is the start of the process.
 	readyLogged atomic.Bool
 	started     time.Time
@@ -230,6 +233,7 @@
 		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
+	r.requestsEnded, r.endRequests = context.WithCancel(context.Background())
 	for _, c := range cfg.Centres {
 		r.regions[c.Name] = c.Region
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -38,8 +38,10 @@
 	// streamFitFactor is the multiple of the expected duration of a stream that has to fit into the shutdown;
 	// callers' estimates are exact at the median only.
 	streamFitFactor = 3
-	// exitMargin is the time before the end of the grace period at which the process ends.
+	// exitMargin is the time before the end of the grace period at which the remaining requests are ended.
 	exitMargin = 400 * time.Millisecond
+	// lastAnswersTime is the time for the answers to these.
+	lastAnswersTime = 150 * time.Millisecond
 	// retryBudgetFraction is the fraction of the retry budget that is used; the rest covers callers that
 	// themselves send a request to a target twice.
 	retryBudgetFraction = 0.8
@@ -149,6 +151,10 @@
 	defer cancel()
 	if err := r.callers.Shutdown(sctx); err != nil {
 		r.log.Log(event.AnswerTruncated, "running", r.activeRequests.Load(), "error", err)
+		r.endRequests()
+		actx, cancel := context.WithTimeout(ctx, lastAnswersTime)
+		defer cancel()
+		_ = r.callers.Shutdown(actx) // what is left is closed
 	}
 }
 
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -180,8 +180,11 @@
 		f.RetryAfter = r.jitter(ref.RetryAfter)
 		r.meter.CountShed(c.job.Tier, fault.Shed)
 	}
-	if c.r.Context().Err() != nil {
+	switch {
+	case c.r.Context().Err() != nil:
 		f = fault.NotRunf(fault.ClientDisconnected, "the caller left: %v", err)
+	case ref == nil && r.requestsEnded.Err() != nil:
+		f = withRetryAfter(fault.NotRunf(fault.Draining, "this process stops"), r.timeUntilRestart(time.Now()))
 	}
 	r.refuse(w, c, f)
 }
@@ -377,8 +380,11 @@
 		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), r.jitter(allRefusedRetryAfter)))
 	default:
 		f := &fault.Error{Run: fault.Unknown, Reason: fault.Target, Detail: "the target's answer was lost"}
-		if !now.Before(c.deadline) {
+		switch {
+		case !now.Before(c.deadline):
 			f.Detail, f.StatusOverride = "the target did not answer in time", http.StatusGatewayTimeout
+		case r.requestsEnded.Err() != nil:
+			f.Detail = "this process stopped before the target answered"
 		}
 		r.refuse(w, c, f)
 	}
