--- a/router/main.go
+++ b/router/main.go
@@ -11,6 +11,7 @@
 )
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // settings are read at the start only, and the default action would end the process at once
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	os.Exit(launch.Run(ctx, "router", help, commands, os.Args[1:], os.Stdout, os.Stderr))
