LOST: a half-closed caller of a router with agents gets no empty success

Callers saw: a caller that ends its sending direction while it waits gets 200 without a body, as if its answer were empty. Cause: the end of the request's context ended the handler without a write, and net/http completes such an answer. The connection is aborted now, as for other answers that are not complete.

--- a/router/entry/http.go
+++ b/router/entry/http.go
@@ -258,7 +258,7 @@
 		case <-ctx.Done():
 			aw.writeShutdown()
 		case <-req.Context().Done():
-			aw.done = true
+			aw.done, aw.abortConnection = true, true // a caller that has only ended its sending direction still reads
 		case <-parts.Ready():
 			n := aw.writeReady(parts)
 			if n > 0 && !aw.done {
--- a/router/entry/writer.go
+++ b/router/entry/writer.go
@@ -31,7 +31,7 @@
 	headerSent bool
 	buf        []byte
 	// done is true when nothing more is to be written; callEnded when the call itself has ended; abortConnection
-	// when the connection must be broken, because the answer was sent partially without an indication of its end.
+	// when the connection must be broken, because the answer is not complete and nothing else tells the caller so.
 	done            bool
 	callEnded       bool
 	abortConnection bool
