CONFIG: a restored store is logged

A store that comes back from an older copy looked like any return of the store (304), so the logs could not tell whether a state was ignored because its revision went back, or was never written again. Event 310 names the kind, the newest revision seen before and that of the list. It cannot see a restore after which the revisions have passed the old ones; that needs the history of a revision, which no reader has yet.

The store in memory can be restored from a copy, for tests. No logic changes.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -28,6 +28,7 @@
 	StoreReadFromPeer     ID = 307
 	WatchModeChanged      ID = 308
 	WatchBehind           ID = 309
+	StoreRestored         ID = 310
 	RequestRefused        ID = 401
 	AnswerTruncated       ID = 402
 	FingerprintBlocked    ID = 403
@@ -84,6 +85,7 @@
 	{StoreReadFromPeer, log.InfoLevel, "state of the object API read from a peer"},
 	{WatchModeChanged, log.InfoLevel, "mode of the watches changed"},
 	{WatchBehind, log.WarnLevel, "watch is behind that of a peer, list read again"},
+	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
 	{RequestRefused, log.DebugLevel, "request refused"},
 	{AnswerTruncated, log.WarnLevel, "answer cut"},
 	{FingerprintBlocked, log.WarnLevel, "request fingerprint blocked"},
--- a/core/store/memory/memory.go
+++ b/core/store/memory/memory.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -221,6 +222,29 @@
 	s.notify()
 }
 
+// Copy is the state of a Store at one time.
+type Copy struct {
+	rev     uint64
+	objects map[key]store.Object
+}
+
+// Copy returns a copy to Restore from.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.rev, maps.Clone(s.objects)}
+}
+
+// Restore replaces the state by that of a copy. Later changes are lost, and their versions are given out again; a watch
+// from one that does not exist gets store.ErrRevTooOld.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.objects = c.rev, maps.Clone(c.objects)
+	s.history, s.droppedRev = nil, s.rev
+	s.notify()
+}
+
 func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -34,7 +34,7 @@
 
 // followKind lists the objects of a kind and watches them, repeatedly until ctx ends.
 func (r *Router) followKind(ctx context.Context, h kindHandler) error {
-	wait, down, downSince := minStoreRetry, false, time.Now()
+	wait, down, downSince, last := minStoreRetry, false, time.Now(), store.Rev("")
 	for ctx.Err() == nil {
 		objects, rev, err := r.store.List(ctx, h.kind)
 		if err == nil {
@@ -42,6 +42,10 @@
 				down, wait = false, minStoreRetry
 				r.log.Log(event.StoreUp, "sort", h.kind, "objects", len(objects), "rev", rev, "away", time.Since(downSince))
 			}
+			if store.Before(rev, last) {
+				r.log.Log(event.StoreRestored, "sort", h.kind, "before", last, "rev", rev, "objects", len(objects))
+			}
+			last = rev
 			h.onList(objects, rev)
 			err = r.watchKind(ctx, h, rev)
 		}
