--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -88,6 +88,7 @@
 
 func (catalogue) DecodeTarget(o store.Object) (t fleet.Target, err error) {
 	err = json.Unmarshal(o.Value, &t)
+	t.Rev = o.Rev
 	return t, err
 }
 
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -1,10 +1,22 @@
 package direct_test
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/route"
+	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/direct"
 )
 
 // restore makes the store of e come back from a copy after a short outage.
@@ -15,6 +27,212 @@
 	e.store.SetOutage(false)
 }
 
+// awaitList waits until the router has listed the targets again after an outage.
+func (e *env) awaitList() {
+	e.g.Eventually(e.log.String, 3*time.Second).Should(MatchRegexp(`is available again" event=304 sort=targets`))
+}
+
+func (e *env) exists(kind, name string) bool {
+	_, err := e.store.Get(context.Background(), kind, name)
+	return err == nil
+}
+
+// Guards against a router that new ones do not find, because its registration was lost with the store.
+func TestLostRegistrationIsWrittenAgain(t *testing.T) {
+	e := newEnv(t)
+	c := e.store.Copy()
+	e.runRouter(t, e.store)
+	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 3*time.Second).Should(BeTrue())
+	e.restore(func() { e.store.Restore(c) })
+	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 4*time.Second).Should(BeTrue())
+}
+
+// Guards against targets that crash anew after a stop of all routers, because the block was lost with the store.
+func TestLostBlockIsWrittenAgain(t *testing.T) {
+	e := newEnv(t)
+	f := newPoisonedFleet(t, e, 5)
+	c := e.store.Copy()
+	e.runRouter(t, e.store)
+	for f.crashes() < crashesAllowed {
+		if e.request("POST", "/unsafe/", fmt.Sprint(f.crashes()), "X-Parts", "shared deadly").code == 503 {
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	e.g.Eventually(func() string { return blocksOf(e) }, time.Second).ShouldNot(BeEmpty())
+	e.restore(func() { e.store.Restore(c) })
+	e.g.Eventually(func() string { return blocksOf(e) }, 4*time.Second).ShouldNot(BeEmpty())
+}
+
+// Guards against a block that was lifted and comes back with the store, to refuse sound requests.
+func TestDeletionOfLiftedBlockIsRepeated(t *testing.T) {
+	e := newEnv(t)
+	f := newPoisonedFleet(t, e, 4)
+	e.runRouter(t, e.store)
+	for f.crashes() < crashesAllowed {
+		if e.request("POST", "/unsafe/", fmt.Sprint(f.crashes()), "X-Parts", "deadly").code == 503 {
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	e.g.Eventually(func() string { return blocksOf(e) }, time.Second).ShouldNot(BeEmpty())
+	c := e.store.Copy()
+	e.reportPass("deadly")
+	e.g.Eventually(func() string { return blocksOf(e) }, 2*time.Second).Should(BeEmpty())
+	e.restore(func() { e.store.Restore(c) })
+	e.g.Expect(blocksOf(e)).NotTo(BeEmpty())
+	e.g.Eventually(func() string { return blocksOf(e) }, 4*time.Second).Should(BeEmpty())
+}
+
+// Guards against a finished rollout that begins again, because its state was lost with the store: the old targets have
+// stopped by then.
+func TestLostStateOfRolloutIsWrittenAgain(t *testing.T) {
+	for _, wait := range []time.Duration{0, 5500 * time.Millisecond} { // known, and retired
+		t.Run(wait.String(), func(t *testing.T) {
+			old, fresh := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+			e := startRouter(t)
+			e.registerVersion(old, "v1")
+			e.g.Eventually(func() int { return e.request("GET", "/safe/", "").code }).Should(Equal(200))
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v2", Duration: 2 * time.Second})
+			e.registerVersion(fresh, "v2")
+			e.g.Eventually(e.recordedState, 2*time.Second).Should(Equal(moves.Running))
+			c := e.store.Copy()
+			e.requestUntil(moves.Done)
+			time.Sleep(wait)
+			e.restore(func() { e.store.Restore(c) })
+			e.g.Eventually(e.recordedState, 4*time.Second).Should(Equal(moves.Done))
+			e.g.Expect(strings.Count(e.log.String(), "move ordered")).To(Equal(1))
+		})
+	}
+}
+
+// Guards against requests at a target that this router knew to leave or to be gone, and that the copy shows as ready.
+func TestLeavingTargetDoesNotComeBackWithTheStore(t *testing.T) {
+	for name, leave := range map[string]func(e *env, x *scriptedTarget){
+		"leaving": func(e *env, x *scriptedTarget) { e.registerTarget(x, true) },
+		"removed": func(e *env, x *scriptedTarget) {
+			e.registerTarget(x, true)
+			e.deleteObject("targets", x.id)
+			e.g.Eventually(e.log.String, time.Second).Should(ContainSubstring("event=506 target=" + x.id))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, y := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+			e := startRouter(t, x, y)
+			c := e.store.Copy()
+			leave(e, x)
+			e.g.Eventually(e.log.String, time.Second).Should(ContainSubstring("event=504 target=t1"))
+			before := len(x.requests())
+			e.restore(func() { e.store.Restore(c) })
+			e.awaitList()
+			for range 20 {
+				e.g.Expect(e.request("GET", "/safe/", "").code).To(Equal(200))
+			}
+			e.g.Expect(len(x.requests())).To(Equal(before))
+		})
+	}
+}
+
+func (e *env) deleteObject(kind, name string) {
+	o, err := e.store.Get(context.Background(), kind, name)
+	e.g.Expect(err).NotTo(HaveOccurred())
+	e.g.Expect(e.store.Delete(context.Background(), o)).To(Succeed())
+}
+
+// Guards against a registration that is ignored as outdated, because its revision was given out before: the target
+// goes on to get requests although it leaves.
+func TestRegistrationAfterRestoreIsNotOutdated(t *testing.T) {
+	x, y := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+	e := startRouter(t, y)
+	c := e.store.Copy()
+	for range 8 {
+		e.putObject("other", "o", time.Now())
+	}
+	e.registerTarget(x, false)
+	e.g.Eventually(e.log.String, time.Second).Should(ContainSubstring("event=502 target=t1"))
+	e.restore(func() {
+		e.store.Restore(c)
+		e.store.SetOutage(false)
+		e.registerTarget(x, false) // as the target does in time, under a lower revision
+		e.store.SetOutage(true)
+	})
+	e.awaitList()
+	e.registerTarget(x, true)
+	e.g.Eventually(e.log.String, time.Second).Should(ContainSubstring("event=504 target=t1"))
+	before := len(x.requests())
+	for range 20 {
+		e.g.Expect(e.request("GET", "/safe/", "").code).To(Equal(200))
+	}
+	e.g.Expect(len(x.requests())).To(Equal(before))
+}
+
+// Guards against a process that goes back to an older configuration, or that takes a newer one for older, because of
+// its revision.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	e := newEnv(t)
+	put := func(generation ident.Generation, more ...route.Route) {
+		e.putObject("config", "main", config{Generation: generation, Routes: append(routes(), more...)})
+	}
+	added := routes()[0]
+	added.Name, added.Prefix = "added", "/added/"
+	x := startTarget(t, "t1", answerOK)
+	e.registerTarget(x, false)
+	c := e.store.Copy()
+	e.runRouter(t, e.store)
+	for range 8 {
+		e.putObject("other", "o", time.Now())
+	}
+	put(5, added)
+	e.g.Eventually(func() int { return e.request("GET", "/added/", "").code }, time.Second).Should(Equal(200))
+	e.restore(func() { e.store.Restore(c) })
+	e.awaitList()
+	e.g.Consistently(func() int { return e.request("GET", "/added/", "").code }, 300*time.Millisecond).Should(Equal(200))
+	later := added
+	later.Name, later.Prefix = "later", "/later/"
+	put(9, added, later)
+	e.g.Eventually(func() int { return e.request("GET", "/later/", "").code }, time.Second).Should(Equal(200))
+	b, err := json.Marshal("invalid")
+	e.g.Expect(err).NotTo(HaveOccurred())
+	o, err := e.store.Get(t.Context(), "config", "main")
+	e.g.Expect(err).NotTo(HaveOccurred())
+	_, err = e.store.Update(t.Context(), store.Object{Kind: "config", Name: "main", Rev: o.Rev, Value: b})
+	e.g.Expect(err).NotTo(HaveOccurred())
+	e.g.Eventually(e.log.String, time.Second).Should(ContainSubstring("event=305"))
+	e.g.Expect(e.request("GET", "/later/", "").code).To(Equal(200))
+}
+
+// Guards against a new process that stays on the older configuration of a copy while its peers have a newer one.
+func TestNewRouterPrefersNewerConfigurationOfPeers(t *testing.T) {
+	x := startTarget(t, "t1", answerOK)
+	e := startRouter(t, x)
+	c := e.store.Copy()
+	added := routes()[0]
+	added.Name, added.Prefix = "added", "/added/"
+	e.putObject("config", "main", config{Generation: 5, Routes: append(routes(), added)})
+	e.g.Eventually(func() int { return e.request("GET", "/added/", "").code }, time.Second).Should(Equal(200))
+	e.restore(func() { e.store.Restore(c) })
+	e.awaitList()
+	other := startSecondRouter(t, e)
+	e.registerRouter(other)
+	other.store.Restore(c)
+	other.store.SetOutage(false)
+	other.g.Eventually(func() int { return other.request("GET", "/added/", "").code }, 3*time.Second).Should(Equal(200))
+}
+
+// reportPass reports a pass of requests with a part, as another router does.
+func (e *env) reportPass(part ident.PromptPart) {
+	c, err := net.Dial("udp4", e.cfg.Heartbeat)
+	e.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	b, err := wire.Encode(&wire.Heartbeat{
+		Process: "r9", Boot: 1, Seq: 1, Region: "a", Generation: 1,
+		Passes: []wire.HeartbeatPass{{Feature: ident.FingerprintOf("s", []byte("part "+part))}},
+	})
+	e.g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Write(b)
+	e.g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against a restore that cannot be told from an ordinary return of the store.
 func TestRestoreIsLogged(t *testing.T) {
 	e := newEnv(t)
