CONFIG: revisions are ordered within one history of the store

What callers would see: after the store came back from an older copy, a target that announced its leaving under a revision below the one known went on to get requests, a change that fell between a lower revision and the old one was missed until something else changed, and a conditional write could replace another content.

Cause: a revision was taken for an order of all states, but it orders those of one history.

Change: a store.Rev carries its history, and store.Before compares histories first. Positions in heartbeats, outdated registrations and rollout requests follow, as they use store.Before.

A copy is then newer than what is known, so a registration in it must not bring back a target that left: within one start of a target its announced shutdown is final, and a registration that was removed without notice stays so if it comes back under the same number.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -89,10 +89,12 @@
 // removedMax limits the removed targets that are remembered; the oldest is forgotten first.
 const removedMax = 4096
 
-// removal is the last revision of a removed registration and the time of the removal.
+// removal is what remains of a removed registration, and the time of the removal.
 type removal struct {
-	rev store.Rev
-	at  time.Time
+	rev     store.Rev
+	boot    ident.Boot
+	leaving bool
+	at      time.Time
 }
 
 // entry is a registration and the time since which it is absent.
@@ -141,7 +143,7 @@
 }
 
 // Put adds or replaces one registration. A copy that is older than what is known of the target, or that is the last
-// one of a removed target, is ignored: it comes from a router that is behind.
+// one of a removed target, is ignored: it comes from a router that is behind, or from a store that was restored.
 func (f *Fleet) Put(t Target) []Event {
 	if f.outdated(t) {
 		return nil
@@ -192,13 +194,20 @@
 	return []Event{{e.Target, Deregistered}}
 }
 
-// outdated reports whether a registration is older than what is known of its target.
+// outdated reports whether a registration is older than what is known of its target. A process that announced its
+// shutdown does not become ready again, so after a restore of the store such a registration is from the copy.
 func (f *Fleet) outdated(t Target) bool {
 	if e, ok := f.targets[t.ID]; ok {
-		return store.Before(t.Rev, e.Rev)
+		return store.Before(t.Rev, e.Rev) || store.Restored(e.Rev, t.Rev) && e.Leaving && !t.Leaving && t.Boot == e.Boot
 	}
 	r, ok := f.removed[t.ID]
-	return ok && t.Rev != "" && (t.Rev == r.rev || store.Before(t.Rev, r.rev))
+	if !ok || t.Rev == "" {
+		return false
+	}
+	if store.Restored(r.rev, t.Rev) {
+		return t.Boot == r.boot && (r.leaving || store.Copied(r.rev, t.Rev))
+	}
+	return t.Rev == r.rev || store.Before(t.Rev, r.rev)
 }
 
 // forget removes an entry and remembers its revision.
@@ -216,7 +225,7 @@
 		}
 		delete(f.removed, oldest)
 	}
-	f.removed[e.ID] = removal{rev: e.Rev, at: now}
+	f.removed[e.ID] = removal{rev: e.Rev, boot: e.Boot, leaving: e.Leaving, at: now}
 }
 
 // Expire removes the entries that did not reappear in time.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/store"
 )
 
@@ -124,3 +125,34 @@
 	g.Expect(changes(f.Expire(at(2300)))).To(Equal([]fleet.Change{fleet.Deregistered}))
 	g.Expect(f.Put(copyOf("11", false))).To(BeEmpty(), "it was removed without notice")
 }
+
+// Guards against a registration that counts as outdated because a restored store gives out lower revisions, and against
+// one from the copy that brings back a target which left.
+func TestRestoredStoreHasLaterRevisions(t *testing.T) {
+	put := func(f *fleet.Fleet, rev store.Rev, leaving bool, boot ident.Boot) []fleet.Change {
+		x := target(leaving)
+		x.Rev, x.Boot = rev, boot
+		return changes(f.Put(x))
+	}
+	g := NewWithT(t)
+	f := fleet.New()
+	put(f, "1.90", false, 1)
+	g.Expect(put(f, "2.40", true, 1)).To(Equal([]fleet.Change{fleet.Leaving}))
+	g.Expect(put(f, "1.95", false, 1)).To(BeEmpty(), "from a router that is behind")
+	g.Expect(put(f, "3.20", false, 1)).To(BeEmpty(), "from the copy")
+	g.Expect(put(f, "3.25", false, 2)).To(Equal([]fleet.Change{fleet.Up}), "another process")
+
+	f = fleet.New()
+	put(f, "1.90", true, 1)
+	f.Remove(at(0), "t")
+	g.Expect(put(f, "2.80", false, 1)).To(BeEmpty(), "it announced its shutdown")
+	g.Expect(put(f, "2.85", false, 2)).To(Equal([]fleet.Change{fleet.Up}))
+
+	f = fleet.New()
+	put(f, "1.90", false, 1)
+	f.Remove(at(0), "t")
+	f.Expire(at(2500))
+	g.Expect(f.Len()).To(BeZero())
+	g.Expect(put(f, "2.90", false, 1)).To(BeEmpty(), "the registration that was removed")
+	g.Expect(put(f, "2.95", false, 1)).To(Equal([]fleet.Change{fleet.Up}), "registered again")
+}
--- a/core/scout/scout_test.go
+++ b/core/scout/scout_test.go
@@ -83,3 +83,21 @@
 		g.Expect(ok).To(BeFalse())
 	}
 }
+
+// Guards against a follower that compares the revisions of two histories of the store, and then lists again for ever or
+// never.
+func TestPositionsAreComparedAcrossRestore(t *testing.T) {
+	g := NewWithT(t)
+	before, after := scout.Position{Rev: "1.900", Count: 5}, scout.Position{Rev: "2.850", Count: 5}
+	g.Expect(before.Behind(after)).To(BeTrue())
+	g.Expect(after.Behind(before)).To(BeFalse())
+	var l scout.Lag
+	l.Check(at(0), before, peersOf(10, after))
+	_, again := l.Check(at(1300), before, peersOf(10, after))
+	g.Expect(again).To(BeTrue())
+	g.Expect(l.Listed("2.860", peersOf(10, after))).To(BeEmpty(), "their claims are right")
+	for ms := 3500; ms < 9000; ms += 250 {
+		_, again = l.Check(at(ms), after, peersOf(10, before))
+		g.Expect(again).To(BeFalse(), "peers that have not noticed the restore")
+	}
+}
--- a/core/store/memory/memory.go
+++ b/core/store/memory/memory.go
@@ -6,7 +6,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 
 	"hickoryvane.example/core/store"
@@ -28,9 +27,10 @@
 
 // Store implements store.Store. All methods are safe for concurrent use.
 type Store struct {
-	mu      sync.Mutex
-	rev     uint64
-	objects map[key]store.Object
+	mu sync.Mutex
+	// restores counts the restores; it is the history of versions.
+	restores, rev uint64
+	objects       map[key]store.Object
 	// history holds the last changes in order; droppedRev is the version of the last change that was dropped.
 	history    []Event
 	droppedRev uint64
@@ -89,7 +89,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b store.Object) int { return cmp.Compare(a.Name, b.Name) })
-	return all, formatRev(s.rev), nil
+	return all, store.RevOf(s.restores, s.rev), nil
 }
 
 // Create implements store.Store.
@@ -155,7 +155,7 @@
 func (s *Store) apply(eventType string, o store.Object) (store.Object, error) {
 	s.rev++
 	o = clone(o)
-	o.Rev = formatRev(s.rev)
+	o.Rev = store.RevOf(s.restores, s.rev)
 	if eventType == store.EventDeleted {
 		delete(s.objects, key{o.Kind, o.Name})
 	} else {
@@ -198,11 +198,11 @@
 func (s *Store) Events(kind string, rev store.Rev) (out []Event, next store.Rev, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	after, err := strconv.ParseUint(string(rev), 10, 64)
+	history, after, ok := rev.Split()
 	switch {
 	case s.outage:
 		return nil, "", nil, store.ErrUnavailable
-	case err != nil || after < s.droppedRev || after > s.rev:
+	case !ok || history != s.restores || after < s.droppedRev || after > s.rev:
 		return nil, "", nil, store.ErrRevTooOld
 	}
 	for _, e := range s.history {
@@ -211,7 +211,7 @@
 			out = append(out, e)
 		}
 	}
-	return out, formatRev(s.rev), s.changed, nil
+	return out, store.RevOf(s.restores, s.rev), s.changed, nil
 }
 
 // DropHistory drops the retained changes, so that watches from older versions get store.ErrRevTooOld.
@@ -235,12 +235,18 @@
 	return Copy{s.rev, maps.Clone(s.objects)}
 }
 
-// Restore replaces the state by that of a copy. Later changes are lost, and their versions are given out again; a watch
-// from one that does not exist gets store.ErrRevTooOld.
+// Restore replaces the state by that of a copy. Later changes are lost, numbers of versions are given out again in a
+// new history, and watches get store.ErrRevTooOld.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rev, s.objects = c.rev, maps.Clone(c.objects)
+	s.restores++
+	s.rev, s.objects = c.rev, make(map[key]store.Object, len(c.objects))
+	for k, o := range c.objects {
+		_, number, _ := o.Rev.Split()
+		o.Rev = store.RevOf(s.restores, number)
+		s.objects[k] = o
+	}
 	s.history, s.droppedRev = nil, s.rev
 	s.notify()
 }
@@ -254,5 +260,3 @@
 	o.Value, o.Status = slices.Clone(o.Value), slices.Clone(o.Status)
 	return o
 }
-
-func formatRev(rev uint64) store.Rev { return store.Rev(strconv.FormatUint(rev, 10)) }
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -26,17 +25,6 @@
 	ErrRevTooOld = errors.New("version to watch from is too old")
 )
 
-// Rev is an opaque version of an object.
-type Rev string
-
-// Before reports whether a is known to be older than b. Versions that are decimal numbers are compared; any
-// others are of unknown order.
-func Before(a, b Rev) bool {
-	x, xerr := strconv.ParseUint(string(a), 10, 64)
-	y, yerr := strconv.ParseUint(string(b), 10, 64)
-	return xerr == nil && yerr == nil && x < y
-}
-
 // Object is a named value of a kind.
 type Object struct {
 	// Kind is the kind of the object, for example "config", "lease", "move" or "claim".
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -42,7 +42,7 @@
 				down, wait = false, minStoreRetry
 				r.log.Log(event.StoreUp, "sort", h.kind, "objects", len(objects), "rev", rev, "away", time.Since(downSince))
 			}
-			if store.Before(rev, last) {
+			if store.Restored(last, rev) {
 				r.log.Log(event.StoreRestored, "sort", h.kind, "before", last, "rev", rev, "objects", len(objects))
 			}
 			last = rev
