CONFIG: a registration lost with a restored store is written again

What callers would see: a router that starts after the restore doesn't find the others before they send it a heartbeat, and none does if neither is registered; slots, rates and limits are then divided wrongly.

Cause: a router wrote its registration once and took it for there for ever.

Change: after each list of routers, register compares the registration there with its own and writes what is missing, one router after the other. Event 311 names it.

Calls: none without a list that lacks the registration.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -29,6 +29,7 @@
 	WatchModeChanged      ID = 308
 	WatchBehind           ID = 309
 	StoreRestored         ID = 310
+	RecordWrittenAgain    ID = 311
 	RequestRefused        ID = 401
 	AnswerTruncated       ID = 402
 	FingerprintBlocked    ID = 403
@@ -86,6 +87,7 @@
 	{WatchModeChanged, log.InfoLevel, "mode of the watches changed"},
 	{WatchBehind, log.WarnLevel, "watch is behind that of a peer, list read again"},
 	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
+	{RecordWrittenAgain, log.InfoLevel, "record missing in the object API is written again"},
 	{RequestRefused, log.DebugLevel, "request refused"},
 	{AnswerTruncated, log.WarnLevel, "answer cut"},
 	{FingerprintBlocked, log.WarnLevel, "request fingerprint blocked"},
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -177,7 +177,7 @@
 	// stateWrites are objects whose status is to be written.
 	stateWrites chan store.Object
 	// ownAddress is the address under which the store has this router registered; registered gets whether that is
-	// its present one, once the routers were listed.
+	// its present one, each time the routers were listed.
 	ownAddress string
 	// routersListed is true once the routers were listed.
 	routersListed bool
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -415,31 +415,55 @@
 // routerListTimeout limits the time for which the registration waits for the list of routers.
 const routerListTimeout = time.Second
 
-// register writes this router's registration to the store and retries until that succeeds or ctx ends. Nothing is
-// written if an earlier process of the same name registered the same address.
+// register keeps this router registered until ctx ends: it writes the registration at the start and when a list of
+// routers lacks it. Nothing is written if an earlier process of the same name registered the same address.
 func (r *Router) register(ctx context.Context) error {
+	v, err := json.Marshal(registration{Address: r.cfg.Heartbeat, Boot: r.boot})
+	if err != nil {
+		return err
+	}
 	t := time.NewTimer(routerListTimeout)
 	defer t.Stop()
+	registered := false
 	select {
-	case registered := <-r.registered:
-		if registered {
-			return nil
-		}
+	case registered = <-r.registered:
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	v, err := json.Marshal(registration{Address: r.cfg.Heartbeat, Boot: r.boot})
-	if err != nil {
-		return err
+	for again := false; ctx.Err() == nil; again = true {
+		if !registered {
+			if again {
+				pause(ctx, r.rewriteDelay())
+				r.log.Log(event.RecordWrittenAgain, "sort", RouterKind, "name", r.cfg.Name)
+			}
+			r.tryRegistration(ctx, v)
+		}
+		select {
+		case registered = <-r.registered:
+		case <-ctx.Done():
+		}
 	}
+	return nil
+}
+
+// tryRegistration writes this router's registration until that succeeds or ctx ends.
+func (r *Router) tryRegistration(ctx context.Context, v []byte) {
 	for ctx.Err() == nil {
-		if err = r.writeRegistration(ctx, v); err == nil {
-			return nil
+		err := r.writeRegistration(ctx, v)
+		if err == nil {
+			return
 		}
 		r.log.Log(event.StoreDown, "sort", RouterKind, "error", err)
 		pause(ctx, minStoreRetry)
 	}
-	return nil
+}
+
+// rewriteDelay returns the time after which this router writes what it misses in the store: the routers do so one after
+// the other, and find what others wrote before them.
+func (r *Router) rewriteDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.writeRank(time.Now())) * writeRankDelay
 }
 
 // writeRegistration creates this router's object, or replaces that of an earlier process of the same name.
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -313,6 +313,9 @@
 	return kindHandler{
 		kind: RouterKind,
 		onList: func(l []store.Object, _ store.Rev) {
+			r.mu.Lock()
+			r.ownAddress = ""
+			r.mu.Unlock()
 			for _, o := range l {
 				put(o)
 			}
@@ -321,9 +324,10 @@
 			r.routersListed = true
 			r.assignCells(time.Now())
 			select {
-			case r.registered <- r.ownAddress == r.cfg.Heartbeat:
-			default: // register has read an earlier value
+			case <-r.registered: // of an earlier list
+			default:
 			}
+			r.registered <- r.ownAddress == r.cfg.Heartbeat
 		},
 		onChange: func(c store.Change) {
 			if !c.Deleted {
