CONFIG: blocks lost with a restored store are written again

The block was recorded in the seconds that the copy lacked; the routers still held it, and none looked whether the record was there. A block that was lifted came back the same way.

Change: after a restore each router, one after the other, reads the records again. It writes the blocks in force that are missing or end earlier there. A block that comes back although its features have passed since is lifted by the detector again, which deletes its record.

Calls: one list a router and restore.

--- a/router/direct/blocks.go
+++ b/router/direct/blocks.go
@@ -26,6 +26,8 @@
 	blockChangesMax = 32
 	// blockWriteTries is the number of tries to write a change; the other routers know it in any case.
 	blockWriteTries = 5
+	// blockEndSlack is the time by which a record may end before the block: clocks differ between routers.
+	blockEndSlack = 10 * time.Second
 )
 
 // blockChange is a block that was added or lifted.
@@ -56,32 +58,45 @@
 	}
 }
 
-// keepBlocks reads the recorded blocks and then writes changes until ctx ends.
+// keepBlocks reads the recorded blocks and then writes changes until ctx ends. After a restore of the store it reads the
+// blocks again and writes those that are missing.
 func (r *Router) keepBlocks(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := r.readBlocks(ctx)
+		_, err := r.readBlocks(ctx)
 		if err == nil {
 			break
 		}
 		r.log.Log(event.StoreDown, "sort", BlockKind, "error", err)
 		pause(ctx, maxStoreRetry)
 	}
+	rewrite := time.NewTimer(0)
+	rewrite.Stop()
+	defer rewrite.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case c := <-r.blockChanges:
 			r.writeBlockChange(ctx, c)
+		case <-r.storeRestored:
+			rewrite.Reset(r.rewriteDelay())
+		case <-rewrite.C:
+			if err := r.rewriteBlocks(ctx); err != nil {
+				r.log.Log(event.StoreDown, "sort", BlockKind, "error", err)
+				rewrite.Reset(maxStoreRetry)
+			}
 		}
 	}
 }
 
-// readBlocks reads the recorded blocks and deletes those that ended long ago.
-func (r *Router) readBlocks(ctx context.Context) error {
+// readBlocks reads the recorded blocks and deletes those that ended long ago. It returns the ends of the others by
+// their names. A block that a restore brought back after it was lifted is lifted again.
+func (r *Router) readBlocks(ctx context.Context) (ends map[string]time.Time, err error) {
 	list, _, err := r.store.List(ctx, BlockKind)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	ends = make(map[string]time.Time, len(list))
 	now := time.Now()
 	for _, o := range list {
 		var v blockRecord
@@ -97,10 +112,33 @@
 			_ = r.store.Delete(ctx, o) // another router may have deleted it, or the next start does
 			continue
 		}
+		ends[o.Name] = b.Until
 		r.mu.Lock()
 		r.poison.MergeBlock(now, b)
 		r.mu.Unlock()
 	}
+	return ends, nil
+}
+
+// rewriteBlocks writes the blocks in force that the store lacks, or has with an earlier end.
+func (r *Router) rewriteBlocks(ctx context.Context) error {
+	ends, err := r.readBlocks(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	blocks := r.poison.Blocks(time.Now())
+	r.mu.Unlock()
+	for _, b := range blocks {
+		name := blockName(b.Features)
+		if b.Until.Sub(ends[name]) < blockEndSlack {
+			continue
+		}
+		r.log.Log(event.RecordWrittenAgain, "sort", BlockKind, "name", name)
+		if err = r.writeBlock(ctx, blockChange{Block: b}); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -152,6 +152,8 @@
 	lostAnswers map[ident.TargetID][]lostAnswer
 	// blockChanges are changes of blocks that are to be written to the store.
 	blockChanges chan blockChange
+	// storeRestored gets a value when the store was restored from an older copy.
+	storeRestored chan struct{}
 	// reportedRates are the rates of targets as last reported.
 	reportedRates map[ident.TargetID]reportedRate
 	// toVerify receives the targets that lost an answer.
@@ -223,7 +225,7 @@
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), partNames: map[ident.Fingerprint]ident.PromptPart{},
-		lostAnswers: map[ident.TargetID][]lostAnswer{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), peers: map[ident.ProcessID]*peer{},
+		lostAnswers: map[ident.TargetID][]lostAnswer{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
 		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -64,6 +65,30 @@
 	e.g.Eventually(func() string { return blocksOf(e) }, 4*time.Second).ShouldNot(BeEmpty())
 }
 
+// Guards against a block that ends early after a stop of all routers, because its renewal was lost with the store.
+func TestLostRenewalOfBlockIsWrittenAgain(t *testing.T) {
+	e := newEnv(t)
+	name := strconv.FormatUint(uint64(ident.FingerprintOf("", []byte("[7]"))), 16)
+	put := func(left time.Duration) {
+		e.putObject(direct.BlockKind, name, map[string]any{"features": []uint64{7}, "at": time.Now().UnixMilli(), "until": time.Now().Add(left).UnixMilli()})
+	}
+	put(time.Minute)
+	c := e.store.Copy()
+	put(4 * time.Minute)
+	e.runRouter(t, e.store)
+	end := func() time.Time {
+		o, err := e.store.Get(context.Background(), direct.BlockKind, name)
+		e.g.Expect(err).NotTo(HaveOccurred())
+		var v struct{ Until int64 }
+		e.g.Expect(json.Unmarshal(o.Value, &v)).To(Succeed())
+		return time.UnixMilli(v.Until)
+	}
+	time.Sleep(200 * time.Millisecond) // the blocks are read at the start
+	e.restore(func() { e.store.Restore(c) })
+	e.g.Expect(time.Until(end())).To(BeNumerically("<", 2*time.Minute))
+	e.g.Eventually(func() time.Duration { return time.Until(end()) }, 4*time.Second).Should(BeNumerically(">", 3*time.Minute))
+}
+
 // Guards against a block that was lifted and comes back with the store, to refuse sound requests.
 func TestDeletionOfLiftedBlockIsRepeated(t *testing.T) {
 	e := newEnv(t)
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -28,8 +28,9 @@
 	// onList gets the objects and the revision of the store at the time of the list.
 	onList   func(l []store.Object, asOf store.Rev)
 	onChange func(store.Change)
-	// onUnreachable is called when the store cannot be reached.
-	onUnreachable func()
+	// onUnreachable is called when the store cannot be reached, and onRestored before the first list after a restore from
+	// an older copy.
+	onUnreachable, onRestored func()
 }
 
 // followKind lists the objects of a kind and watches them, repeatedly until ctx ends.
@@ -44,6 +45,9 @@
 			}
 			if store.Restored(last, rev) {
 				r.log.Log(event.StoreRestored, "sort", h.kind, "before", last, "rev", rev, "objects", len(objects))
+				if h.onRestored != nil {
+					h.onRestored()
+				}
 			}
 			last = rev
 			h.onList(objects, rev)
@@ -216,6 +220,12 @@
 			defer r.mu.Unlock()
 			r.fleet.StoreUnreachable()
 		},
+		onRestored: func() {
+			select {
+			case r.storeRestored <- struct{}{}:
+			default: // an earlier one is still to be handled
+			}
+		},
 	}
 }
 
