CONFIG: states of rollouts lost with a restored store are written again

What callers would see: a rollout that was done and whose state fell into the lost seconds stayed running in the store, or, if the router had retired it, began again with the version in use as its canary and was rolled back, while the old targets had stopped. A lost rollback stayed unrecorded.

Cause: a router that knew a final state never wrote it again, and forgot a rollout that was done after 5 s.

Change: when a later history of the store shows a request without its final state, the state is due again and written by rank, as the first time. A rollout that is done is remembered after it was retired; its request in a later history resumes it as done, and a peer that takes it for a new one is not followed. Event 311 names the write.

--- a/core/moves/short.go
+++ b/core/moves/short.go
@@ -60,7 +60,7 @@
 	request   Request
 	limit     ExposureLimit
 	startedAt time.Time
-	// state is Running until a final state is recorded; stateRecorded is true once the store holds any state.
+	// state is Running until a final state is recorded; stateRecorded is true while the store holds any state.
 	state         State
 	stateRecorded bool
 	verdict       *Verdict
@@ -129,6 +129,9 @@
 	}
 }
 
+// SetLost records that the store has lost the recorded state, which is then due again. A final state stays binding.
+func (sr *ShortRollout) SetLost() { sr.stateRecorded = false }
+
 // SetVerdict applies a verdict of another process. A verdict is never revoked.
 func (sr *ShortRollout) SetVerdict(v Verdict) {
 	if sr.verdict == nil {
@@ -216,7 +219,7 @@
 // without enough successes by its deadline is rolled back.
 func (sr *ShortRollout) DueState(now time.Time) (s State, ok bool) {
 	if sr.state != Running {
-		return "", false
+		return sr.state, !sr.stateRecorded
 	}
 	age := sr.Age(now)
 	if age >= sr.request.Duration-suspectMargin && sr.decision == "" && sr.judge(now).Suspected {
--- a/router/direct/canary.go
+++ b/router/direct/canary.go
@@ -132,7 +132,8 @@
 			}
 			continue
 		}
-		if !ok && age < req.Duration {
+		// A router that started after a restore of the store may take one that is done for a new one.
+		if !ok && age < req.Duration && r.finished[report.Service].request != req {
 			m, ok = r.startRollout(now, req, string(b.Process)), true
 			r.updatePool(report.Service)
 		}
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -124,6 +125,10 @@
 			c := e.store.Copy()
 			e.requestUntil(moves.Done)
 			time.Sleep(wait)
+			e.sendHeartbeat(&wire.Heartbeat{
+				Process: "r9", Boot: 1, Seq: 1, Region: "a", Generation: 1,
+				Rollouts: []wire.HeartbeatRollout{{Service: "s", Version: "v2", DurationMillis: 2000}},
+			})
 			e.restore(func() { e.store.Restore(c) })
 			e.g.Eventually(e.recordedState, 4*time.Second).Should(Equal(moves.Done))
 			e.g.Expect(strings.Count(e.log.String(), "move ordered")).To(Equal(1))
@@ -246,15 +251,19 @@
 
 // reportPass reports a pass of requests with a part, as another router does.
 func (e *env) reportPass(part ident.PromptPart) {
-	c, err := net.Dial("udp4", e.cfg.Heartbeat)
-	e.g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = c.Close() }()
-	b, err := wire.Encode(&wire.Heartbeat{
+	e.sendHeartbeat(&wire.Heartbeat{
 		Process: "r9", Boot: 1, Seq: 1, Region: "a", Generation: 1,
 		Passes: []wire.HeartbeatPass{{Feature: ident.FingerprintOf("s", []byte("part "+part))}},
 	})
+}
+
+func (e *env) sendHeartbeat(b *wire.Heartbeat) {
+	c, err := net.Dial("udp4", e.cfg.Heartbeat)
 	e.g.Expect(err).NotTo(HaveOccurred())
-	_, err = c.Write(b)
+	defer func() { _ = c.Close() }()
+	p, err := wire.Encode(b)
+	e.g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Write(p)
 	e.g.Expect(err).NotTo(HaveOccurred())
 }
 
@@ -267,3 +276,23 @@
 	e.restore(func() { e.store.Restore(c) })
 	e.g.Eventually(e.log.String, 3*time.Second).Should(MatchRegexp(`event=310 sort=targets before=\S+ rev=\S+ objects=0`))
 }
+
+// Guards against a bad version that gets requests again, because its rollback was lost with the store.
+func TestLostRollbackIsWrittenAgain(t *testing.T) {
+	old := startTarget(t, "t1", answerOK)
+	fresh := startTarget(t, "t2", func(_ int, r *http.Request, c net.Conn) bool { return writeAnswer(c, r, 500, "broken") })
+	e := startRouter(t)
+	e.registerVersion(old, "v1")
+	e.g.Eventually(func() int { return e.request("GET", "/safe/", "").code }).Should(Equal(200))
+	e.putObject("orders", "s", moves.Request{Service: "s", To: "v2", Duration: 4 * time.Second})
+	c := e.store.Copy()
+	e.registerVersion(fresh, "v2")
+	e.requestUntil(moves.RolledBack)
+	before := len(fresh.requests())
+	e.restore(func() { e.store.Restore(c) })
+	e.g.Eventually(e.recordedState, 4*time.Second).Should(Equal(moves.RolledBack))
+	for range 50 {
+		e.request("GET", "/safe/", "")
+	}
+	e.g.Expect(len(fresh.requests())).To(Equal(before))
+}
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -52,6 +52,12 @@
 	withdrawn bool
 }
 
+// finishedRollout is a rollout that was done, and the revision of its object then.
+type finishedRollout struct {
+	request moves.Request
+	rev     store.Rev
+}
+
 // canaryOnly reports whether a target gets canary requests only; r.mu is held.
 func (r *Router) canaryOnly(t fleet.Target) bool {
 	m, ok := r.rollouts[t.Service]
@@ -133,25 +139,65 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, ok := r.rollouts[req.Service]
-	replaced := ok && (m.Request() != req || state == "" && m.withdrawn)
+	known := store.Rev("")
+	if ok {
+		known = m.object.Rev
+	}
+	replaced := ok && (m.Request() != req || state == "" && m.withdrawn && !fromCopy(known, o.Rev))
+	finished, done := r.finished[req.Service]
+	done = done && finished.request == req && store.Restored(finished.rev, o.Rev)
 	switch {
-	case ok && store.Before(o.Rev, m.object.Rev):
+	case ok && store.Before(o.Rev, known):
 		return // older than the object that is known
 	case ok && peer != "" && (replaced || state == "" || state == moves.Running):
 		return
 	case !ok && state == moves.Done:
 		return
+	case !ok && done:
+		m = r.resumeFinished(now, req)
+	case replaced && done && fromCopy(finished.rev, o.Rev):
+		return // the request that replaced it comes again
 	case !ok || replaced:
 		m = r.startRollout(now, req, peer)
 	}
 	m.object = o
+	if peer == "" && store.Restored(known, o.Rev) && (state == "" || state == moves.Running) {
+		m.SetLost()
+	}
 	r.applyState(now, m, state)
 	r.updatePool(req.Service)
 }
 
+// fromCopy reports whether an object of a restored store may be no newer than a version that was known before.
+func fromCopy(known, found store.Rev) bool {
+	_, a, _ := known.Split()
+	_, b, _ := found.Split()
+	return store.Restored(known, found) && b <= a
+}
+
+// newRollout returns a rollout that has not begun.
+func (r *Router) newRollout(now time.Time, req moves.Request) *rollout {
+	limit := moves.ExposureLimit{Share: r.cfg.ExposureRatio, ExtraRequests: r.cfg.ExtraExposedRequests}
+	return &rollout{ShortRollout: moves.NewShortRollout(now, req, limit), warmAt: map[ident.TargetID]time.Time{}}
+}
+
+// resumeFinished returns a rollout that is done and whose state the store has lost; r.mu is held.
+func (r *Router) resumeFinished(now time.Time, req moves.Request) *rollout {
+	m := r.newRollout(now, req)
+	m.SetRecorded(moves.Done)
+	m.SetLost()
+	m.endedAt = now
+	r.rollouts[req.Service] = m
+	return m
+}
+
 // startRollout starts a rollout; r.mu is held.
 func (r *Router) startRollout(now time.Time, req moves.Request, peer string) *rollout {
-	m := &rollout{ShortRollout: moves.NewShortRollout(now, req, moves.ExposureLimit{Share: r.cfg.ExposureRatio, ExtraRequests: r.cfg.ExtraExposedRequests}), warmAt: map[ident.TargetID]time.Time{}, canaryOnly: true}
+	if old, ok := r.rollouts[req.Service]; ok && old.State() == moves.Done {
+		r.finished[req.Service] = finishedRollout{old.Request(), old.object.Rev}
+	}
+	m := r.newRollout(now, req)
+	m.canaryOnly = true
 	r.rollouts[req.Service] = m
 	delete(r.versions[req.Service], req.To)
 	for _, t := range r.targets {
@@ -165,7 +211,13 @@
 
 // applyState applies the state that the store holds, and logs the conclusion of the rollout; r.mu is held.
 func (r *Router) applyState(now time.Time, m *rollout, s moves.State) {
-	if s == "" || m.State() != moves.Running {
+	if m.State() != moves.Running {
+		if s == m.State() {
+			m.SetRecorded(s)
+		}
+		return
+	}
+	if s == "" {
 		return
 	}
 	m.SetRecorded(s)
--- a/router/direct/rolloutstate.go
+++ b/router/direct/rolloutstate.go
@@ -27,11 +27,11 @@
 // judgeRollouts checks the rollouts and queues the states that this router has to write; r.mu is held.
 func (r *Router) judgeRollouts(now time.Time) {
 	for s, m := range r.rollouts {
-		if m.State() == moves.Done && now.Sub(m.endedAt) >= retireDelay {
+		due, ok := m.DueState(now)
+		if m.State() == moves.Done && now.Sub(m.endedAt) >= retireDelay && !ok {
 			r.retireRollout(s)
 			continue
 		}
-		due, ok := m.DueState(now)
 		if v := m.Verdict(); v != nil && !m.badReported {
 			m.badReported, r.urgentHeartbeats = true, urgentHeartbeatsMax
 			r.log.Log(event.VersionJudgedBad, "service", s, "version", m.Request().To, "reason", v.Reason, "route", v.Route, "score", m.Judgement().Score, "age", m.Age(now))
@@ -47,6 +47,9 @@
 		if ok && m.object.Name != "" && now.Sub(m.pendingFrom) >= time.Duration(r.writeRank(now))*writeRankDelay {
 			m.pendingFrom = now.Add(stateWriteRetry) // when this write fails
 			o := m.object
+			if m.State() != moves.Running {
+				r.log.Log(event.RecordWrittenAgain, "sort", o.Kind, "name", o.Name)
+			}
 			o.Status = r.catalogue.EncodeState(m.Request(), due)
 			select {
 			case r.stateWrites <- o:
@@ -58,6 +61,8 @@
 
 // retireRollout removes a finished rollout, after which all versions are treated alike; r.mu is held.
 func (r *Router) retireRollout(s ident.Service) {
+	m := r.rollouts[s]
+	r.finished[s] = finishedRollout{m.Request(), m.object.Rev}
 	delete(r.rollouts, s)
 	for _, t := range r.targets {
 		if _, ok := r.serviceVersions(s)[t.Version]; t.Service == s && !ok {
