CONFIG: fencing numbers don't go back with a restored store

After a restore the record of the lease shows an earlier holder and a lower number. A router named there acquired the lease at once with the next number, which another had been given since, or with one that all agents refuse as old until the numbers have grown past theirs.

Change: a router gives out no number up to the highest it has read, written or been told of. A refusal of an agent tells it the agent's number; a holder with a lower one acquires the lease again.

Not covered: a router that started after the restore and has heard no number yet; the agent's refusal then tells it.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -20,6 +20,9 @@
 	// record is the last record read or written and rev its revision; rev is empty before the first read.
 	record Record
 	rev    store.Rev
+	// highest is the highest fencing token known. The record may have a lower one after the store was restored from an
+	// older copy; it is not given out again.
+	highest ident.Fence
 	// unchangedSince is when record last changed; each change restarts the wait of a candidate.
 	unchangedSince time.Time
 
@@ -66,8 +69,16 @@
 	return m.record.FencingToken, m.validUntil.Sub(now), true
 }
 
-// HighestToken returns the fencing token of the last record read or written.
-func (m *Machine) HighestToken() ident.Fence { return m.record.FencingToken }
+// HighestToken returns the highest fencing token read, written or learned.
+func (m *Machine) HighestToken() ident.Fence { return m.highest }
+
+// LearnToken applies a fencing token that an agent has admitted. A holder with a lower one acquires the lease again.
+func (m *Machine) LearnToken(token ident.Fence) {
+	m.highest = max(m.highest, token)
+	if m.held && m.record.FencingToken < m.highest {
+		m.held, m.nextCall = false, time.Time{}
+	}
+}
 
 // Release gives up the lease at the next Tick, so that other candidates need not wait for its term to pass.
 func (m *Machine) Release() { m.releasing = true }
@@ -85,13 +96,13 @@
 		return m.call(now, Read, nil)
 	case m.held && m.releasing:
 		m.held = false
-		return m.write(now, Record{FencingToken: m.record.FencingToken})
+		return m.write(now, Record{FencingToken: m.highest})
 	case m.releasing:
 		return nil
 	case m.held:
 		return m.write(now, Record{Holder: m.self, Boot: m.boot, FencingToken: m.record.FencingToken})
 	case m.available(now):
-		return m.write(now, Record{Holder: m.self, Boot: m.boot, FencingToken: m.record.FencingToken + 1})
+		return m.write(now, Record{Holder: m.self, Boot: m.boot, FencingToken: m.highest + 1})
 	}
 	return m.call(now, Read, nil)
 }
@@ -162,12 +173,13 @@
 // applyWrite applies a write that took effect. The validity counts from the start of that write.
 func (m *Machine) applyWrite(now time.Time) {
 	m.setRecord(now, *m.pendingWrite)
-	m.held = m.record.Holder == m.self && m.record.Boot == m.boot
+	m.held = m.record.Holder == m.self && m.record.Boot == m.boot && m.record.FencingToken == m.highest
 	m.validUntil = m.writeStart.Add(m.term * 2 / 3)
 	m.pendingWrite = nil
 }
 
 func (m *Machine) setRecord(now time.Time, r Record) {
+	m.highest = max(m.highest, r.FencingToken)
 	if r != m.record || m.unchangedSince.IsZero() {
 		m.record, m.unchangedSince = r, now
 	}
@@ -177,7 +189,7 @@
 func (m *Machine) handleRead(now time.Time, o store.Object, err error) {
 	if errors.Is(err, store.ErrNotFound) {
 		m.rev, m.pendingWrite = absentRev, nil
-		m.setRecord(now, Record{FencingToken: m.record.FencingToken}) // the token never restarts at zero
+		m.setRecord(now, Record{FencingToken: m.highest}) // the token never restarts at zero
 		m.nextCall = now
 		return
 	}
@@ -196,7 +208,7 @@
 	}
 	m.pendingWrite = nil
 	m.setRecord(now, r)
-	if r.Holder != m.self || r.Boot != m.boot {
+	if r.Holder != m.self || r.Boot != m.boot || r.FencingToken < m.highest {
 		m.held = false
 	}
 	if m.available(now) || m.held {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -320,3 +320,46 @@
 	g.Expect(prop.Fails(t, fencingProperty(injectedFaults{skipRead: true}))).To(BeTrue(), "agents that admit commands without reading the lease")
 	g.Expect(prop.Fails(t, fencingProperty(injectedFaults{shortWait: true}))).To(BeTrue(), "candidates that wait for less than a term")
 }
+
+// Guards against a fencing token that is given out twice, or is lower than agents require, because the store was restored
+// from a copy with an older record.
+func TestTokenNeverGoesBackWithTheStore(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{}
+	m := lease.New(leaseName, "a", 1, lease.WithTerm(term))
+	now := start
+	run := func() (token ident.Fence, held bool) {
+		for range 20 {
+			now = now.Add(term / 4)
+			for _, c := range m.Tick(now) {
+				o, err := s.do(c)
+				m.HandleResult(now, c.Seq, o, err)
+			}
+			if token, _, held = m.Held(now); held {
+				return token, held
+			}
+		}
+		return token, held
+	}
+	first, held := run()
+	g.Expect(held).To(BeTrue())
+	old := *s.obj
+	other := lease.Record{Holder: "b", Boot: 1, FencingToken: first + 6, WriteCount: 9, TermMillis: term.Milliseconds()}
+	s.obj = &store.Object{Rev: "other", Value: other.Encode()}
+	for range 3 { // it reads the record of the other
+		now = now.Add(term / 4)
+		for _, c := range m.Tick(now) {
+			o, err := s.do(c)
+			m.HandleResult(now, c.Seq, o, err)
+		}
+	}
+	old.Rev = "restored"
+	s.obj = &old
+	token, held := run()
+	g.Expect(held).To(BeTrue())
+	g.Expect(token).To(BeNumerically(">", other.FencingToken))
+	m.LearnToken(token + 5) // an agent refused a command
+	token2, held := run()
+	g.Expect(held).To(BeTrue())
+	g.Expect(token2).To(BeNumerically(">", token+5))
+}
--- a/router/entry/commands.go
+++ b/router/entry/commands.go
@@ -44,6 +44,7 @@
 // handleCommandResult handles the response to a command. A refused command is sent again after the retry interval of
 // core/orders.
 func (c *Core) handleCommandResult(m *wire.CommandReply) {
+	c.lease.LearnToken(m.Fence)
 	if !m.Done {
 		c.log(event.CommandRefused, "order", m.ID, "reason", m.Detail, "fence", m.Fence)
 	}
