CONFIG: a history that is lost again at once isn't a busy loop

A list whose watch ends with ErrRevTooOld is followed by the next one without a pause. That was bounded by how often a store drops its history. Since the history of responses counts, a store whose responses differ in it, or that states no revision, would be called without a pause.

The first list after a lost history comes at once, as before.

--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -296,3 +297,27 @@
 	}
 	e.g.Expect(len(fresh.requests())).To(Equal(before))
 }
+
+// forgetfulStore is a store whose watches of targets always end because their history is lost.
+type forgetfulStore struct {
+	store.StatusStore
+	watches atomic.Int32
+}
+
+func (s *forgetfulStore) Watch(ctx context.Context, kind string, rev store.Rev, f func(store.Change)) error {
+	if kind == "targets" {
+		s.watches.Add(1)
+		return store.ErrRevTooOld
+	}
+	return s.StatusStore.Watch(ctx, kind, rev, f)
+}
+
+// Guards against a burst of calls while the responses of the store state different histories.
+func TestLostHistoryIsNotABusyLoop(t *testing.T) {
+	e := newEnv(t)
+	st := &forgetfulStore{StatusStore: e.store}
+	e.runRouter(t, st)
+	before := st.watches.Load()
+	time.Sleep(500 * time.Millisecond)
+	e.g.Expect(st.watches.Load() - before).To(BeNumerically("<=", 6))
+}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -35,7 +35,7 @@
 
 // followKind lists the objects of a kind and watches them, repeatedly until ctx ends.
 func (r *Router) followKind(ctx context.Context, h kindHandler) error {
-	wait, down, downSince, last := minStoreRetry, false, time.Now(), store.Rev("")
+	wait, down, downSince, last, lost := minStoreRetry, false, time.Now(), store.Rev(""), time.Time{}
 	for ctx.Err() == nil {
 		objects, rev, err := r.store.List(ctx, h.kind)
 		if err == nil {
@@ -60,6 +60,10 @@
 			continue
 		case errors.Is(err, store.ErrRevTooOld):
 			r.log.Log(event.StoreHistoryLost, "sort", h.kind, "rev", rev)
+			if time.Since(lost) < maxStoreRetry {
+				pause(ctx, minStoreRetry)
+			}
+			lost = time.Now()
 			continue
 		case err == nil:
 			continue
