--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -28,13 +28,14 @@
 	// onList gets the objects and the revision of the store at the time of the list.
 	onList   func(l []store.Object, asOf store.Rev)
 	onChange func(store.Change)
-	// onUnreachable is called when the store cannot be reached.
-	onUnreachable func()
+	// onUnreachable is called when the store cannot be reached, and onRestored before the first list after a restore from
+	// an older copy.
+	onUnreachable, onRestored func()
 }
 
 // followKind lists the objects of a kind and watches them, repeatedly until ctx ends.
 func (r *Router) followKind(ctx context.Context, h kindHandler) error {
-	wait, down, downSince := minStoreRetry, false, time.Now()
+	wait, down, downSince, last, lost := minStoreRetry, false, time.Now(), store.Rev(""), time.Time{}
 	for ctx.Err() == nil {
 		objects, rev, err := r.store.List(ctx, h.kind)
 		if err == nil {
@@ -42,6 +43,13 @@
 				down, wait = false, minStoreRetry
 				r.log.Log(event.StoreUp, "sort", h.kind, "objects", len(objects), "rev", rev, "away", time.Since(downSince))
 			}
+			if store.Restored(last, rev) {
+				r.log.Log(event.StoreRestored, "sort", h.kind, "before", last, "rev", rev, "objects", len(objects))
+				if h.onRestored != nil {
+					h.onRestored()
+				}
+			}
+			last = rev
 			h.onList(objects, rev)
 			err = r.watchKind(ctx, h, rev)
 		}
@@ -52,6 +60,10 @@
 			continue
 		case errors.Is(err, store.ErrRevTooOld):
 			r.log.Log(event.StoreHistoryLost, "sort", h.kind, "rev", rev)
+			if time.Since(lost) < maxStoreRetry {
+				pause(ctx, minStoreRetry)
+			}
+			lost = time.Now()
 			continue
 		case err == nil:
 			continue
@@ -213,6 +225,12 @@
 			defer r.mu.Unlock()
 			r.fleet.StoreUnreachable()
 		},
+		onRestored: func() {
+			select {
+			case r.storeRestored <- struct{}{}:
+			default: // an earlier one is still to be handled
+			}
+		},
 	}
 }
 
@@ -310,6 +328,9 @@
 	return kindHandler{
 		kind: RouterKind,
 		onList: func(l []store.Object, _ store.Rev) {
+			r.mu.Lock()
+			r.ownAddress = ""
+			r.mu.Unlock()
 			for _, o := range l {
 				put(o)
 			}
@@ -318,9 +339,10 @@
 			r.routersListed = true
 			r.assignCells(time.Now())
 			select {
-			case r.registered <- r.ownAddress == r.cfg.Heartbeat:
-			default: // register has read an earlier value
+			case <-r.registered: // of an earlier list
+			default:
 			}
+			r.registered <- r.ownAddress == r.cfg.Heartbeat
 		},
 		onChange: func(c store.Change) {
 			if !c.Deleted {
