Store: one unreadable entry no longer hides the others

Operators of similar systems: another writer left one odd entry among those of the targets; routers that read the list ended again and again, or stopped following it.

Cause: names.Store decoded a whole reply at once, so one entry failed the list or the watch, and a router that starts then never gets a list.

One that cannot be decoded keeps its name if that can be read, has no content, and is logged and left out by who reads it.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -49,6 +49,7 @@
 	TargetMissing         ID = 508
 	TargetRate            ID = 509
 	TargetRateEnded       ID = 510
+	ChangeUnreadable      ID = 511
 	RolloutShareChanged   ID = 601
 	VersionJudgedBad      ID = 602
 	RolloutConcluded      ID = 603
@@ -105,6 +106,7 @@
 	{TargetMissing, log.InfoLevel, "registration of a target was removed without notice"},
 	{TargetRate, log.InfoLevel, "target states a rate"},
 	{TargetRateEnded, log.InfoLevel, "target states no rate any more"},
+	{ChangeUnreadable, log.WarnLevel, "change of an object cannot be read"},
 	{RolloutShareChanged, log.InfoLevel, "move changed its share"},
 	{VersionJudgedBad, log.WarnLevel, "version judged bad"},
 	{RolloutConcluded, log.InfoLevel, "move ended"},
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -24,6 +24,8 @@
 	// ErrRevTooOld means that the version to watch from is too old; list again and watch from the version of
 	// the list.
 	ErrRevTooOld = errors.New("version to watch from is too old")
+	// ErrUnreadable means that an object changed of which not even the name can be read; list again.
+	ErrUnreadable = errors.New("changed object cannot be read")
 )
 
 // Rev is an opaque version of an object.
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -396,10 +397,13 @@
 		r.ownAddress = g.Address
 		return nil
 	}
-	addr, err := net.ResolveUDPAddr("udp4", g.Address)
+	addr, err := netip.ParseAddrPort(g.Address) // a name would be looked up while r.mu is held
 	if err != nil {
 		return err
 	}
+	if o.Name == "" || addr.Port() == 0 || !addr.Addr().Is4() {
+		return errors.Errorf("%.100q is not an IPv4 address with a port, or the name is missing", g.Address)
+	}
 	id := ident.ProcessID(o.Name)
 	p, ok := r.peers[id]
 	if !ok {
@@ -408,7 +412,7 @@
 		r.peers[id] = p
 		r.cellPeers++ // until the cells are next computed
 	}
-	p.addr, p.rev = addr, o.Rev
+	p.addr, p.rev = net.UDPAddrFromAddrPort(addr), o.Rev
 	return nil
 }
 
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -57,8 +57,7 @@
 	defer r.mu.Unlock()
 	clear(r.targetObjects)
 	for _, o := range l {
-		r.targetObjects[o.Name] = o
-		r.recordTargetRev(o.Rev)
+		r.keepTargetObject(o)
 	}
 	r.reportWrongClaims(asOf)
 }
@@ -67,12 +66,21 @@
 func (r *Router) updateTargetObject(c store.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordTargetRev(c.Object.Rev)
 	if c.Deleted {
+		r.recordTargetRev(c.Object.Rev)
 		delete(r.targetObjects, c.Object.Name)
 		return
 	}
-	r.targetObjects[c.Object.Name] = c.Object
+	r.keepTargetObject(c.Object)
+}
+
+// keepTargetObject keeps a registration for snapshots, unless not even its name could be read; r.mu is held.
+func (r *Router) keepTargetObject(o store.Object) {
+	if o.Name == "" {
+		return
+	}
+	r.recordTargetRev(o.Rev)
+	r.targetObjects[o.Name] = o
 }
 
 // serveSnapshot serves this router's snapshot to other routers.
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -50,6 +50,10 @@
 			return nil
 		case errors.Is(err, errWatchRestarted):
 			continue
+		case errors.Is(err, store.ErrUnreadable):
+			r.log.Log(event.ChangeUnreadable, "sort", h.kind, "rev", rev)
+			pause(ctx, maxStoreRetry)
+			continue
 		case errors.Is(err, store.ErrRevTooOld):
 			r.log.Log(event.StoreHistoryLost, "sort", h.kind, "rev", rev)
 			continue
