--- a/core/store/http.go
+++ b/core/store/http.go
@@ -101,9 +101,13 @@
 		if rev == "" {
 			rev = l.Meta.Rev
 		}
+		last := q.Continue
 		if q.Continue = l.Meta.Continue; q.Continue == "" {
 			return all, rev, nil
 		}
+		if q.Continue == last {
+			return nil, "", errors.Wrap(ErrUnavailable, "the list does not go on")
+		}
 	}
 }
 
@@ -165,7 +169,7 @@
 	if v == nil {
 		return nil
 	}
-	if err = json.Unmarshal(b, v); err != nil {
+	if err = decodeReply(b, v); err != nil {
 		return transportError(req, true, err)
 	}
 	return nil
--- a/core/vmlist/vmlist.go
+++ b/core/vmlist/vmlist.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/loose"
 )
 
 const (
@@ -108,12 +109,16 @@
 // address and port is dropped, because nothing can be sent to it, and an unknown state counts as leaving, because
 // a VM that gets no new requests does no harm.
 func parse(b []byte) (vms []VM, err error) {
-	var all []VM
-	if err = json.Unmarshal(b, &all); err != nil {
+	all, err := loose.Elements(b)
+	if err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	for _, v := range all {
-		if _, err := netip.ParseAddrPort(v.Address); err != nil || v.Name == "" {
+	for _, e := range all {
+		var v VM
+		if json.Unmarshal(e, &v) != nil || v.Name == "" {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(v.Address); err != nil || a.Port() == 0 {
 			continue
 		}
 		if v.State != Live {
