Refusals count only with the request's id, on a connection of its own

Operators of similar systems: a faulty target wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that a target had run, or such a request ran twice.

Cause, two ways here. A refusal without an id counted on any connection that was not used before, also one that was written before the request was read. And a request that was refused (421, or busy) can be sent once more to the same address, as another target is registered there or no target is untried: it went over the kept connection, with the same id, so a second copy of the first refusal was taken for the new answer while the target ran the request.

Ruled out by test: copies with the id of another request, or without one, at once or late, on a connection in use again; they are skipped.

A refusal now counts only if it carries the id of the request; one without is an answer of unknown outcome. A request without an id, and one that the address had before, gets a new connection. Sound targets echo the id, so their refusals are read as before.

--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -59,9 +59,9 @@
 
 func newConnPool() *connPool { return &connPool{idle: map[string][]*conn{}} }
 
-// get returns an open connection that was idle for less than maxIdle, or opens a new one.
+// get returns an open connection that was idle for less than maxIdle, or opens a new one; always if maxIdle is zero.
 func (c *connPool) get(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
-	for {
+	for maxIdle > 0 {
 		k := c.takeIdle(addr)
 		if k == nil {
 			break
@@ -242,6 +242,12 @@
 	return errors.New("connection holds only answers to other requests")
 }
 
+// refused reports whether the answer states that the request id has not run. Targets echo the id, so a statement
+// without it may be about any request.
+func (x *exchange) refused(id ident.RequestID) bool {
+	return (x.answer.NotRun || x.answer.Misdirected) && x.answer.ID == id
+}
+
 // release returns the connection to the pool if it can be reused, and closes it otherwise. complete is true if
 // the answer was read completely.
 func (c *connPool) release(x *exchange, complete bool) {
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +84,21 @@
 	// placements counts the attempts, runs those in which the request may have run; lastRun is the last of these.
 	placements, runs int
 	lastRun          *attempt
+	// addresses are those to which the request was sent.
+	addresses []string
+}
+
+// maxIdle returns the idle time up to which a connection to addr may be reused for the request. What an address that
+// had the request before wrote on its connections can be about that earlier send, with the same id; and only an id
+// tells an earlier answer from that to this request.
+func (p *progress) maxIdle(c *call, addr string) time.Duration {
+	switch {
+	case c.ID == "" || slices.Contains(p.addresses, addr):
+		return 0
+	case c.route.Repeatable():
+		return maxIdleRepeatable
+	}
+	return maxIdleUnsafe
 }
 
 // result returns the attempt that decides what the caller is told. A request that may have run earlier has not
@@ -197,10 +213,8 @@
 // was reserved because the target stalled.
 func (r *Router) tryTarget(ctx context.Context, w http.ResponseWriter, c *call, t fleet.Target, prog *progress) (a *attempt, next *decision) {
 	a = &attempt{target: t, sent: time.Now()}
-	maxIdle := maxIdleUnsafe
-	if c.route.Repeatable() {
-		maxIdle = maxIdleRepeatable
-	}
+	maxIdle := prog.maxIdle(c, t.Address)
+	prog.addresses = append(prog.addresses, t.Address)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stall := r.watchStall(c, t, prog, cancel)
@@ -215,7 +229,7 @@
 	complete := false
 	defer func() { r.conns.release(x, complete) }()
 	switch {
-	case x.answer.NotRun || x.answer.Misdirected:
+	case x.refused(c.ID):
 		a.result, a.outcome.Full, a.outcome.Replaced = notRun, !x.answer.Misdirected, x.answer.Misdirected
 		a.err = errors.Errorf("status %d, not run", x.StatusCode)
 		n, err := io.Copy(io.Discard, io.LimitReader(x.Body, refusalBodyMax))
