Streams that broke off go on only with their rest

Operators of similar systems: a stream had begun and broke off, and the next target answered with an error; callers found the error's text in the middle of their stream, or the stream ended as if it were complete.

Cause: once a stream had begun, any other answer of the next target than a 2xx was buffered and, if it was a 3xx or 4xx, written into the stream, which then ended as complete. A 2xx without events did the same: text, a 204, an empty answer, events in another encoding, or all events once more from the first. A stream without ids was sent again from its start.

What follows must now have the status, media type and encoding of the beginning, at least one event, an id beyond the last one, and end with the end of an event. Anything else counts as a lost answer: the next target is tried within attempts and budget, or the connection breaks off. A stream whose events have no ids is not sent again.

--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -78,6 +78,8 @@
 // progress is the part of the answer that was forwarded to the caller, and what became of earlier attempts.
 type progress struct {
 	started bool
+	// format is that of the first target's answer; it is set once started is true.
+	format answerFormat
 	// lastID is the id of the last event that was forwarded.
 	lastID string
 	events int
@@ -88,6 +90,9 @@
 	addresses []string
 }
 
+// resumable reports whether another target can be told where to go on. It cannot after events without an id.
+func (p *progress) resumable() bool { return p.events == 0 || p.lastID != "" }
+
 // maxIdle returns the idle time up to which a connection to addr may be reused for the request. What an address that
 // had the request before wrote on its connections can be about that earlier send, with the same id; and only an id
 // tells an earlier answer from that to this request.
@@ -142,8 +147,8 @@
 		r.recordOutcome(c.service, d.target.ID, c.job, a.outcome)
 		r.recordEvidence(c, a)
 		c.job.Canary = false // a retry goes to a version that is in use
-		if next != nil && a.result != answerLost {
-			r.releasePlacement(c, *next) // the answer ended after all
+		if next != nil && (a.result != answerLost || !prog.resumable()) {
+			r.releasePlacement(c, *next) // the answer ended after all, or nothing can follow it
 			next = nil
 		}
 		if a.result == delivered || a.result == abandoned {
@@ -168,7 +173,7 @@
 // mayRetry decides whether the request is sent to one more target.
 func (r *Router) mayRetry(c *call, a *attempt, prog *progress) bool {
 	now := time.Now()
-	if prog.placements >= placementsMax || !now.Before(c.deadline) || r.closing.Load() && a.result == notRun && prog.runs == 0 {
+	if prog.placements >= placementsMax || !prog.resumable() || !now.Before(c.deadline) || r.closing.Load() && a.result == notRun && prog.runs == 0 {
 		return false
 	}
 	if a.result != notRun && (!c.route.Repeatable() || prog.runs >= c.route.Attempts) {
@@ -234,6 +239,9 @@
 		a.err = errors.Errorf("status %d, not run", x.StatusCode)
 		n, err := io.Copy(io.Discard, io.LimitReader(x.Body, refusalBodyMax))
 		complete = err == nil && n < refusalBodyMax
+	case prog.started && x.format() != prog.format:
+		a.result, a.outcome.Failed = answerLost, true
+		a.err = errors.Errorf("status %d with content type %.100q is not the rest of the stream", x.StatusCode, x.Header.Get("Content-Type"))
 	case c.route.Kind == route.Stream && x.StatusCode/100 == 2:
 		complete = r.streamAnswer(ctx, w, c, a, x, prog, stall)
 	default:
@@ -300,11 +308,16 @@
 func (r *Router) streamAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, x *exchange, prog *progress, stall *stallWatch) (complete bool) {
 	rc := http.NewResponseController(w)
 	e := newEventReader(x.Body)
+	rest, after := prog.started, prog.lastID
 	var firstAt, lastAt time.Time
 	for {
 		b, isEvent, err := e.next()
-		if err == io.EOF && !x.framed() && (len(b) > 0 || e.count == 0) {
-			err = io.ErrUnexpectedEOF // without framing, only the end of an event can be the end of the stream
+		switch {
+		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.count == 0):
+			// Without framing, and for the rest of a stream, only the end of an event can be the end of the stream.
+			err = io.ErrUnexpectedEOF
+		case err == nil && isEvent && rest && !follows(e.lastID, after):
+			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.lastID, after)
 		}
 		if err != nil && err != io.EOF {
 			a.setError(ctx, err)
@@ -326,13 +339,15 @@
 			}
 		}
 		if !prog.started {
-			prog.started = true
+			prog.started, prog.format = true, x.format()
 			r.writeHead(w, c, x.StatusCode, x.Header)
 		}
 		_, werr := w.Write(b)
 		if err == nil && isEvent {
 			prog.events++
-			prog.lastID = e.lastID
+			if prog.lastID = e.lastID; !prog.resumable() {
+				stall.stop()
+			}
 		}
 		if werr == nil && !e.hasBuffered() {
 			werr = rc.Flush()
