Verdicts of moves tell the counts that they were made from

What operators saw: a verdict in the log named the version only, and one that an agent computed from the shared evidence was in no log at all.

Cause: 602 logged the key of the entry; agents logged nothing for verdicts other than those on consecutive failures.

602 now has reason, route, class, score and, for the newest eight spans, the slow answers or failures of all answers of both versions and the sum after the span, at whichever process judged. A failed proof test prints these lines in full.

--- a/agent/node/rollout.go
+++ b/agent/node/rollout.go
@@ -54,6 +54,10 @@
 	for _, a := range acts {
 		if p, ok := a.(moves.PublishEntry); ok {
 			c.gossipTable.Set(now, p.Kind, p.Key, p.Value)
+			if p.Kind == facts.KindBadVersion {
+				v := moves.DecodeVerdict(p.Value)
+				c.log(event.VersionJudgedBad, "key", p.Key, "reason", string(v.Reason), "route", v.Route, "class", v.Class, "score", v.Score, "counts", v.Counts)
+			}
 		}
 	}
 }
--- a/core/moves/conclusion.go
+++ b/core/moves/conclusion.go
@@ -86,6 +86,9 @@
 	Route    ident.Route `json:"route,omitempty"`
 	Class    ident.Class `json:"class,omitempty"`
 	JudgedAt time.Time   `json:"at"`
+	// Score and Counts are those of the judgement; empty when an agent judged by its own outcomes.
+	Score  float64 `json:"score,omitempty"`
+	Counts string  `json:"counts,omitempty"`
 }
 
 // Encode returns the value of v.
--- a/core/moves/epoch.go
+++ b/core/moves/epoch.go
@@ -43,3 +43,6 @@
 
 // duration returns the length of a span; zero for the span before the coarse spans.
 func (s span) duration() time.Duration { return time.Duration(s.Len) * EpochLen }
+
+// startTime returns the start of a span; 1970 for the span before the coarse spans.
+func (s span) startTime() time.Time { return time.Unix(0, int64(s.Start)*int64(EpochLen)) }
--- a/core/moves/machine.go
+++ b/core/moves/machine.go
@@ -121,7 +121,7 @@
 		m.judgement, m.judgementStale = Judge(m.evidence, m.judgeConfig()), false
 	}
 	if m.judgement.Bad && m.verdict == nil {
-		v := Verdict{Reason: m.judgement.Reason, Route: m.judgement.Route, Class: m.judgement.Class, JudgedAt: now}
+		v := Verdict{Reason: m.judgement.Reason, Route: m.judgement.Route, Class: m.judgement.Class, JudgedAt: now, Score: m.judgement.Score, Counts: m.judgement.Counts}
 		m.verdict = &v
 		out = append(out, PublishEntry{Kind: facts.KindBadVersion, Key: BadVersionKey(m.rollout.Service, m.rollout.To), Value: v.Encode()})
 	}
--- a/core/moves/stage.go
+++ b/core/moves/stage.go
@@ -69,6 +69,8 @@
 	Reason Reason
 	Route  ident.Route
 	Class  ident.Class
+	// Counts holds the counts behind Bad by span, as text for the log.
+	Counts string
 	// Score is the highest current sum of the test over all routes and classes, see alarmThreshold; the version is
 	// bad from that on.
 	Score float64
@@ -94,6 +96,7 @@
 	j.Score, reason, at = ev.worstScore()
 	if j.Score >= alarmThreshold {
 		j.Bad, j.Reason, j.Route, j.Class = true, reason, at.route, at.class
+		j.Counts = ev.describe(reason, at)
 		return j
 	}
 	full := len(ev.routes()) > 0
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -1,6 +1,11 @@
 package moves
 
-import "math"
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
 
 // The test for a bad version is a cumulative sum (CUSUM) of log likelihood ratios per route and class, with one
 // step per span. Given the events (failures or slow answers) of both versions in a span, the number on the new
@@ -156,6 +161,26 @@
 	}
 }
 
+// describedSpans is the number of newest spans in the text of describe, which is part of a gossip entry.
+const describedSpans = 8
+
+// describe returns the newest spans of the score of a route and class as text, the oldest first: the start of the span
+// (UTC), events of observations at the old and at the new version, and the sum after the span.
+func (ev *Evidence) describe(reason Reason, k routeClass) string {
+	all, uncontrolledMax := ev.failureEvents(k), float64(alarmThreshold)
+	if reason == ReasonSlow {
+		all, uncontrolledMax = ev.slowEvents(k), uncontrolledStepMax
+	}
+	sums := cumulativeSums(all, uncontrolledMax)
+	var out []string
+	for i, s := range ev.spans(k) {
+		if e := all[i]; i >= len(all)-describedSpans {
+			out = append(out, fmt.Sprintf("%s %.0f/%.0f %.0f/%.0f %.1f", s.startTime().UTC().Format(time.TimeOnly), e.oldX, e.oldN, e.newX, e.newN, sums[i]))
+		}
+	}
+	return strings.Join(out, "; ")
+}
+
 // worstScore returns the highest score over all routes and classes, and its cause. Slowness is compared only
 // within one hardware class, as classes differ in speed.
 func (ev *Evidence) worstScore() (worst float64, reason Reason, at routeClass) {
--- a/proof/deployment_test.go
+++ b/proof/deployment_test.go
@@ -167,6 +167,11 @@
 		b, _ := os.ReadFile(p.log)
 		if p.program != "standin" {
 			s.t.Logf("%s:\n%s", p.name, b[max(0, len(b)-logTailBytes):])
+			for line := range strings.Lines(string(b)) {
+				if strings.Contains(line, " event=602 ") {
+					s.t.Logf("verdict at %s: %s", p.name, line)
+				}
+			}
 		}
 	}
 }
--- a/router/entry/rollouts.go
+++ b/router/entry/rollouts.go
@@ -51,7 +51,8 @@
 		case moves.PublishEntry:
 			c.gossipTable.Set(now, a.Kind, a.Key, a.Value)
 			if a.Kind == facts.KindBadVersion {
-				c.log(event.VersionJudgedBad, "key", a.Key)
+				v := moves.DecodeVerdict(a.Value)
+				c.log(event.VersionJudgedBad, "key", a.Key, "reason", string(v.Reason), "route", v.Route, "class", v.Class, "score", v.Score, "counts", v.Counts)
 			}
 		case moves.RecordConclusion:
 			c.log(event.RolloutConcluded, "move", a.Conclusion.Rollout, "state", string(a.Conclusion.State), "reason", string(a.Conclusion.Reason))
