Requests from before the full share do not count as comparison

What callers saw: a good version was rolled back as "slow", and the move had to be repeated. Seen once in TestGoodVersionCompletesRollout, 69 s after the start, in both deployments of one machine at once.

Cause: versions are compared within epochs of 20 s, but the share changes within an epoch, a few seconds after its start. In the epoch in which the share became full, the old version's answers are from its first seconds only. Five of them, and one in fifty, sufficed as comparison, so that anything that slowed the machine down later in the epoch counted against the new version alone: 1.5 times slower for 8 s is enough (3/123 slow answers of the old version, 208/1012 of the new one, sum 14.6).

An epoch in which the new version got more than 0.6 of a route's requests now counts as one without comparison, as all later ones at the full share do. Failures are judged as before.

Ruled out: telling these epochs by replaying the stages. The successes that a stage needs grow with the measured rate, so that a replay comes to another stage than the one that was in force (tried; the test failed at an offset of 15 s).

TestBusyMachineAfterFullShareIsNotBlamed replays the pattern in virtual time and failed before at once (offset 0, twice as slow from 64 s: rolled back after 68 s). A version that turns slow within that epoch is found at the next one: 21 s instead of 3 s after it turned slow, in TestSlowVersionIsRolledBackAtAnyShare.

--- a/core/moves/evidence.go
+++ b/core/moves/evidence.go
@@ -21,6 +21,8 @@
 
 func (p versionPair) requests() float64 { return float64(p.old.Requests + p.new.Requests) }
 
+func (p versionPair) newShare() float64 { return float64(p.new.Requests) / max(p.requests(), 1) }
+
 // Evidence is the merged evidence of a rollout. It is a pure function of the set of gossip entries.
 type Evidence struct {
 	// startedUnix is the earliest start of the rollout that an agent saw, in Unix seconds; zero without evidence.
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -29,8 +29,11 @@
 	controlRequestsMin = 5
 	// controlFractionMin is the same bound as a fraction of the new version's requests in the span.
 	controlFractionMin = 0.02
-	rateMarginFactor   = 2
-	rateMarginAdded    = 0.02
+	// aloneShareMin is the share of the new version in a route's requests of a span above which it was alone in a part of
+	// it: more than the share of StageHalf, and by more than chance at most routes.
+	aloneShareMin    = 0.6
+	rateMarginFactor = 2
+	rateMarginAdded  = 0.02
 )
 
 // unevenMarginBins raises the bin from which an answer is slow in spans without enough requests of the old version
@@ -46,11 +49,17 @@
 var oddsRatios = []float64{4, 12, 40}
 
 // events are the observations (oldN, newN) and the events among them (oldX, newX) of both versions in one span.
-type events struct{ oldN, oldX, newN, newX float64 }
+type events struct {
+	oldN, oldX, newN, newX float64
+	// alone is true when the new version got all requests in a part of the span: those of the old version ran before, and
+	// tell nothing about that part.
+	alone bool
+}
 
-// hasControl reports whether the old version had enough requests in the span to compare with.
+// hasControl reports whether the old version had enough requests in the span to compare with, at the same time as the
+// new one.
 func (e events) hasControl() bool {
-	return e.oldN >= max(controlRequestsMin, controlFractionMin*e.newN)
+	return !e.alone && e.oldN >= max(controlRequestsMin, controlFractionMin*e.newN)
 }
 
 // logLikelihoodRatio returns the log likelihood ratio of one span for the odds ratio theta. base is the event rate
@@ -124,8 +133,8 @@
 	for _, s := range ev.spans(k) {
 		p := ev.pairs[k][s]
 		all = append(all, events{
-			float64(p.old.Requests), float64(p.old.Failures),
-			float64(p.new.Requests), float64(p.new.Failures),
+			oldN: float64(p.old.Requests), oldX: float64(p.old.Failures),
+			newN: float64(p.new.Requests), newX: float64(p.new.Failures),
 		})
 	}
 	return all
@@ -145,9 +154,11 @@
 	}
 	for _, s := range ev.spans(k) {
 		e := ev.pairs[k][s].slowEvents(bin)
-		if ev.uneven || !e.hasControl() {
+		alone := !ev.uneven && ev.pairs[routeClass{route: k.route}][s].newShare() > aloneShareMin
+		if ev.uneven || alone || !e.hasControl() {
 			e = ev.pairs[k][s].slowEvents(min(bin+unevenMarginBins, binCount-1))
 		}
+		e.alone = alone
 		all = append(all, e)
 	}
 	return all
@@ -156,8 +167,8 @@
 // slowEvents returns the answers of both versions as observations, and those in or above a bin as events.
 func (p *versionPair) slowEvents(bin int) events {
 	return events{
-		float64(p.old.countFrom(0)), float64(p.old.countFrom(bin)),
-		float64(p.new.countFrom(0)), float64(p.new.countFrom(bin)),
+		oldN: float64(p.old.countFrom(0)), oldX: float64(p.old.countFrom(bin)),
+		newN: float64(p.new.countFrom(0)), newX: float64(p.new.countFrom(bin)),
 	}
 }
 
