The first answers of an epoch do not condemn a version alone

Cause: a stall in which fewer than half of an epoch's answers are slow adds at most 8 of 14 (TestOneStallIsNotBlamedOnNewVersion). The epoch that is running was taken for a whole one, though, and the first answers after a stall are all slow: 17 of 19 made a sum of 39.

In the running epoch, slow answers without comparison now add their part of that limit until a quarter of an epoch's usual answers is in, and a majority counts from then on.

TestStallAtStartOfEpochIsNotBlamed failed before (2 s, five times slower, at the start of an epoch: rolled back 2 s later).

Not mended: a machine that is slow for most of an epoch, or in two running ones, at the full share looks like a slow version. Only a share for the old version would tell.

--- a/core/moves/share_test.go
+++ b/core/moves/share_test.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// Guards against rolling back a good version as slow because its first answers of an epoch came out of a stall.
+func TestStallAtStartOfEpochIsNotBlamed(t *testing.T) {
+	for _, offset := range []time.Duration{0, 5 * time.Second, 10 * time.Second, 15 * time.Second} {
+		for from := 60 * time.Second; from < 72*time.Second; from += time.Second {
+			c := oneMachine{offset, slowBetween(from, 2*time.Second, 5)}
+			conclusion, at, judgement := c.run(2)
+			NewWithT(t).Expect(conclusion.State).To(Equal(moves.Done), "offset %v, stall at %v: %s after %v: %s",
+				offset, from, conclusion.Reason, at, judgement.Counts)
+		}
+	}
+}
+
 // Guards against a slow version that is not rolled back, or completed, because of the rules for busy machines.
 func TestSlowVersionIsRolledBackAtAnyShare(t *testing.T) {
 	for _, from := range []time.Duration{0, 25 * time.Second, 45 * time.Second, 55 * time.Second} {
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -54,6 +54,9 @@
 	// alone is true when the new version got all requests in a part of the span: those of the old version ran before, and
 	// tell nothing about that part.
 	alone bool
+	// usualN is the mean number of observations of both versions in earlier epochs if the span is still running, and zero
+	// otherwise.
+	usualN float64
 }
 
 // hasControl reports whether the old version had enough requests in the span to compare with, at the same time as the
@@ -62,6 +65,16 @@
 	return !e.alone && e.oldN >= max(controlRequestsMin, controlFractionMin*e.newN)
 }
 
+// stepMax returns the most that the span may add to a sum, if uncontrolledMax is the most without control. In a running
+// span that is less until it has runningFractionMin of its usual answers: the first ones after a stall are all slow.
+func (e events) stepMax(uncontrolledMax float64) float64 {
+	known := min(1, e.newN/max(1, runningFractionMin*e.usualN))
+	if e.hasControl() || known == 1 && e.newX >= slowMajority*e.newN {
+		return math.Inf(1)
+	}
+	return uncontrolledMax * known
+}
+
 // logLikelihoodRatio returns the log likelihood ratio of one span for the odds ratio theta. base is the event rate
 // of the old version over all spans.
 func logLikelihoodRatio(e events, theta, base float64) float64 {
@@ -92,6 +105,7 @@
 const (
 	uncontrolledStepMax = 8
 	slowMajority        = 0.5
+	runningFractionMin  = 0.25
 )
 
 // cumulativeSums returns the highest cumulative sum over the odds ratios after each span. A span without enough
@@ -107,11 +121,7 @@
 		sum := 0.0
 		for i, e := range all {
 			if sum < alarmThreshold {
-				step := logLikelihoodRatio(e, theta, base)
-				if !e.hasControl() && e.newX < slowMajority*e.newN {
-					step = min(step, uncontrolledMax)
-				}
-				sum = max(0, sum+step)
+				sum = max(0, sum+min(logLikelihoodRatio(e, theta, base), e.stepMax(uncontrolledMax)))
 			}
 			out[i] = max(out[i], sum)
 		}
@@ -152,6 +162,7 @@
 	for bin > 0 && float64(t.old.countFrom(bin-1)) <= slowFraction*float64(answers) {
 		bin--
 	}
+	usual := ev.usualAnswers(k)
 	for _, s := range ev.spans(k) {
 		e := ev.pairs[k][s].slowEvents(bin)
 		alone := !ev.uneven && ev.pairs[routeClass{route: k.route}][s].newShare() > aloneShareMin
@@ -159,11 +170,25 @@
 			e = ev.pairs[k][s].slowEvents(min(bin+unevenMarginBins, binCount-1))
 		}
 		e.alone = alone
+		if s.Start == ev.newest {
+			e.usualN = usual
+		}
 		all = append(all, e)
 	}
 	return all
 }
 
+// usualAnswers returns the mean number of answers of both versions per epoch in ended spans, zero if there are none.
+func (ev *Evidence) usualAnswers(k routeClass) float64 {
+	n, epochs := 0.0, 0.0
+	for s, p := range ev.pairs[k] {
+		if s.Start != ev.newest && s.Len > 0 {
+			n, epochs = n+float64(p.old.countFrom(0)+p.new.countFrom(0)), epochs+float64(s.Len)
+		}
+	}
+	return n / max(epochs, 1)
+}
+
 // slowEvents returns the answers of both versions as observations, and those in or above a bin as events.
 func (p *versionPair) slowEvents(bin int) events {
 	return events{
