--- a/core/moves/share_test.go
+++ b/core/moves/share_test.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// Guards against rolling back a good version as slow because its agents reported slow seconds of the machine before those
+// of the old version did.
+func TestSlowSecondsReportedFirstAreNotBlamed(t *testing.T) {
+	for _, offset := range []time.Duration{0, 5 * time.Second, 10 * time.Second, 15 * time.Second} {
+		for seed := uint64(2600); seed < 2608; seed++ {
+			c := oneMachine{offset, slowBetween(26300*time.Millisecond, 2*time.Second, 2)}
+			conclusion, at, judgement := c.run(seed)
+			NewWithT(t).Expect(conclusion.State).To(Equal(moves.Done), "offset %v, seed %d: %s after %v: %s",
+				offset, seed, conclusion.Reason, at, judgement.Counts)
+		}
+	}
+}
+
 // Guards against a slow version that is not rolled back, or completed, because of the rules for busy machines.
 func TestSlowVersionIsRolledBackAtAnyShare(t *testing.T) {
 	for _, from := range []time.Duration{0, 25 * time.Second, 45 * time.Second, 55 * time.Second} {
