--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -1,6 +1,11 @@
 package moves
 
-import "math"
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
 
 // The test for a bad version is a cumulative sum (CUSUM) of log likelihood ratios per route and class, with one
 // step per span. Given the events (failures or slow answers) of both versions in a span, the number on the new
@@ -24,8 +29,11 @@
 	controlRequestsMin = 5
 	// controlFractionMin is the same bound as a fraction of the new version's requests in the span.
 	controlFractionMin = 0.02
-	rateMarginFactor   = 2
-	rateMarginAdded    = 0.02
+	// aloneShareMin is the share of the new version in a route's requests of a span above which it was alone in a part of
+	// it: more than the share of StageHalf, and by more than chance at most routes.
+	aloneShareMin    = 0.6
+	rateMarginFactor = 2
+	rateMarginAdded  = 0.02
 )
 
 // unevenMarginBins raises the bin from which an answer is slow in spans without enough requests of the old version
@@ -41,11 +49,30 @@
 var oddsRatios = []float64{4, 12, 40}
 
 // events are the observations (oldN, newN) and the events among them (oldX, newX) of both versions in one span.
-type events struct{ oldN, oldX, newN, newX float64 }
+type events struct {
+	oldN, oldX, newN, newX float64
+	// alone is true when the new version got all requests in a part of the span: those of the old version ran before, and
+	// tell nothing about that part.
+	alone bool
+	// usualN is the mean number of observations of both versions in earlier epochs if the span is still running, and zero
+	// otherwise.
+	usualN float64
+}
 
-// hasControl reports whether the old version had enough requests in the span to compare with.
+// hasControl reports whether the old version had enough requests in the span to compare with, at the same time as the
+// new one.
 func (e events) hasControl() bool {
-	return e.oldN >= max(controlRequestsMin, controlFractionMin*e.newN)
+	return !e.alone && e.oldN >= max(controlRequestsMin, controlFractionMin*e.newN)
+}
+
+// stepMax returns the most that the span may add to a sum, if uncontrolledMax is the most without control. In a running
+// span that is less until it has runningFractionMin of its usual answers: the first ones after a stall are all slow.
+func (e events) stepMax(uncontrolledMax float64) float64 {
+	known := min(1, e.newN/max(1, runningFractionMin*e.usualN))
+	if e.hasControl() || known == 1 && e.newX >= slowMajority*e.newN {
+		return math.Inf(1)
+	}
+	return uncontrolledMax * known
 }
 
 // logLikelihoodRatio returns the log likelihood ratio of one span for the odds ratio theta. base is the event rate
@@ -78,6 +105,7 @@
 const (
 	uncontrolledStepMax = 8
 	slowMajority        = 0.5
+	runningFractionMin  = 0.25
 )
 
 // cumulativeSums returns the highest cumulative sum over the odds ratios after each span. A span without enough
@@ -93,11 +121,7 @@
 		sum := 0.0
 		for i, e := range all {
 			if sum < alarmThreshold {
-				step := logLikelihoodRatio(e, theta, base)
-				if !e.hasControl() && e.newX < slowMajority*e.newN {
-					step = min(step, uncontrolledMax)
-				}
-				sum = max(0, sum+step)
+				sum = max(0, sum+min(logLikelihoodRatio(e, theta, base), e.stepMax(uncontrolledMax)))
 			}
 			out[i] = max(out[i], sum)
 		}
@@ -119,8 +143,8 @@
 	for _, s := range ev.spans(k) {
 		p := ev.pairs[k][s]
 		all = append(all, events{
-			float64(p.old.Requests), float64(p.old.Failures),
-			float64(p.new.Requests), float64(p.new.Failures),
+			oldN: float64(p.old.Requests), oldX: float64(p.old.Failures),
+			newN: float64(p.new.Requests), newX: float64(p.new.Failures),
 		})
 	}
 	return all
@@ -138,22 +162,59 @@
 	for bin > 0 && float64(t.old.countFrom(bin-1)) <= slowFraction*float64(answers) {
 		bin--
 	}
+	usual := ev.usualAnswers(k)
 	for _, s := range ev.spans(k) {
 		e := ev.pairs[k][s].slowEvents(bin)
-		if ev.uneven || !e.hasControl() {
+		alone := !ev.uneven && ev.pairs[routeClass{route: k.route}][s].newShare() > aloneShareMin
+		if ev.uneven || alone || !e.hasControl() {
 			e = ev.pairs[k][s].slowEvents(min(bin+unevenMarginBins, binCount-1))
 		}
+		e.alone = alone
+		if s.Start == ev.newest {
+			e.usualN = usual
+		}
 		all = append(all, e)
 	}
 	return all
 }
 
+// usualAnswers returns the mean number of answers of both versions per epoch in ended spans, zero if there are none.
+func (ev *Evidence) usualAnswers(k routeClass) float64 {
+	n, epochs := 0.0, 0.0
+	for s, p := range ev.pairs[k] {
+		if s.Start != ev.newest && s.Len > 0 {
+			n, epochs = n+float64(p.old.countFrom(0)+p.new.countFrom(0)), epochs+float64(s.Len)
+		}
+	}
+	return n / max(epochs, 1)
+}
+
 // slowEvents returns the answers of both versions as observations, and those in or above a bin as events.
 func (p *versionPair) slowEvents(bin int) events {
 	return events{
-		float64(p.old.countFrom(0)), float64(p.old.countFrom(bin)),
-		float64(p.new.countFrom(0)), float64(p.new.countFrom(bin)),
+		oldN: float64(p.old.countFrom(0)), oldX: float64(p.old.countFrom(bin)),
+		newN: float64(p.new.countFrom(0)), newX: float64(p.new.countFrom(bin)),
+	}
+}
+
+// describedSpans is the number of newest spans in the text of describe, which is part of a gossip entry.
+const describedSpans = 8
+
+// describe returns the newest spans of the score of a route and class as text, the oldest first: the start of the span
+// (UTC), events of observations at the old and at the new version, and the sum after the span.
+func (ev *Evidence) describe(reason Reason, k routeClass) string {
+	all, uncontrolledMax := ev.failureEvents(k), float64(alarmThreshold)
+	if reason == ReasonSlow {
+		all, uncontrolledMax = ev.slowEvents(k), uncontrolledStepMax
+	}
+	sums := cumulativeSums(all, uncontrolledMax)
+	var out []string
+	for i, s := range ev.spans(k) {
+		if e := all[i]; i >= len(all)-describedSpans {
+			out = append(out, fmt.Sprintf("%s %.0f/%.0f %.0f/%.0f %.1f", s.startTime().UTC().Format(time.TimeOnly), e.oldX, e.oldN, e.newX, e.newN, sums[i]))
+		}
 	}
+	return strings.Join(out, "; ")
 }
 
 // worstScore returns the highest score over all routes and classes, and its cause. Slowness is compared only
