LOST: a silent target is left only with a retry in reserve

Callers saw: a stream whose target pauses for two seconds and goes on is cut. Cause: the router leaves a silent target for one that has a free slot as soon as the retry budget has room for one retry. If that target refuses the request and the budget has no further retry, the begun answer is aborted, though its first target was sound.

Two retries are reserved before the target is left; the one that is not used is given back. Two refusals in a row with a spent budget still cut the answer.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -87,6 +87,30 @@
 	return b.delay(attempt), true
 }
 
+// Reserve counts n retries if the budget has room for all of them, and reports whether it has. Return gives back those
+// that are not used.
+func (b *Budget) Reserve(now time.Time, n int) bool {
+	b.advance(now)
+	free := b.lastRetryAt.IsZero() || now.Sub(b.lastRetryAt) >= FreeRetryInterval
+	counted := n
+	if free {
+		counted--
+	}
+	if counted > 0 && float64(sum(b.retries)+n) > b.ratio*float64(sum(b.requests))+b.extra {
+		return false
+	}
+	b.lastRetryAt = now
+	b.retries[b.newest%slots] += n
+	return true
+}
+
+// Return gives back n retries that were reserved and not used. Those of earlier slots stay counted.
+func (b *Budget) Return(now time.Time, n int) {
+	b.advance(now)
+	s := &b.retries[b.newest%slots]
+	*s = max(*s-n, 0)
+}
+
 func (b *Budget) delay(attempt int) time.Duration {
 	d := b.baseDelay
 	for i := 1; i < attempt && d < b.maxDelay; i++ {
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -71,3 +71,15 @@
 	_, ok := b.Allow(now.Add(6*time.Second), 1)
 	g.Expect(ok).To(BeTrue(), "the period has passed")
 }
+
+// Guards against a reservation that exceeds the budget, and against reserved retries that stay charged.
+func TestReservedRetriesAreWithinTheBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := retry.New(rand.New(rand.NewPCG(1, 2)), retry.WithRetryRatio(0), retry.WithExtraRetries(3))
+	g.Expect(b.Reserve(t0, 2)).To(BeTrue())
+	g.Expect(b.Reserve(t0, 2)).To(BeFalse())
+	b.Return(t0, 1)
+	g.Expect(b.Reserve(t0, 2)).To(BeTrue())
+	g.Expect(b.Reserve(t0.Add(2*time.Second), 1)).To(BeTrue(), "one a second is free")
+	g.Expect(b.Reserve(t0.Add(4*time.Second), 2)).To(BeFalse(), "only one is free")
+}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -214,6 +214,8 @@
 	placement sched.Placement
 	target    fleet.Target
 	refusal   *sched.Refusal
+	// spareRetries are retries that were reserved in case the target refuses the request.
+	spareRetries int
 }
 
 // Option sets one property of a Router.
--- a/router/direct/faults_test.go
+++ b/router/direct/faults_test.go
@@ -365,3 +365,30 @@
 		e.g.Expect(unanswered).NotTo(HaveKey(r.Header.Get("X-Id")))
 	}
 }
+
+// Guards against a sound stream that is cut after a pause of its target, because the next target refuses it and the
+// retry budget is spent.
+func TestPausedStreamIsNotLeftWithoutRetries(t *testing.T) {
+	var n atomic.Int32
+	script := func(_ int, r *http.Request, c net.Conn) bool {
+		if n.Add(1) > 1 {
+			return writeAnswer(c, r, 503, "", "X-Refused", "1")
+		}
+		writeStreamHead(c, r)
+		writeChunk(c, streamEvent(1))
+		time.Sleep(2 * time.Second)
+		writeChunk(c, streamEvent(2))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	}
+	e := newEnv(t)
+	e.cfg.RetryRatio, e.cfg.ExtraRetries = 0, 0
+	for _, id := range []string{"t1", "t2"} {
+		e.registerTarget(startTarget(t, id, script), false)
+	}
+	e.runRouter(t, e.store)
+	e.setRouteTimeout(10 * time.Second)
+	a := e.request("POST", "/resume/", "p", "X-Left", "10000")
+	e.g.Expect(a.err).NotTo(HaveOccurred())
+	e.g.Expect(a.body).To(Equal(streamEvent(1) + streamEvent(2)))
+}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -205,12 +205,23 @@
 
 // allowRetry reports whether the retry budget allows to send a request again, and charges the retry to it.
 func (r *Router) allowRetry(now time.Time, s ident.Service) bool {
+	return r.reserveRetries(now, s, 1)
+}
+
+// reserveRetries reports whether the retry budget has room for n retries, and charges them to it.
+func (r *Router) reserveRetries(now time.Time, s ident.Service, n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.retryBudget(s)
 	b.SetExtraRetries(retryBudgetFraction * r.cfg.ExtraRetries / float64(r.routerCount(now)))
-	_, ok := b.Allow(now, 1)
-	return ok
+	return b.Reserve(now, n)
+}
+
+// returnRetries gives back retries that were reserved and not used.
+func (r *Router) returnRetries(s ident.Service, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryBudget(s).Return(time.Now(), n)
 }
 
 // retryBudget returns the retry budget of a service and creates it if needed; r.mu is held.
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -88,6 +88,8 @@
 	lastRun          *attempt
 	// addresses are those to which the request was sent.
 	addresses []string
+	// spareRetries are reserved retries for which the budget is not asked again.
+	spareRetries int
 }
 
 // resumable reports whether another target can be told where to go on. It cannot after events without an id.
@@ -123,6 +125,7 @@
 	r.countRequest(c.service)
 	c.job.Canary = r.assignCanary(c)
 	canary := c.job.Canary
+	defer func() { r.returnRetries(c.service, prog.spareRetries) }()
 	for {
 		c.job.AnswerStarted = prog.started
 		var d decision
@@ -144,6 +147,9 @@
 		r.logPlacement(c, d, prog.placements)
 		var a *attempt
 		a, next = r.tryTarget(ctx, w, c, d.target, &prog)
+		if next != nil {
+			prog.spareRetries += next.spareRetries
+		}
 		r.recordOutcome(c.service, d.target.ID, c.job, a.outcome)
 		r.recordEvidence(c, a)
 		c.job.Canary = false // a retry goes to a version that is in use
@@ -182,6 +188,10 @@
 	if errors.Is(a.err, errUnreachable) {
 		return true // nothing was sent, so it costs no retry budget
 	}
+	if a.result == notRun && prog.spareRetries > 0 {
+		prog.spareRetries--
+		return true
+	}
 	return r.allowRetry(now, c.service)
 }
 
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -13,8 +13,9 @@
 // When a request that may be repeated goes on at another target because its target is silent.
 //
 // Load pattern: targets that hang, or send bytes without ever completing an event, beside targets that are slow
-// because they are full. A silent target is left only for one that has a free slot now, as long as the route and the
-// retry budget allow one more run; otherwise the answer goes on however slow it is. Only complete events count as
+// because they are full. A silent target is left only for one that has a free slot now, as long as the route allows one
+// more run and the retry budget a further target in case that one refuses the request; otherwise the answer goes on
+// however slow it is. Only complete events count as
 // progress. A target that sends events of other requests is slow rather than stalled, and gets twice the time.
 
 const (
@@ -26,6 +27,8 @@
 	plainStallFactor = 1.5
 	// busyStallFactor lengthens the time if the target sends events of other requests.
 	busyStallFactor = 2
+	// spareRetries are the retries that are reserved beside the one to the next target.
+	spareRetries = 1
 	// stallRetry is the pause after which a stalled request looks for another target again.
 	stallRetry = 50 * time.Millisecond
 )
@@ -167,10 +170,11 @@
 	d.placement, ok = p.PlaceElsewhere(now, c.job, t.ID)
 	d.target = r.targets[d.placement.Target]
 	r.mu.Unlock()
-	if ok && !r.allowRetry(now, c.service) {
+	if ok && !r.reserveRetries(now, c.service, 1+spareRetries) {
 		r.releasePlacement(c, d)
 		return decision{}, false
 	}
+	d.spareRetries = spareRetries
 	return d, ok
 }
 
