CONFIG: a starting router compares its configuration with its peers' first

Callers would see: a router that starts while the store has come back from an older copy refuses routes that were added since, although its peers serve them. Cause: a router counted as ready with whatever the store had, and asked a peer with a newer configuration only 0.4 s later, a reachable peer with an old one before an unreachable one with the newest. Found in the review; the test of it did not start with the copy.

A router that starts waits until all registered routers have told their configurations, 0.5 s at most, and takes over a newer one before it is ready or refuses anything but with 503. A router that reads the targets itself asks the peer with the newest configuration.

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -59,6 +59,8 @@
 	switch {
 	case table == nil:
 		return withRetryAfter(fault.NotRunf(fault.Config, "no configuration is known yet"), time.Second)
+	case !r.joined.Load():
+		return withRetryAfter(fault.NotRunf(fault.Config, "the configuration is not compared with those of the other routers yet"), joinTime)
 	case r.closing.Load():
 		return withRetryAfter(fault.NotRunf(fault.Draining, "this process stops"), 10*time.Millisecond)
 	}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -122,6 +122,8 @@
 	conns       *connPool
 	answers     *answerBudget
 	table       atomic.Pointer[route.Table]
+	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
+	joined atomic.Bool
 	// targetsListed is true once the list of targets was read. A shutdown sets stopping first, then
 	// outOfRotation, when the load balancer sends no new connections as long as other routers are ready, then
 	// closing, after which all new requests are refused.
@@ -254,7 +256,7 @@
 
 // Ready reports whether the load balancer may send callers to this router.
 func (r *Router) Ready() bool {
-	return r.table.Load() != nil && r.targetsListed.Load() && !r.stopping.Load()
+	return r.table.Load() != nil && r.targetsListed.Load() && r.joined.Load() && !r.stopping.Load()
 }
 
 // logReady logs that the router is ready, the first time that it is.
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -24,6 +24,10 @@
 	relayInterval = 250 * time.Millisecond
 	// relayTimeout limits one request for a snapshot.
 	relayTimeout = 600 * time.Millisecond
+	// joinTime limits the time for which a router that starts waits for the other routers' configurations, and
+	// joinInterval is the interval at which it looks for them.
+	joinTime     = 500 * time.Millisecond
+	joinInterval = 20 * time.Millisecond
 	// lagMax is the time for which another router may have a newer configuration before it is asked for it.
 	// Normally the store delivers a change to all routers within some ten milliseconds of each other.
 	lagMax = 400 * time.Millisecond
@@ -111,6 +115,7 @@
 // late.
 func (r *Router) relaySnapshots(ctx context.Context) error {
 	client := sling.New().Client(&http.Client{Timeout: relayTimeout, Transport: boundedTransport{&http.Transport{DisableCompression: true, MaxResponseHeaderBytes: headerMax}}})
+	r.join(ctx, client)
 	var behindSince time.Time
 	for ctx.Err() == nil {
 		pause(ctx, relayInterval)
@@ -131,9 +136,42 @@
 	return nil
 }
 
+// join waits until all registered routers were heard, but not longer than joinTime, and takes over a configuration that
+// is newer than the store's: a store that was restored from an older copy may have an older one than routers that run.
+func (r *Router) join(ctx context.Context, client *sling.Sling) {
+	jctx, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	for jctx.Err() == nil {
+		pause(jctx, joinInterval)
+		now := time.Now()
+		if admin, newer := r.snapshotSource(now); newer {
+			if err := r.fetchSnapshot(jctx, client, admin); err != nil {
+				r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
+			}
+			continue
+		}
+		if r.table.Load() != nil && r.heardAll() {
+			break
+		}
+	}
+	r.joined.Store(true)
+	r.logReady()
+}
+
+// heardAll reports whether the routers were listed and each of them has told its configuration.
+func (r *Router) heardAll() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		if p.generation == 0 {
+			return false
+		}
+	}
+	return r.routersListed
+}
+
 // snapshotSource returns the admin address of the best router to ask, and whether that router has a newer
-// configuration. Routers that reach the store are preferred; otherwise a router that has a configuration can
-// still help a new process.
+// configuration. A router that has a configuration can help a new process also without the store.
 func (r *Router) snapshotSource(now time.Time) (admin string, newer bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -146,7 +184,7 @@
 		if !x.storeReachable && table != nil && r.targetsListed.Load() && x.generation <= table.Generation {
 			continue
 		}
-		if best == nil || x.storeReachable && !best.storeReachable || x.storeReachable == best.storeReachable && x.generation > best.generation {
+		if best == nil || r.betterSource(x, best) {
 			best = x
 		}
 	}
@@ -156,6 +194,15 @@
 	return best.admin, table == nil || best.generation > table.Generation
 }
 
+// betterSource reports whether a snapshot of x is better than one of y. A router that reads the targets from the store
+// itself needs the newest configuration only; r.mu is held.
+func (r *Router) betterSource(x, y *peer) bool {
+	if x.generation != y.generation && (r.storeReachable.Load() || x.storeReachable == y.storeReachable) {
+		return x.generation > y.generation
+	}
+	return x.storeReachable && !y.storeReachable
+}
+
 // fetchSnapshot reads the snapshot of another router and applies it as data that is older than the store's.
 func (r *Router) fetchSnapshot(ctx context.Context, client *sling.Sling, admin string) (err error) {
 	defer func() { err = errors.WithMessage(err, "read snapshot") }()
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -18,6 +18,7 @@
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/store/memory"
 	"hickoryvane.example/core/wire"
 	"hickoryvane.example/router/direct"
 )
@@ -243,11 +244,18 @@
 	e.g.Eventually(func() int { return e.request("GET", "/added/", "").code }, time.Second).Should(Equal(200))
 	e.restore(func() { e.store.Restore(c) })
 	e.awaitList()
-	other := startSecondRouter(t, e)
-	e.registerRouter(other)
+	other := &env{g: e.g, store: memory.New(), cfg: e.cfg, done: make(chan error, 1), log: &safeBuffer{}}
 	other.store.Restore(c)
-	other.store.SetOutage(false)
-	other.g.Eventually(func() int { return other.request("GET", "/added/", "").code }, 3*time.Second).Should(Equal(200))
+	other.cfg.Listen, other.cfg.Ready, other.cfg.Admin, other.cfg.Heartbeat = freeAddr(e.g), freeAddr(e.g), freeAddr(e.g), freeAddr(e.g)
+	other.cfg.Name = "r2"
+	e.registerRouter(other)
+	other.runRouter(t, other.store)
+	codes := map[int]int{}
+	for began := time.Now(); codes[200] == 0 && time.Since(began) < 2500*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+		codes[other.request("GET", "/added/", "").code]++
+	}
+	e.g.Expect(codes).To(HaveKey(200))
+	e.g.Expect(codes).NotTo(HaveKey(404))
 }
 
 // reportPass reports a pass of requests with a part, as another router does.
