CONFIG: an earlier rollout does not replace the running one

The version under test was treated as one in use.

Cause: a copy of the store holds the request that the running one had replaced. Only requests that this process had seen done were known as past. One that was done before the process began, that was rolled back, or that was still running, replaced the running rollout, which began anew when its request was written again.

Test: TestEarlierRolloutDoesNotReplaceRunningOne (done, rolled back, running) failed in all three: the rollout was started twice.

Change: a rollout remembers the one that it replaced, and a request found done in the store is remembered as finished. Both count only if the object can be from the copy.

Ruled out: ignoring every object whose number is not above that of the running one. Numbers start again from the copy, so a new request of the operator could have a lower one and would be ignored for good.

Tests of router/direct on restores and rollouts pass.

--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -176,7 +176,7 @@
 	// rollouts are the rollouts of services that are running or were rolled back; see rollouts.go.
 	rollouts map[ident.Service]*rollout
 	// finished holds the last rollout of each service that was done and is not in rollouts any more.
-	finished map[ident.Service]finishedRollout
+	finished map[ident.Service]pastRollout
 	// versions holds, by service, the versions that are not being rolled out.
 	versions map[ident.Service]map[ident.Version]versionState
 	// rolloutsListed is closed once the rollout requests were read; a value on relist makes the router list
@@ -233,7 +233,7 @@
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), partNames: map[ident.Fingerprint]ident.PromptPart{},
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
-		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]finishedRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
+		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
 		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -137,6 +137,46 @@
 	}
 }
 
+// Guards against a running rollout that an earlier one ends, which comes back with the store: the new version is then
+// treated as one in use.
+func TestEarlierRolloutDoesNotReplaceRunningOne(t *testing.T) {
+	for _, state := range []moves.State{moves.Done, moves.RolledBack, moves.Running} {
+		t.Run(string(state), func(t *testing.T) {
+			old, fresh := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+			e := newEnv(t)
+			e.registerVersion(old, "v2")
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v1", Duration: 20 * time.Second})
+			e.putState("v1", state)
+			e.runRouter(t, e.store)
+			e.g.Eventually(func() int { return e.request("GET", "/safe/", "").code }).Should(Equal(200))
+			c := e.store.Copy()
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v3", Duration: 20 * time.Second})
+			e.registerVersion(fresh, "v3")
+			e.g.Eventually(e.log.String, time.Second).Should(MatchRegexp(`event=50[0-9].*version=v3`))
+			e.restore(func() {
+				e.store.Restore(c)
+				e.store.SetOutage(false)
+				e.registerVersion(fresh, "v3")
+				e.store.SetOutage(true)
+			})
+			e.awaitList()
+			time.Sleep(200 * time.Millisecond)
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v3", Duration: 20 * time.Second})
+			e.g.Eventually(e.recordedState, 2*time.Second).Should(Equal(moves.Running))
+			e.g.Expect(strings.Count(e.log.String(), "service=s version=v3 length=")).To(Equal(1))
+		})
+	}
+}
+
+// putState writes the state of the rollout of the service as an earlier process would have.
+func (e *env) putState(v ident.Version, s moves.State) {
+	o, err := e.store.Get(context.Background(), "orders", "s")
+	e.g.Expect(err).NotTo(HaveOccurred())
+	o.Status = catalogue{}.EncodeState(moves.Request{To: v}, s)
+	_, err = e.store.UpdateStatus(context.Background(), o)
+	e.g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against requests at a target that this router knew to leave or to be gone, and that the copy shows as ready.
 func TestLeavingTargetDoesNotComeBackWithTheStore(t *testing.T) {
 	for name, leave := range map[string]func(e *env, x *scriptedTarget){
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -33,6 +33,8 @@
 // rollout is the rollout of a version of a service.
 type rollout struct {
 	*moves.ShortRollout
+	// earlier is the rollout that this one replaced.
+	earlier pastRollout
 	// object is the rollout request as last read; empty while it is known from other routers only.
 	object store.Object
 	// warmAt holds the time from which each target of the new version is warm.
@@ -52,8 +54,8 @@
 	withdrawn bool
 }
 
-// finishedRollout is a rollout that was done, and the revision of its object then.
-type finishedRollout struct {
+// pastRollout is a rollout that was done or replaced, and the revision of its object then.
+type pastRollout struct {
 	request moves.Request
 	rev     store.Rev
 }
@@ -152,10 +154,13 @@
 	case ok && peer != "" && (replaced || state == "" || state == moves.Running):
 		return
 	case !ok && state == moves.Done:
+		if peer == "" && !fromCopy(finished.rev, o.Rev) && !store.Before(o.Rev, finished.rev) {
+			r.finished[req.Service] = pastRollout{req, o.Rev}
+		}
 		return
 	case !ok && done:
 		m = r.resumeFinished(now, req)
-	case replaced && done && fromCopy(finished.rev, o.Rev):
+	case replaced && (done && fromCopy(finished.rev, o.Rev) || m.earlier.request == req && fromCopy(m.earlier.rev, o.Rev)):
 		return // the request that replaced it comes again
 	case !ok || replaced:
 		m = r.startRollout(now, req, peer)
@@ -193,10 +198,13 @@
 
 // startRollout starts a rollout; r.mu is held.
 func (r *Router) startRollout(now time.Time, req moves.Request, peer string) *rollout {
-	if old, ok := r.rollouts[req.Service]; ok && old.State() == moves.Done {
-		r.finished[req.Service] = finishedRollout{old.Request(), old.object.Rev}
-	}
 	m := r.newRollout(now, req)
+	if old, ok := r.rollouts[req.Service]; ok {
+		m.earlier = pastRollout{old.Request(), old.object.Rev}
+		if old.State() == moves.Done {
+			r.finished[req.Service] = m.earlier
+		}
+	}
 	m.canaryOnly = true
 	r.rollouts[req.Service] = m
 	delete(r.versions[req.Service], req.To)
--- a/router/direct/rolloutstate.go
+++ b/router/direct/rolloutstate.go
@@ -62,7 +62,7 @@
 // retireRollout removes a finished rollout, after which all versions are treated alike; r.mu is held.
 func (r *Router) retireRollout(s ident.Service) {
 	m := r.rollouts[s]
-	r.finished[s] = finishedRollout{m.Request(), m.object.Rev}
+	r.finished[s] = pastRollout{m.Request(), m.object.Rev}
 	delete(r.rollouts, s)
 	for _, t := range r.targets {
 		if _, ok := r.serviceVersions(s)[t.Version]; t.Service == s && !ok {
