CONFIG: the state of a deleted rollout is not written for ever

Routers wrote, and logged 311, twice a second without end.

Cause: after a restore, a final state is due until the store holds it. If the request was deleted first, or is not in the copy, there is nothing to write it to.

Change: the deletion of a request, or a write of its final state that does not find it, counts as recorded. If the request is written again later, the state is due again. 311 is logged once for each loss.

Ruled out: the same for a running rollout, whose request the operator may write again; it goes on.

--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -177,6 +177,59 @@
 	e.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// refusingStore refuses writes of a status while refuse is set, and counts all.
+type refusingStore struct {
+	store.StatusStore
+	refuse atomic.Bool
+	writes atomic.Int32
+}
+
+func (s *refusingStore) UpdateStatus(ctx context.Context, o store.Object) (store.Object, error) {
+	s.writes.Add(1)
+	if s.refuse.Load() {
+		return o, store.ErrUnavailable
+	}
+	return s.StatusStore.UpdateStatus(ctx, o)
+}
+
+// Guards against writes without end of a state whose request was deleted before it was written again, and against a log
+// line for each try.
+func TestStateOfDeletedRolloutIsNotWrittenForEver(t *testing.T) {
+	for name, seen := range map[string]bool{"deletion seen": true, "deletion not seen": false} {
+		t.Run(name, func(t *testing.T) {
+			old, fresh := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+			e := newEnv(t)
+			st := &refusingStore{StatusStore: e.store}
+			empty := e.store.Copy()
+			e.runRouter(t, st)
+			e.registerVersion(old, "v1")
+			e.g.Eventually(func() int { return e.request("GET", "/safe/", "").code }).Should(Equal(200))
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v2", Duration: 2 * time.Second})
+			e.registerVersion(fresh, "v2")
+			e.g.Eventually(e.recordedState, 2*time.Second).Should(Equal(moves.Running))
+			c := e.store.Copy()
+			e.requestUntil(moves.Done)
+			st.refuse.Store(true)
+			e.restore(func() { e.store.Restore(c) })
+			e.awaitList()
+			e.g.Eventually(e.log.String, 2*time.Second).Should(ContainSubstring("event=311 sort=orders"))
+			before := st.writes.Load()
+			e.g.Eventually(func() int32 { return st.writes.Load() - before }, 3*time.Second).Should(BeNumerically(">=", 2), "it is tried again")
+			if seen {
+				e.deleteObject("orders", "s")
+			} else {
+				e.restore(func() { e.store.Restore(empty) })
+			}
+			st.refuse.Store(false)
+			time.Sleep(2 * time.Second)
+			before = st.writes.Load()
+			time.Sleep(1200 * time.Millisecond)
+			e.g.Expect(st.writes.Load()).To(Equal(before))
+			e.g.Expect(strings.Count(e.log.String(), "event=311 sort=orders")).To(Equal(1))
+		})
+	}
+}
+
 // Guards against requests at a target that this router knew to leave or to be gone, and that the copy shows as ready.
 func TestLeavingTargetDoesNotComeBackWithTheStore(t *testing.T) {
 	for name, leave := range map[string]func(e *env, x *scriptedTarget){
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -48,6 +48,8 @@
 	canaryOnly bool
 	// badReported is true once a log line and a heartbeat have reported that the new version is bad.
 	badReported bool
+	// lossReported is true once a log line has reported that a final state is written again.
+	lossReported bool
 	// endedAt is the time at which this router learnt of the conclusion; withdrawn is true once the rollout
 	// request was deleted.
 	endedAt   time.Time
@@ -168,6 +170,7 @@
 	m.object = o
 	if peer == "" && store.Restored(known, o.Rev) && (state == "" || state == moves.Running) {
 		m.SetLost()
+		m.lossReported = false
 	}
 	r.applyState(now, m, state)
 	r.updatePool(req.Service)
@@ -260,7 +263,9 @@
 		return
 	}
 	m.withdrawn = true
-	if m.State() == moves.Running {
+	if m.State() != moves.Running {
+		m.SetRecorded(m.State()) // nothing is left to write it to
+	} else {
 		m.SetVerdict(moves.Verdict{Reason: moves.ReasonCancelled, JudgedAt: time.Now()})
 		r.applyState(time.Now(), m, moves.RolledBack)
 		r.updatePool(s)
--- a/router/direct/rolloutstate.go
+++ b/router/direct/rolloutstate.go
@@ -47,7 +47,8 @@
 		if ok && m.object.Name != "" && now.Sub(m.pendingFrom) >= time.Duration(r.writeRank(now))*writeRankDelay {
 			m.pendingFrom = now.Add(stateWriteRetry) // when this write fails
 			o := m.object
-			if m.State() != moves.Running {
+			if m.State() != moves.Running && !m.lossReported {
+				m.lossReported = true
 				r.log.Log(event.RecordWrittenAgain, "sort", o.Kind, "name", o.Name)
 			}
 			o.Status = r.catalogue.EncodeState(m.Request(), due)
@@ -91,7 +92,21 @@
 	}
 	if err != nil {
 		r.log.Log(event.StoreDown, "sort", o.Kind, "error", err)
+		if errors.Is(err, store.ErrNotFound) {
+			r.dropState(o)
+		}
 		return
 	}
 	r.applyRollout(out, "")
 }
+
+// dropState ends the writes of a final state whose request the store does not hold any more. A running rollout goes on, as
+// its request may be written again.
+func (r *Router) dropState(o store.Object) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.rollouts[ident.Service(o.Name)]
+	if ok && m.object.Rev == o.Rev && m.State() != moves.Running {
+		m.SetRecorded(m.State())
+	}
+}
