CONFIG: the pause between lost histories grows

While the responses of the store state different histories, each kind is listed ten times a second.

Cause: the pause after the second lost history in a row was always 100 ms.

Test: TestLostHistoryIsNotABusyLoop now watches for 2 s instead of 0.5 s, with the same limit of 6 watches; it failed with 20.

Change: the pause doubles up to 800 ms, as after failed calls, and starts anew once a watch has lasted that long.

Tests of router/direct pass.

--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -411,6 +411,6 @@
 	st := &forgetfulStore{StatusStore: e.store}
 	e.runRouter(t, st)
 	before := st.watches.Load()
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(2 * time.Second)
 	e.g.Expect(st.watches.Load() - before).To(BeNumerically("<=", 6))
 }
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -35,7 +35,8 @@
 
 // followKind lists the objects of a kind and watches them, repeatedly until ctx ends.
 func (r *Router) followKind(ctx context.Context, h kindHandler) error {
-	wait, down, downSince, last, lost := minStoreRetry, false, time.Now(), store.Rev(""), time.Time{}
+	wait, down, downSince, last := minStoreRetry, false, time.Now(), store.Rev("")
+	lost, lostWait := time.Time{}, minStoreRetry
 	for ctx.Err() == nil {
 		objects, rev, err := r.store.List(ctx, h.kind)
 		if err == nil {
@@ -65,7 +66,10 @@
 		case errors.Is(err, store.ErrRevTooOld):
 			r.log.Log(event.StoreHistoryLost, "sort", h.kind, "rev", rev)
 			if time.Since(lost) < maxStoreRetry {
-				pause(ctx, minStoreRetry)
+				pause(ctx, lostWait)
+				lostWait = min(2*lostWait, maxStoreRetry)
+			} else {
+				lostWait = minStoreRetry
 			}
 			lost = time.Now()
 			continue
