CONFIG: routers write in turn just after a restore

Just after an outage, all routers wrote at once what the store had lost, instead of one after the other.

Cause: only peers that stated to reach the store count in the rank, and just after an outage none has stated so yet.

Test: TestRoutersWriteInTurnAfterRestore failed: the registration was there at once, with ten live peers ranked before.

Change: what is written again waits for all live peers of a lower name. The rank for states of rollouts is unchanged.

Tests of router/direct on restores pass with -race.

--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -463,11 +463,17 @@
 }
 
 // rewriteDelay returns the time after which this router writes what it misses in the store: the routers do so one after
-// the other, and find what others wrote before them.
+// the other, and find what others wrote before them. Just after an outage, it is not known yet who reaches the store.
 func (r *Router) rewriteDelay() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.writeRank(time.Now())) * writeRankDelay
+	now, rank := time.Now(), 0
+	for id, p := range r.peers {
+		if id < r.cfg.Name && now.Sub(p.lastSeen) < r.peerTimeout(p) {
+			rank++
+		}
+	}
+	return time.Duration(rank) * writeRankDelay
 }
 
 // writeRegistration creates this router's object, or replaces that of an earlier process of the same name.
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -18,6 +18,7 @@
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/store/memory"
 	"hickoryvane.example/core/wire"
 	"hickoryvane.example/router/direct"
 )
@@ -50,6 +51,25 @@
 	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 4*time.Second).Should(BeTrue())
 }
 
+// Guards against all routers writing at once what the store has lost: just after an outage, none has heard yet that the
+// others reach the store again.
+func TestRoutersWriteInTurnAfterRestore(t *testing.T) {
+	e := newEnv(t)
+	e.runRouter(t, e.store)
+	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 3*time.Second).Should(BeTrue())
+	c := memory.New().Copy()
+	e.store.SetOutage(true)
+	time.Sleep(50 * time.Millisecond)
+	for i := range 10 {
+		e.sendHeartbeat(&wire.Heartbeat{Process: ident.ProcessID(fmt.Sprintf("a%d", i)), Boot: 1, Seq: 1, Region: "a", Generation: 1})
+	}
+	e.store.Restore(c)
+	e.store.SetOutage(false)
+	e.g.Eventually(e.log.String, 3*time.Second).Should(ContainSubstring("event=304 sort=routers"))
+	e.g.Consistently(func() bool { return e.exists(direct.RouterKind, "r1") }, 300*time.Millisecond).Should(BeFalse())
+	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 3*time.Second).Should(BeTrue())
+}
+
 // Guards against targets that crash anew after a stop of all routers, because the block was lost with the store.
 func TestLostBlockIsWrittenAgain(t *testing.T) {
 	e := newEnv(t)
