--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -51,6 +51,25 @@
 	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 4*time.Second).Should(BeTrue())
 }
 
+// Guards against all routers writing at once what the store has lost: just after an outage, none has heard yet that the
+// others reach the store again.
+func TestRoutersWriteInTurnAfterRestore(t *testing.T) {
+	e := newEnv(t)
+	e.runRouter(t, e.store)
+	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 3*time.Second).Should(BeTrue())
+	c := memory.New().Copy()
+	e.store.SetOutage(true)
+	time.Sleep(50 * time.Millisecond)
+	for i := range 10 {
+		e.sendHeartbeat(&wire.Heartbeat{Process: ident.ProcessID(fmt.Sprintf("a%d", i)), Boot: 1, Seq: 1, Region: "a", Generation: 1})
+	}
+	e.store.Restore(c)
+	e.store.SetOutage(false)
+	e.g.Eventually(e.log.String, 3*time.Second).Should(ContainSubstring("event=304 sort=routers"))
+	e.g.Consistently(func() bool { return e.exists(direct.RouterKind, "r1") }, 300*time.Millisecond).Should(BeFalse())
+	e.g.Eventually(func() bool { return e.exists(direct.RouterKind, "r1") }, 3*time.Second).Should(BeTrue())
+}
+
 // Guards against targets that crash anew after a stop of all routers, because the block was lost with the store.
 func TestLostBlockIsWrittenAgain(t *testing.T) {
 	e := newEnv(t)
@@ -138,6 +157,99 @@
 	}
 }
 
+// Guards against a running rollout that an earlier one ends, which comes back with the store: the new version is then
+// treated as one in use.
+func TestEarlierRolloutDoesNotReplaceRunningOne(t *testing.T) {
+	for _, state := range []moves.State{moves.Done, moves.RolledBack, moves.Running} {
+		t.Run(string(state), func(t *testing.T) {
+			old, fresh := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+			e := newEnv(t)
+			e.registerVersion(old, "v2")
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v1", Duration: 20 * time.Second})
+			e.putState("v1", state)
+			e.runRouter(t, e.store)
+			e.g.Eventually(func() int { return e.request("GET", "/safe/", "").code }).Should(Equal(200))
+			c := e.store.Copy()
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v3", Duration: 20 * time.Second})
+			e.registerVersion(fresh, "v3")
+			e.g.Eventually(e.log.String, time.Second).Should(MatchRegexp(`event=50[0-9].*version=v3`))
+			e.restore(func() {
+				e.store.Restore(c)
+				e.store.SetOutage(false)
+				e.registerVersion(fresh, "v3")
+				e.store.SetOutage(true)
+			})
+			e.awaitList()
+			time.Sleep(200 * time.Millisecond)
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v3", Duration: 20 * time.Second})
+			e.g.Eventually(e.recordedState, 2*time.Second).Should(Equal(moves.Running))
+			e.g.Expect(strings.Count(e.log.String(), "service=s version=v3 length=")).To(Equal(1))
+		})
+	}
+}
+
+// putState writes the state of the rollout of the service as an earlier process would have.
+func (e *env) putState(v ident.Version, s moves.State) {
+	o, err := e.store.Get(context.Background(), "orders", "s")
+	e.g.Expect(err).NotTo(HaveOccurred())
+	o.Status = catalogue{}.EncodeState(moves.Request{To: v}, s)
+	_, err = e.store.UpdateStatus(context.Background(), o)
+	e.g.Expect(err).NotTo(HaveOccurred())
+}
+
+// refusingStore refuses writes of a status while refuse is set, and counts all.
+type refusingStore struct {
+	store.StatusStore
+	refuse atomic.Bool
+	writes atomic.Int32
+}
+
+func (s *refusingStore) UpdateStatus(ctx context.Context, o store.Object) (store.Object, error) {
+	s.writes.Add(1)
+	if s.refuse.Load() {
+		return o, store.ErrUnavailable
+	}
+	return s.StatusStore.UpdateStatus(ctx, o)
+}
+
+// Guards against writes without end of a state whose request was deleted before it was written again, and against a log
+// line for each try.
+func TestStateOfDeletedRolloutIsNotWrittenForEver(t *testing.T) {
+	for name, seen := range map[string]bool{"deletion seen": true, "deletion not seen": false} {
+		t.Run(name, func(t *testing.T) {
+			old, fresh := startTarget(t, "t1", answerOK), startTarget(t, "t2", answerOK)
+			e := newEnv(t)
+			st := &refusingStore{StatusStore: e.store}
+			empty := e.store.Copy()
+			e.runRouter(t, st)
+			e.registerVersion(old, "v1")
+			e.g.Eventually(func() int { return e.request("GET", "/safe/", "").code }).Should(Equal(200))
+			e.putObject("orders", "s", moves.Request{Service: "s", To: "v2", Duration: 2 * time.Second})
+			e.registerVersion(fresh, "v2")
+			e.g.Eventually(e.recordedState, 2*time.Second).Should(Equal(moves.Running))
+			c := e.store.Copy()
+			e.requestUntil(moves.Done)
+			st.refuse.Store(true)
+			e.restore(func() { e.store.Restore(c) })
+			e.awaitList()
+			e.g.Eventually(e.log.String, 2*time.Second).Should(ContainSubstring("event=311 sort=orders"))
+			before := st.writes.Load()
+			e.g.Eventually(func() int32 { return st.writes.Load() - before }, 3*time.Second).Should(BeNumerically(">=", 2), "it is tried again")
+			if seen {
+				e.deleteObject("orders", "s")
+			} else {
+				e.restore(func() { e.store.Restore(empty) })
+			}
+			st.refuse.Store(false)
+			time.Sleep(2 * time.Second)
+			before = st.writes.Load()
+			time.Sleep(1200 * time.Millisecond)
+			e.g.Expect(st.writes.Load()).To(Equal(before))
+			e.g.Expect(strings.Count(e.log.String(), "event=311 sort=orders")).To(Equal(1))
+		})
+	}
+}
+
 // Guards against requests at a target that this router knew to leave or to be gone, and that the copy shows as ready.
 func TestLeavingTargetDoesNotComeBackWithTheStore(t *testing.T) {
 	for name, leave := range map[string]func(e *env, x *scriptedTarget){
@@ -326,6 +438,6 @@
 	st := &forgetfulStore{StatusStore: e.store}
 	e.runRouter(t, st)
 	before := st.watches.Load()
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(2 * time.Second)
 	e.g.Expect(st.watches.Load() - before).To(BeNumerically("<=", 6))
 }
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -33,6 +33,8 @@
 // rollout is the rollout of a version of a service.
 type rollout struct {
 	*moves.ShortRollout
+	// earlier is the rollout that this one replaced.
+	earlier pastRollout
 	// object is the rollout request as last read; empty while it is known from other routers only.
 	object store.Object
 	// warmAt holds the time from which each target of the new version is warm.
@@ -46,14 +48,16 @@
 	canaryOnly bool
 	// badReported is true once a log line and a heartbeat have reported that the new version is bad.
 	badReported bool
+	// lossReported is true once a log line has reported that a final state is written again.
+	lossReported bool
 	// endedAt is the time at which this router learnt of the conclusion; withdrawn is true once the rollout
 	// request was deleted.
 	endedAt   time.Time
 	withdrawn bool
 }
 
-// finishedRollout is a rollout that was done, and the revision of its object then.
-type finishedRollout struct {
+// pastRollout is a rollout that was done or replaced, and the revision of its object then.
+type pastRollout struct {
 	request moves.Request
 	rev     store.Rev
 }
@@ -152,10 +156,13 @@
 	case ok && peer != "" && (replaced || state == "" || state == moves.Running):
 		return
 	case !ok && state == moves.Done:
+		if peer == "" && !fromCopy(finished.rev, o.Rev) && !store.Before(o.Rev, finished.rev) {
+			r.finished[req.Service] = pastRollout{req, o.Rev}
+		}
 		return
 	case !ok && done:
 		m = r.resumeFinished(now, req)
-	case replaced && done && fromCopy(finished.rev, o.Rev):
+	case replaced && (done && fromCopy(finished.rev, o.Rev) || m.earlier.request == req && fromCopy(m.earlier.rev, o.Rev)):
 		return // the request that replaced it comes again
 	case !ok || replaced:
 		m = r.startRollout(now, req, peer)
@@ -163,6 +170,7 @@
 	m.object = o
 	if peer == "" && store.Restored(known, o.Rev) && (state == "" || state == moves.Running) {
 		m.SetLost()
+		m.lossReported = false
 	}
 	r.applyState(now, m, state)
 	r.updatePool(req.Service)
@@ -193,10 +201,13 @@
 
 // startRollout starts a rollout; r.mu is held.
 func (r *Router) startRollout(now time.Time, req moves.Request, peer string) *rollout {
-	if old, ok := r.rollouts[req.Service]; ok && old.State() == moves.Done {
-		r.finished[req.Service] = finishedRollout{old.Request(), old.object.Rev}
-	}
 	m := r.newRollout(now, req)
+	if old, ok := r.rollouts[req.Service]; ok {
+		m.earlier = pastRollout{old.Request(), old.object.Rev}
+		if old.State() == moves.Done {
+			r.finished[req.Service] = m.earlier
+		}
+	}
 	m.canaryOnly = true
 	r.rollouts[req.Service] = m
 	delete(r.versions[req.Service], req.To)
@@ -252,7 +263,9 @@
 		return
 	}
 	m.withdrawn = true
-	if m.State() == moves.Running {
+	if m.State() != moves.Running {
+		m.SetRecorded(m.State()) // nothing is left to write it to
+	} else {
 		m.SetVerdict(moves.Verdict{Reason: moves.ReasonCancelled, JudgedAt: time.Now()})
 		r.applyState(time.Now(), m, moves.RolledBack)
 		r.updatePool(s)
