Tests: the target reads the head before it refuses

Traced: the target wrote the refusal as soon as the connection was accepted, the router took it for an answer of unknown outcome (502, as it has to) and closed the connection before its other goroutine had written the head, so there was no request to run. That is allowed, so the test was wrong in counting it.

--- a/router/direct/refusals_test.go
+++ b/router/direct/refusals_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// Guards against a refusal that a target writes before it has read the request.
+// Guards against a refusal that a target writes before it has read the whole request.
 func TestRefusalBeforeTheRequestIsNotBelieved(t *testing.T) {
 	for _, id := range []string{"", "other"} {
 		g := NewWithT(t)
@@ -57,8 +57,10 @@
 				}
 				go func() {
 					defer func() { _ = c.Close() }()
+					b := bufio.NewReader(c)
+					_, _ = b.Peek(1) // the head arrives with its first byte, the body does not
 					_, _ = io.WriteString(c, refusal(503, id))
-					if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					if r, err := http.ReadRequest(b); err == nil {
 						_, _ = io.Copy(io.Discard, r.Body)
 						ran.Add(1)
 						writeAnswer(c, r, 200, "ok")
