--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -52,6 +52,8 @@
 	header                 map[string]string
 	body                   []byte
 	deadline               time.Duration
+	// limit is the shorter of the deadline and the route's timeout.
+	limit time.Duration
 	// abandon is the gap after which the client abandons a stream, also before its first event; zero for plain requests.
 	abandon time.Duration
 }
@@ -71,7 +73,9 @@
 	events int
 	// left is true if the client abandoned the request.
 	left bool
-	err  error
+	// limit is that of the request.
+	limit time.Duration
+	err   error
 }
 
 // idleMax is the time up to which a client uses a connection again, four fifths of idle-timeout-ms at most.
@@ -101,7 +105,7 @@
 
 // do sends one request and reads its answer.
 func (c *client) do(q request) (res result) {
-	res = result{id: q.id, sentAt: time.Now()}
+	res = result{id: q.id, sentAt: time.Now(), limit: q.limit}
 	defer func() {
 		res.endedAt = time.Now()
 		c.rec.add("client %s gets %s: status=%d whole=%v events=%d front=%s kept=%v ms=%d err=%v", c.zone, q.id, res.status, res.whole, res.events, res.front, res.kept, res.endedAt.Sub(res.sentAt).Milliseconds(), res.err)
@@ -167,3 +171,11 @@
 	}
 	return b.String()
 }
+
+// limitMargin is the time before the limit of a request from which its end is taken for that of its limit.
+const limitMargin = 200 * time.Millisecond
+
+// excused reports whether the client left, or the deadline or the route's timeout of the request was reached.
+func (r result) excused() bool {
+	return r.left || r.endedAt.Sub(r.sentAt) >= r.limit-limitMargin
+}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -135,12 +135,12 @@
 // stableWindow is stable-window-ms.
 const stableWindow = 3 * time.Second
 
-// soundAt reports whether the engine was without disruption for stableWindow before t.
-func (e *engine) soundAt(t time.Time) bool {
+// sound reports whether the engine was without disruption from stableWindow before from until to.
+func (e *engine) sound(from, to time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, at := range e.greys {
-		if t.After(at) && t.Before(at.Add(greyTime+stableWindow)) {
+		if to.After(at) && from.Before(at.Add(greyTime+stableWindow)) {
 			return false
 		}
 	}
