LOST: a failed exchange no longer ends the process of the router

Callers saw connections closed without an answer, at routers whose targets were sound: one target that closed new connections ended the whole process, and all requests in it.

Cause: send wrote bodies over 4 KB in a goroutine that used the named result of send. A failure to read the head of the answer returned nil, and with that set the variable to nil while the goroutine still needed it. The panic was outside any handler, so nothing caught it.

Change: the exchange is a local variable and the goroutine a method of it; close waits for the end of the write, which the close of the connection unblocks, so that no write outlives its request.

Looked for elsewhere: all go statements and timers of the programs.

--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -171,27 +171,28 @@
 	*http.Response
 	answer Answer
 	conn   *conn
-	// written receives the result of writing the request. stopCancel detaches the connection from the
-	// context of the request.
-	written    chan error
+	// written is closed once the write of the request has ended; writeErr is set before.
+	written  chan struct{}
+	writeErr error
+	// stopCancel detaches the connection from the context of the request.
 	stopCancel func() bool
 }
 
 // send writes the request and reads the status and headers of the answer. The end of ctx closes the
 // connection, which cancels the request at the target. errUnreachable means that nothing was sent; after any
 // other error the request may have run.
-func (r *Router) send(ctx context.Context, addr string, maxIdle time.Duration, o targetRequest) (x *exchange, err error) {
+func (r *Router) send(ctx context.Context, addr string, maxIdle time.Duration, o targetRequest) (_ *exchange, err error) {
 	defer func() { err = errors.WithMessagef(err, "send to %s", addr) }()
 	k, err := r.conns.get(ctx, addr, maxIdle)
 	if err != nil {
 		return nil, err
 	}
-	x = &exchange{conn: k, written: make(chan error, 1)}
+	x := &exchange{conn: k, written: make(chan struct{})}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = k.Close() }) // unblocks the reads and writes
 	if len(o.body) <= inlineBodyMax {
-		x.written <- o.write(k)
+		x.write(o)
 	} else {
-		go func() { x.written <- o.write(k) }() // ends at the latest when the connection is closed
+		go x.write(o)
 	}
 	if err = x.readHead(r.dialect, o); err != nil {
 		x.close()
@@ -200,8 +201,14 @@
 	return x, nil
 }
 
+// write writes the request to the connection. It ends at the latest when the connection is closed.
+func (x *exchange) write(o targetRequest) {
+	defer close(x.written)
+	x.writeErr = o.write(x.conn)
+}
+
 // write sends the request line, the headers and the body unchanged.
-func (o targetRequest) write(k *conn) error {
+func (o targetRequest) write(k io.Writer) error {
 	w := bufio.NewWriterSize(k, inlineBodyMax)
 	for _, s := range []string{o.method, " ", o.uri, " HTTP/1.1\r\nHost: ", o.host, "\r\n"} {
 		_, _ = w.WriteString(s) // Flush returns the error
@@ -253,8 +260,8 @@
 func (c *connPool) release(x *exchange, complete bool) {
 	sent := false
 	select {
-	case err := <-x.written:
-		sent = err == nil
+	case <-x.written:
+		sent = x.writeErr == nil
 	default: // the target answered before it read the whole body
 	}
 	if complete && sent && x.framed() && !x.Close && x.conn.r.Buffered() == 0 && x.stopCancel() {
@@ -267,7 +274,9 @@
 // framed reports whether the end of the answer can be told from the end of the connection.
 func (x *exchange) framed() bool { return x.ContentLength >= 0 || len(x.TransferEncoding) > 0 }
 
+// close closes the connection and waits for the end of the write, which the close unblocks.
 func (x *exchange) close() {
 	x.stopCancel()
 	_ = x.conn.Close() // nothing is read from it any more
+	<-x.written
 }
