LOST: a stall timer that fires early finds its own timer

Cause: watchStall assigned the timer after it had started it, and the function of the timer uses the field.

Change: the field is assigned under the lock that the function takes first.

--- a/router/direct/faults_test.go
+++ b/router/direct/faults_test.go
@@ -392,3 +392,16 @@
 	e.g.Expect(a.err).NotTo(HaveOccurred())
 	e.g.Expect(a.body).To(Equal(streamEvent(1) + streamEvent(2)))
 }
+
+// Guards, under the race detector, against a stall timer that fires before the request that owns it knows it, as on a
+// machine that stands still at that moment.
+func TestStallTimerMayFireAtAnyTime(t *testing.T) {
+	x := startTarget(t, "t1", func(_ int, r *http.Request, c net.Conn) bool {
+		time.Sleep(700 * time.Millisecond)
+		return writeAnswer(c, r, 200, "late")
+	})
+	e := startRouter(t, x)
+	a := e.request("GET", "/safe/", "")
+	e.g.Expect(a.err).NotTo(HaveOccurred())
+	e.g.Expect(a.body).To(Equal("late"))
+}
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -64,6 +64,8 @@
 	s.enabled = c.route.Repeatable() && prog.runs+1 < c.route.Attempts && prog.placements < placementsMax
 	if s.enabled {
 		s.timeout = stallTimeout(c.route, prog.started)
+		s.mu.Lock() // check may run before AfterFunc returns
+		defer s.mu.Unlock()
 		s.timer = time.AfterFunc(s.timeout, s.check)
 	}
 	return s
