--- a/core/sched/classes.go
+++ b/core/sched/classes.go
@@ -25,6 +25,9 @@
 	// meanOutput is the mean length of answers, in tokens; zero for plain services, which generate none.
 	meanOutput float64
 	lengths    lengthStats
+	// durations is the distribution of the durations of plain calls, in seconds; it is set once hasDurations is true.
+	durations    lengthStats
+	hasDurations bool
 }
 
 // arrivalClass returns the class under which the arrival and the refusal of a job are counted: that of a job that
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -50,14 +50,16 @@
 	if ratio <= 0 {
 		return 0
 	}
-	spread := max(math.Sqrt(s.variance), lengthSpreadMin)
-	return 0.5 * math.Erfc(-(math.Log(ratio)-s.mean)/(spread*math.Sqrt2))
+	return 0.5 * math.Erfc(-(math.Log(ratio)-s.mean)/(s.spread()*math.Sqrt2))
 }
 
+// spread returns the standard deviation of the logarithm.
+func (s *lengthStats) spread() float64 { return max(math.Sqrt(s.variance), lengthSpreadMin) }
+
 // finishChance returns the probability that an answer of which the first event is expected after first, and the
 // others at intervals of gap, ends before the deadline; 1 if nothing is known about its length or speed.
 func (p *Pool) finishChance(now time.Time, j *Job, first, gap time.Duration) float64 {
-	if gap <= 0 || j.Stride <= 0 || j.Output <= 0 {
+	if gap <= 0 || !j.generates() {
 		return 1
 	}
 	events := float64(j.Deadline.Sub(now)-first) / float64(gap)
@@ -80,7 +82,7 @@
 // chanceMin returns the least chance to end in time that a target must offer to get the job now. While the job can
 // still be on time, that is nearly the chance at the fastest target; while it may wait, a part of that.
 func (p *Pool) chanceMin(now time.Time, j *Job) float64 {
-	if j.Stride <= 0 || j.Output <= 0 || p.shortestEventGap <= 0 {
+	if !j.generates() || p.shortestEventGap <= 0 {
 		return 0
 	}
 	best := p.finishChance(now, j, p.shortestLatency, p.shortestEventGap)
@@ -95,7 +97,7 @@
 
 // recordLength learns from the length of a complete answer, in events.
 func (p *Pool) recordLength(j *Job, events int) {
-	if events > 0 && j.Stride > 0 && j.Output > 0 {
+	if events > 0 && j.generates() {
 		p.statsOf(arrivalClass(j)).lengths.record(float64(events*j.Stride) / float64(j.Output))
 	}
 }
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -35,6 +35,8 @@
 	// tokens in an event.
 	Prompt, Output ident.Tokens
 	Stride         int
+	// Stream is true if the answer is a stream of events.
+	Stream bool
 	// Avoid lists targets that failed the request.
 	Avoid []ident.TargetID
 	// Canary is true for a job that goes to a canary target. Placing the job clears it if no canary target had a
@@ -80,6 +82,8 @@
 	ExpectedWait time.Duration
 	// RetryAfter is the time after which a retry makes sense.
 	RetryAfter time.Duration
+	// Stopping is true if no target would end the job before the router stops; the fields above are zero then.
+	Stopping bool
 }
 
 // Pool holds the waiting and running jobs of one router for one service. It is not safe for concurrent use.
@@ -118,6 +122,8 @@
 	// Schedule began.
 	running int
 	usable  []*target
+	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
+	stopAt time.Time
 }
 
 // New returns an empty pool for the router self in the given data centre and region.
@@ -216,6 +222,8 @@
 	Gap time.Duration
 	// Events is the number of events of a complete answer; zero if the answer is incomplete or began elsewhere.
 	Events int
+	// Complete is true for a complete answer that is not a stream.
+	Complete bool
 }
 
 // Done records that a job no longer runs at a target.
@@ -224,6 +232,10 @@
 	if !ok {
 		return
 	}
+	i := t.runIndex(j)
+	if i >= 0 && o.Complete {
+		p.recordDuration(j, now.Sub(t.runs[i].sent))
+	}
 	if t.done(now, j, o) {
 		p.running--
 		p.recordLength(j, o.Events)
@@ -292,6 +304,10 @@
 			p.countPlacement(now, k)
 			continue
 		}
+		if !p.canEndInTime(now, j) {
+			refused = append(refused, Refusal{Job: j, Stopping: true})
+			continue
+		}
 		if r, ok := p.refuse(now, j, k, len(kept), sameClass); ok {
 			refused = append(refused, r)
 			p.statsOf(arrivalClass(j)).refusals.add(now)
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -77,9 +77,7 @@
 	if f := c.readBody(w, table); f != nil {
 		return f
 	}
-	if c.chooseService(); !r.fitsShutdown(c) {
-		return withRetryAfter(fault.NotRunf(fault.Draining, "this process stops before the answer would end"), r.timeUntilRestart(c.arrived))
-	}
+	c.chooseService()
 	c.setFeatures()
 	c.makeJob(table)
 	return r.checkLimits(c)
@@ -186,7 +184,7 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream}
 }
 
 // expectedOutput returns the expected tokens of the answer. Callers' estimates are exact at the median; answers
--- a/router/direct/canary.go
+++ b/router/direct/canary.go
@@ -17,8 +17,7 @@
 	if !ok || m.State() != moves.Running {
 		return false
 	}
-	// Plain calls need no estimate: they end within the margin that a rollout keeps before its deadline.
-	duration, _ := r.pool(c.service).StreamDuration(c.expectedOutput(), c.job.Stride)
+	duration, _ := r.pool(c.service).ExpectedDuration(c.job)
 	canary := m.AssignCanary(time.Now(), r.routerCount(time.Now()), c.route.Name, duration)
 	if canary {
 		c.job.Prefer = r.unsampledTargets(time.Now(), m)
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -124,10 +124,9 @@
 	table       atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
 	joined atomic.Bool
-	// targetsListed is true once the list of targets was read. A shutdown sets stopping first, then
-	// outOfRotation, when the load balancer sends no new connections as long as other routers are ready, then
-	// closing, after which all new requests are refused.
-	targetsListed, stopping, outOfRotation, closing atomic.Bool
+	// targetsListed is true once the list of targets was read. A shutdown sets stopping first, and later closing,
+	// after which all new requests are refused.
+	targetsListed, stopping, closing atomic.Bool
 	// storeReachable is true while the registrations of targets can be read from the store.
 	storeReachable atomic.Bool
 	activeRequests atomic.Int64
@@ -143,6 +142,9 @@
 	// mu guards the fields below, except for the channels, and the limits in cfg that Reload changes.
 	mu    sync.Mutex
 	pools map[ident.Service]*sched.Pool
+	// stopAt is the end of the shutdown once the load balancer sends no new connections as long as other routers are
+	// ready; zero before.
+	stopAt time.Time
 	// decisions holds the channel on which each waiting request gets its decision.
 	decisions map[*sched.Job]chan decision
 	fleet     *fleet.Fleet
@@ -271,6 +273,7 @@
 	p, ok := r.pools[s]
 	if !ok {
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
+		p.StopAt(r.stopAt)
 		r.pools[s] = p
 	}
 	return p
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -39,6 +39,9 @@
 	if n, err := strconv.Atoi(h.Get("X-Left")); err == nil {
 		c.Timeout = time.Duration(n) * time.Millisecond
 	}
+	if n, err := strconv.Atoi(h.Get("X-Length")); err == nil {
+		c.OutputHint = ident.Tokens(n)
+	}
 	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
 		c.HasTokenCounts, c.Prompt = true, ident.Tokens(n)
 	}
@@ -71,6 +74,7 @@
 type config struct {
 	Generation ident.Generation
 	Routes     []route.Route
+	Services   []route.Service
 	Accounts   []route.Account
 	Limits     route.Limits
 }
@@ -83,7 +87,7 @@
 	if err := json.Unmarshal(o.Value, &c); err != nil {
 		return nil, err
 	}
-	return route.New(c.Generation, c.Routes, nil, c.Accounts, c.Limits), nil
+	return route.New(c.Generation, c.Routes, c.Services, c.Accounts, c.Limits), nil
 }
 
 func (catalogue) DecodeTarget(o store.Object) (t fleet.Target, err error) {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -14,7 +14,6 @@
 	"hickoryvane.example/core/group"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/retry"
-	"hickoryvane.example/core/route"
 )
 
 const (
@@ -30,14 +29,8 @@
 	// takeoverCheckInterval is the interval at which a router that shuts down checks whether another one is
 	// ready for callers.
 	takeoverCheckInterval = 100 * time.Millisecond
-	// closeMargin is the time before the end of a shutdown from which no request is accepted, longer than a
-	// plain call takes.
+	// closeMargin is the time before the end of a shutdown from which no request is accepted.
 	closeMargin = time.Second
-	// plainCallTime limits the time that a plain call is expected to take.
-	plainCallTime = time.Second
-	// streamFitFactor is the multiple of the expected duration of a stream that has to fit into the shutdown;
-	// callers' estimates are exact at the median only.
-	streamFitFactor = 3
 	// exitMargin is the time before the end of the grace period at which the remaining requests are ended.
 	exitMargin = 400 * time.Millisecond
 	// lastAnswersTime is the time for the answers to these.
@@ -132,7 +125,7 @@
 }
 
 // shutdown lets running requests end. New requests are accepted until the load balancer sends none any more, and
-// after that as long as no other router is ready, if they are expected to end in time.
+// after that as long as no other router is ready; those are placed only if they end in time.
 func (r *Router) shutdown(ctx context.Context) {
 	r.mu.Lock()
 	grace := conf.Seconds(r.cfg.GraceSeconds)
@@ -142,7 +135,7 @@
 	r.stopping.Store(true)
 	r.log.Log(event.Stopping, "running", r.activeRequests.Load(), "grace", grace)
 	pause(ctx, min(rotationTime, grace/2))
-	r.outOfRotation.Store(true)
+	r.stopPlacing(end)
 	for time.Until(end) > closeMargin && !r.otherRouterReady(time.Now()) {
 		pause(ctx, takeoverCheckInterval)
 	}
@@ -172,19 +165,14 @@
 	return false
 }
 
-// fitsShutdown reports whether a request that arrives during the shutdown can end in time.
-func (r *Router) fitsShutdown(c *call) bool {
-	end := r.shutdownDeadline.Load()
-	if end == nil || !r.outOfRotation.Load() {
-		return true
-	}
-	if c.route.Kind != route.Stream {
-		return c.arrived.Add(min(c.timeout(), plainCallTime)).Before(*end)
-	}
+// stopPlacing makes the pools place only requests that end before the end of the shutdown.
+func (r *Router) stopPlacing(end time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	need, ok := r.pool(c.service).StreamDuration(c.expectedOutput(), r.table.Load().Services[c.service].TokensPerEvent)
-	return ok && c.arrived.Add(streamFitFactor*need).Before(*end)
+	r.stopAt = end
+	for _, p := range r.pools {
+		p.StopAt(end)
+	}
 }
 
 // Reload applies the limits of changed settings. Addresses and names stay until the next start.
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -206,7 +206,10 @@
 		return
 	}
 	f := fault.NotRunf(fault.Deadline, "no target had room in time")
-	if ref != nil {
+	switch {
+	case ref != nil && ref.Stopping:
+		f = withRetryAfter(fault.NotRunf(fault.Draining, "this process stops before the answer would end"), r.timeUntilRestart(time.Now()))
+	case ref != nil:
 		f = fault.NotRunf(fault.Shed, "%d requests go first, about %d ms", ref.JobsAhead, ref.ExpectedWait.Milliseconds())
 		f.RetryAfter = r.jitter(ref.RetryAfter)
 		r.meter.CountShed(c.job.Tier, fault.Shed)
@@ -295,6 +298,7 @@
 	a.answer = &bufferedAnswer{status: x.StatusCode, header: x.Header, body: b}
 	a.result = delivered
 	a.sound = x.StatusCode/100 == 2 && x.framed()
+	a.outcome.Complete = a.sound
 	if x.StatusCode >= 500 {
 		a.result, a.outcome.Failed = targetFailed, true
 		if !c.route.Repeatable() {
