Targets state in answers that they leave, or ask for time

A target may say in every answer that it leaves while its registration says ready, or answer 503 with the time for which it wants no request.

Change: core/fleet takes the statement of a process as it takes its registration, until another boot registers; heartbeats tell the other routers, bounded and with an age. core/sched/pause.go keeps a target out of placement for the time, lets it resume at its former pace, spread over routers, lets as many requests wait as there will be slots, and refuses the others at once with the time at which the first target is back. A service without any target is refused at once, too. A placement that was not sent yet is made again. Times are bounded by ten minutes; what is no number of seconds is logged and ignored. Events 413, 512, 513, metric hickoryvane_targets.

Shown: TestAnnouncedProcessIsNeverInUse (property over orders of registrations, copies, removals, restores, restarts and statements), TestTargetThatSaysItLeavesGetsNoRequests for five kinds of answers, TestRoutersTellEachOtherOfLeavingTargets, TestCallersAreRefusedWhenTheLastTargetsLeave, TestTargetThatAsksForTimeGetsNoRequests, TestAllTargetsAskForTime, tests of the pause alone, FuzzParseAfter. Tests of router, platform/names, sched, trace and meter pass.

Routers with agents do not keep this: their targets' answers have no such headers.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -42,6 +42,7 @@
 	RequestsBlocked       ID = 410
 	BlockLifted           ID = 411
 	CallerClosed          ID = 412
+	RequestUnsent         ID = 413
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -53,6 +54,8 @@
 	TargetRate            ID = 509
 	TargetRateEnded       ID = 510
 	ChangeUnreadable      ID = 511
+	TargetAsksForTime     ID = 512
+	TargetTimeIgnored     ID = 513
 	RolloutShareChanged   ID = 601
 	VersionJudgedBad      ID = 602
 	RolloutConcluded      ID = 603
@@ -102,6 +105,7 @@
 	{RequestsBlocked, log.WarnLevel, "requests that crash targets blocked"},
 	{BlockLifted, log.InfoLevel, "block of requests lifted"},
 	{CallerClosed, log.DebugLevel, "resting connection of a caller closed"},
+	{RequestUnsent, log.InfoLevel, "request not sent to its target"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
@@ -113,6 +117,8 @@
 	{TargetRate, log.InfoLevel, "target states a rate"},
 	{TargetRateEnded, log.InfoLevel, "target states no rate any more"},
 	{ChangeUnreadable, log.WarnLevel, "change of an object cannot be read"},
+	{TargetAsksForTime, log.InfoLevel, "target asks for time"},
+	{TargetTimeIgnored, log.WarnLevel, "time that a target asks for cannot be used"},
 	{RolloutShareChanged, log.InfoLevel, "move changed its share"},
 	{VersionJudgedBad, log.WarnLevel, "version judged bad"},
 	{RolloutConcluded, log.InfoLevel, "move ended"},
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -76,6 +76,8 @@
 	targets map[ident.TargetID]*entry
 	// removed holds the targets that were removed, so that an older copy of a registration does not bring one back.
 	removed map[ident.TargetID]removal
+	// announced holds the targets that announced that they leave; see announce.go.
+	announced map[ident.TargetID]Announcement
 	// unreachable is true while the store cannot be reached; reachableSince is the end of the last outage.
 	unreachable    bool
 	reachableSince time.Time
@@ -102,6 +104,8 @@
 	Target
 	// missingSince is the time since which the entry is absent from the store; zero while it is present.
 	missingSince time.Time
+	// registeredReady is true if the registration itself does not say that the target leaves.
+	registeredReady bool
 }
 
 // Option sets one property of a Fleet.
@@ -114,7 +118,7 @@
 
 // New returns a fleet without targets.
 func New(opts ...Option) *Fleet {
-	f := &Fleet{targets: map[ident.TargetID]*entry{}, removed: map[ident.TargetID]removal{}, removalHold: ReappearTimeout}
+	f := &Fleet{targets: map[ident.TargetID]*entry{}, removed: map[ident.TargetID]removal{}, announced: map[ident.TargetID]Announcement{}, removalHold: ReappearTimeout}
 	for _, o := range opts {
 		o(f)
 	}
@@ -148,10 +152,12 @@
 	if f.outdated(t) {
 		return nil
 	}
+	ready := !t.Leaving
+	t.Leaving = t.Leaving || f.hasAnnounced(t)
 	e, ok := f.targets[t.ID]
 	if !ok {
 		delete(f.removed, t.ID)
-		f.targets[t.ID] = &entry{Target: t}
+		f.targets[t.ID] = &entry{Target: t, registeredReady: ready}
 		if t.Leaving {
 			return []Event{{t, Leaving}}
 		}
@@ -164,7 +170,7 @@
 	if reappeared {
 		f.missing--
 	}
-	e.Target, e.missingSince = t, time.Time{}
+	e.Target, e.missingSince, e.registeredReady = t, time.Time{}, ready
 	old.Rev = t.Rev
 	switch {
 	case t.Leaving && !old.Leaving:
@@ -213,6 +219,9 @@
 // forget removes an entry and remembers its revision.
 func (f *Fleet) forget(now time.Time, e *entry) {
 	delete(f.targets, e.ID)
+	if e.Boot == 0 {
+		delete(f.announced, e.ID)
+	}
 	if e.Rev == "" {
 		return
 	}
--- a/core/meter/instrument.go
+++ b/core/meter/instrument.go
@@ -57,5 +57,6 @@
 			return errors.WithMessage(err, c.name)
 		}
 	}
-	return nil
+	m.targets, err = in.Int64Gauge("hickoryvane.targets", metric.WithUnit("{target}"), metric.WithDescription("targets that leave or asked for time"))
+	return errors.WithMessage(err, "hickoryvane.targets")
 }
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -32,6 +32,7 @@
 	wastedPrefill, linkBytes       metric.Int64Counter
 	refused, overQuota             metric.Int64Counter
 	resent                         metric.Int64Counter
+	targets                        metric.Int64Gauge
 
 	names    names
 	requests *labelSets[requestLabels]
@@ -145,3 +146,8 @@
 func (m *Meter) CountResent(s ident.Service, after string) {
 	m.resent.Add(context.Background(), 1, m.resends.get(resendLabels{m.names.service(s), after}).add...)
 }
+
+// RecordTargets records how many targets of a service are in a state in which they get no requests.
+func (m *Meter) RecordTargets(s ident.Service, state string, n int) {
+	m.targets.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", string(m.names.service(s))), attribute.String("state", state)))
+}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,7 +48,7 @@
 	mean := p.meanJobs()
 	var below, above, preferred *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || t.draining || t.missing || now.Before(t.backoffUntil) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
+		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
@@ -89,7 +89,7 @@
 func (p *Pool) collectUsable(now time.Time) {
 	p.usable = p.usable[:0]
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !now.Before(t.backoffUntil) && p.mayPlace(now, t) {
+		if !t.CanaryOnly && !t.draining && p.mayPlace(now, t) {
 			p.usable = append(p.usable, t)
 		}
 	}
@@ -99,7 +99,7 @@
 func (p *Pool) bestTarget(now time.Time, j *Job) (best *target, expected time.Duration) {
 	var bestScore time.Duration
 	bestRisk := 0
-	avoid := len(j.Avoid) > 0 && p.hasUntriedTarget(j)
+	avoid := len(j.Avoid) > 0 && p.hasUntriedTarget(now, j)
 	chanceMin := 0.0
 	if len(p.usable) > 0 {
 		chanceMin = p.chanceMin(now, j)
@@ -124,10 +124,10 @@
 }
 
 // hasUntriedTarget reports whether a target remains that has not failed the job. The job then waits for such a
-// target rather than return to one that failed it.
-func (p *Pool) hasUntriedTarget(j *Job) bool {
+// target rather than return to one that failed it, but not for one that asked for time.
+func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !t.missing && !slices.Contains(j.Avoid, t.ID) {
+		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.pause.until) && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -84,6 +84,8 @@
 	RetryAfter time.Duration
 	// Stopping is true if no target would end the job before the router stops; the fields above are zero then.
 	Stopping bool
+	// Untargeted is true if no target takes jobs before RetryAfter has passed.
+	Untargeted bool
 }
 
 // Pool holds the waiting and running jobs of one router for one service. It is not safe for concurrent use.
@@ -173,6 +175,12 @@
 	}
 }
 
+// Accepts reports whether a target still takes a job that was placed on it.
+func (p *Pool) Accepts(now time.Time, id ident.TargetID) bool {
+	t, ok := p.targets[id]
+	return ok && !t.draining && !now.Before(t.pause.until)
+}
+
 // MarkMissing makes a target whose registration is missing the last choice until Put or Drain.
 func (p *Pool) MarkMissing(id ident.TargetID) {
 	if t, ok := p.targets[id]; ok {
@@ -274,6 +282,7 @@
 	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent}
 	p.countBorrowed(now, t)
 	p.countRate(now, t)
+	t.countPaced(now)
 	t.start(now, j)
 	p.running++
 	return d
@@ -308,7 +317,11 @@
 			refused = append(refused, Refusal{Job: j, Stopping: true})
 			continue
 		}
-		if r, ok := p.refuse(now, j, k, len(kept), sameClass); ok {
+		r, ok, waits := p.refuseUntargeted(now, j, len(kept))
+		if !ok && !waits {
+			r, ok = p.refuse(now, j, k, len(kept), sameClass)
+		}
+		if ok {
 			refused = append(refused, r)
 			p.statsOf(arrivalClass(j)).refusals.add(now)
 			continue
--- a/core/sched/ratesplit.go
+++ b/core/sched/ratesplit.go
@@ -30,7 +30,7 @@
 			rated = true
 		default:
 			slots += t.Slots
-			if !now.Before(t.backoffUntil) {
+			if !t.resting(now) {
 				free += max(t.freeSlots(), 0)
 			}
 		}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -79,6 +79,10 @@
 	backoffUntil time.Time
 	// downAt is the time at which this router last found the target down.
 	downAt time.Time
+	// pause is the time for which the target wants no jobs; see pause.go. placements counts the recent placements of
+	// this router.
+	pause      pause
+	placements rateCounter
 }
 
 func newTarget(t Target) *target {
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -44,6 +44,19 @@
 	// TargetCount the number of registrations.
 	TargetRev   string
 	TargetCount int
+	// Leaving are targets that announced in their answers that they leave, while their registrations do not say so.
+	Leaving []HeartbeatLeaving
+}
+
+// HeartbeatLeaving is a target that announced that it leaves.
+type HeartbeatLeaving struct {
+	_struct bool `codec:",toarray"`
+
+	Target ident.TargetID
+	// Boot is the process of the target that leaves.
+	Boot ident.Boot
+	// AgeMillis is the time since the announcement.
+	AgeMillis int64
 }
 
 // HeartbeatRollout is what the sender knows of the rollout of a service to the targets of a version.
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -164,6 +164,8 @@
 	host   string
 	header http.Header
 	body   []byte
+	// observe, if not nil, is called for the head of each answer on the connection, also of those that are skipped.
+	observe func(Answer)
 }
 
 // exchange is a request that was sent, with the status and headers of its answer.
@@ -235,6 +237,9 @@
 			continue
 		}
 		x.answer = d.Answer(x.StatusCode, x.Header)
+		if o.observe != nil {
+			o.observe(x.answer)
+		}
 		if x.answer.ID == o.id || x.answer.ID == "" && !x.conn.reused {
 			return nil
 		}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -98,6 +98,12 @@
 	// HasRate is true when the target states how many requests it takes from all routers together, Rate a second.
 	HasRate bool
 	Rate    float64
+	// Leaving is true when the target states that it leaves; it wants no more requests.
+	Leaving bool
+	// Pause is the time for which the target wants no requests from this router; zero if it asks for none. OddPause is
+	// a value that states no such time.
+	Pause    time.Duration
+	OddPause string
 }
 
 const (
@@ -377,6 +383,7 @@
 			r.expireLostAnswers(now)
 			r.assignCells(now)
 			r.updateTargetCounts()
+			r.recordTargets(now)
 		}
 		r.mu.Unlock()
 		r.logFleetEvents(events)
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -62,6 +62,10 @@
 
 func (dialect) Answer(status int, h http.Header) direct.Answer {
 	a := direct.Answer{ID: ident.RequestID(h.Get("X-Id")), NotRun: h.Get("X-Refused") != "", Misdirected: status == 421}
+	a.Leaving = h.Get("X-Leaving") != ""
+	if n, err := strconv.ParseFloat(h.Get("X-Pause"), 64); err == nil && status == 503 {
+		a.Pause = time.Duration(n * float64(time.Second))
+	}
 	if n, err := strconv.ParseFloat(h.Get("X-Rate"), 64); err == nil {
 		a.HasRate, a.Rate = true, n
 	}
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -165,6 +165,7 @@
 		m.Generation = table.Generation
 	}
 	r.addCrashes(now, m)
+	r.addAnnouncements(now, m)
 	return m
 }
 
@@ -287,6 +288,7 @@
 	}
 	p.boot, p.seq, p.lastSeen = b.Boot, b.Seq, now
 	r.mergeCrashes(now, b)
+	r.mergeAnnouncements(now, b)
 	r.mergeRollouts(now, b)
 	if p.otherCell {
 		return
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -143,6 +143,9 @@
 			r.finishUnplaced(w, c, d.refusal, blocked, last, &prog, err)
 			return
 		}
+		if r.releaseIfClosed(c, d) {
+			continue
+		}
 		prog.placements++
 		r.logPlacement(c, d, prog.placements)
 		var a *attempt
@@ -212,6 +215,10 @@
 	case ref != nil:
 		f = fault.NotRunf(fault.Shed, "%d requests go first, about %d ms", ref.JobsAhead, ref.ExpectedWait.Milliseconds())
 		f.RetryAfter = r.jitter(ref.RetryAfter)
+		if ref.Untargeted {
+			f.RetryAfter = max(f.RetryAfter, ref.RetryAfter)
+			f.Detail = "no target takes requests now"
+		}
 		r.meter.CountShed(c.job.Tier, fault.Shed)
 	}
 	switch {
@@ -420,7 +427,7 @@
 	case a.result == targetFailed:
 		r.writeAnswer(w, c, a.answer)
 	case a.result == notRun:
-		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), r.jitter(allRefusedRetryAfter)))
+		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), max(r.jitter(allRefusedRetryAfter), r.untilTargetResumes(c.service))))
 	default:
 		f := &fault.Error{Run: fault.Unknown, Reason: fault.Target, Detail: "the target's answer was lost"}
 		switch {
@@ -466,7 +473,10 @@
 	stripHopHeaders(h, c.r.Header)
 	h.Del("Content-Length")
 	r.dialect.SetForwardHeaders(h, Forward{Remaining: time.Until(c.deadline), Target: t.ID, Account: c.accountName(), LastEventID: prog.lastID})
-	return targetRequest{id: c.ID, method: c.r.Method, uri: c.uri, host: c.r.Host, header: h, body: c.body}
+	return targetRequest{
+		id: c.ID, method: c.r.Method, uri: c.uri, host: c.r.Host, header: h, body: c.body,
+		observe: func(a Answer) { r.recordStatements(c, t, a) },
+	}
 }
 
 // hopHeaders are the hop-by-hop headers.
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -261,13 +261,13 @@
 	return t, true
 }
 
-// updateFleet updates the fleet by f, and applies and logs the resulting events.
-func (r *Router) updateFleet(f func(*fleet.Fleet) []fleet.Event) {
+// updateFleet updates the fleet by f, and applies and logs the resulting events, with pairs as their cause.
+func (r *Router) updateFleet(f func(*fleet.Fleet) []fleet.Event, pairs ...any) {
 	r.mu.Lock()
 	events := f(r.fleet)
 	r.applyFleetEvents(events)
 	r.mu.Unlock()
-	r.logFleetEvents(events)
+	r.logFleetEvents(events, pairs...)
 }
 
 // applyFleetEvents applies events of targets to the pools; r.mu is held.
@@ -308,7 +308,8 @@
 	}
 }
 
-func (r *Router) logFleetEvents(events []fleet.Event) {
+// logFleetEvents logs events of targets; pairs name their cause if it is not the registration.
+func (r *Router) logFleetEvents(events []fleet.Event, pairs ...any) {
 	for _, e := range events {
 		id := event.TargetUp
 		switch e.Change {
@@ -320,7 +321,8 @@
 			id = event.TargetDeregistered
 		}
 		t := e.Target
-		r.log.Log(id, "target", t.ID, "service", t.Service, "address", t.Address, "centre", t.Centre, "version", t.Version, "slots", t.Slots, "born", t.Boot)
+		fields := []any{"target", t.ID, "service", t.Service, "address", t.Address, "centre", t.Centre, "version", t.Version, "slots", t.Slots, "born", t.Boot}
+		r.log.Log(id, append(fields, pairs...)...)
 	}
 }
 
