LOST: bodies of requests share one limit of memory

Callers of sound targets lost their answers when the process of their router was killed for its memory: bodies within the declared limit were held whole, each until its answer had ended, without a common bound.

Change: router/direct/memory.go bounds bodies and buffered answers together, with parts for large bodies and for one account that depend on what is free, so that small bodies and other accounts find room. A body beyond it is refused before it is read, not run, and the rest is dropped after the refusal. Bodies count as they arrive and are let go once their request cannot be sent again. The fingerprint of a request no longer copies its body.

--- a/core/ident/hash.go
+++ b/core/ident/hash.go
@@ -44,12 +44,14 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// FingerprintOf returns the fingerprint of a request's body for one service.
-func FingerprintOf(s Service, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a request's body, in one or more pieces, for one service.
+func FingerprintOf(s Service, body ...[]byte) Fingerprint {
 	d := xxhash.New()
 	_, _ = d.WriteString(string(s))
 	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
+	for _, b := range body {
+		_, _ = d.Write(b)
+	}
 	return Fingerprint(d.Sum64())
 }
 
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
@@ -26,12 +27,14 @@
 	account           *route.Account
 	// tokens is the number of tokens charged to the account, and quotaLevel what remained in it afterwards.
 	tokens, quotaLevel ident.Tokens
-	body               []byte
+	body               *body
 	// features are what the request may have in common with others that crash targets; the first is its content.
 	features []ident.Fingerprint
 	job      *sched.Job
 	// uri is the path and query as the caller sent them.
 	uri string
+	// unread is true if the body was refused before all of it was read.
+	unread bool
 }
 
 // ServeHTTP implements http.Handler for requests of callers.
@@ -43,8 +46,10 @@
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { c.body.release() }()
 	if f := r.admit(w, c); f != nil {
 		r.refuse(w, c, f)
+		c.discardBody(w)
 		return
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
@@ -74,7 +79,7 @@
 	if f := c.findAccount(table); f != nil {
 		return f
 	}
-	if f := c.readBody(w, table); f != nil {
+	if f := r.readBody(w, c, table); f != nil {
 		return f
 	}
 	c.chooseService()
@@ -134,30 +139,67 @@
 	return nil
 }
 
-// readBody reads the complete body, so that the request can be sent again to another target.
-func (c *call) readBody(w http.ResponseWriter, table *route.Table) (f *fault.Error) {
+// readBody reads the complete body, so that the request can be sent again to another target. A body for which there is no
+// memory is refused, before it is read if its length is declared.
+func (r *Router) readBody(w http.ResponseWriter, c *call, table *route.Table) (f *fault.Error) {
 	limit := int64(table.Limits.BodyBytesMax)
 	if limit <= 0 {
 		limit = defaultBodyMax
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(c.arrived.Add(c.timeout())) // test recorders do not support it
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	b, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	declared := c.r.ContentLength
+	tooLarge := func() *fault.Error {
+		f := fault.NotRunf(fault.Invalid, "the body is larger than %d bytes", limit)
+		f.StatusOverride = http.StatusRequestEntityTooLarge
+		return f
+	}
+	if declared > limit {
+		c.unread = true
+		return tooLarge()
+	}
+	b, err := r.memory.newBody(c.accountName(), declared)
+	if err == nil {
+		rc := http.NewResponseController(w)
+		_ = rc.SetReadDeadline(c.arrived.Add(c.timeout())) // test recorders do not support it
+		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+		c.body = b
+		err = b.readFrom(c.r.Body, declared, limit)
+	}
 	switch {
+	case errors.Is(err, errBodyMemory):
+		c.unread = true
+		return withRetryAfter(fault.NotRunf(fault.Shed, "%v", err), bodyRetryAfter)
 	case err != nil:
 		f = fault.NotRunf(fault.ClientDisconnected, "the body ended early: %v", err)
 		f.StatusOverride = http.StatusBadRequest
 		return f
-	case int64(len(b)) > limit:
-		f = fault.NotRunf(fault.Invalid, "the body is larger than %d bytes", limit)
-		f.StatusOverride = http.StatusRequestEntityTooLarge
-		return f
+	case b.size > limit:
+		c.unread = true
+		return tooLarge()
 	}
-	c.body = b
 	return nil
 }
 
+const (
+	// bodyRetryAfter is the time after which the caller of a request may retry whose body found no memory: that of some
+	// answers to others.
+	bodyRetryAfter = 500 * time.Millisecond
+	// discardTime limits the reading of a body that was refused.
+	discardTime = 2 * time.Second
+)
+
+// discardBody reads the rest of a body that was refused, after the refusal was written: the close of a connection with
+// unread bytes could take the refusal from a caller who is still sending.
+func (c *call) discardBody(w http.ResponseWriter) {
+	if !c.unread || c.r.Header.Get("Expect") != "" {
+		return
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.Flush()
+	_ = rc.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, c.r.Body) // the caller may have left
+	_ = rc.SetReadDeadline(time.Time{})
+}
+
 // defaultBodyMax limits a body, in bytes, when the configuration does not.
 const defaultBodyMax = 4 << 20
 
@@ -263,5 +305,8 @@
 	if f.Reason == fault.Quota {
 		r.meter.CountOverQuota(c.accountName())
 	}
+	if c.unread {
+		_ = http.NewResponseController(w).EnableFullDuplex() // the refusal is written before the body is read
+	}
 	fault.WriteFractionalRetry(w, f, string(c.ID))
 }
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -163,7 +163,9 @@
 	uri    string
 	host   string
 	header http.Header
-	body   []byte
+	// body holds bodySize bytes.
+	body     [][]byte
+	bodySize int64
 	// observe, if not nil, is called for the head of each answer on the connection, also of those that are skipped.
 	observe func(Answer)
 }
@@ -191,7 +193,7 @@
 	}
 	x := &exchange{conn: k, written: make(chan struct{})}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = k.Close() }) // unblocks the reads and writes
-	if len(o.body) <= inlineBodyMax {
+	if o.bodySize <= inlineBodyMax {
 		x.write(o)
 	} else {
 		go x.write(o)
@@ -215,12 +217,14 @@
 	for _, s := range []string{o.method, " ", o.uri, " HTTP/1.1\r\nHost: ", o.host, "\r\n"} {
 		_, _ = w.WriteString(s) // Flush returns the error
 	}
-	if len(o.body) > 0 || o.method != http.MethodGet && o.method != http.MethodHead {
-		o.header.Set("Content-Length", strconv.Itoa(len(o.body)))
+	if o.bodySize > 0 || o.method != http.MethodGet && o.method != http.MethodHead {
+		o.header.Set("Content-Length", strconv.FormatInt(o.bodySize, 10))
 	}
 	_ = o.header.Write(w)
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(o.body)
+	for _, b := range o.body {
+		_, _ = w.Write(b)
+	}
 	return w.Flush()
 }
 
@@ -263,12 +267,7 @@
 // release returns the connection to the pool if it can be reused, and closes it otherwise. complete is true if
 // the answer was read completely.
 func (c *connPool) release(x *exchange, complete bool) {
-	sent := false
-	select {
-	case <-x.written:
-		sent = x.writeErr == nil
-	default: // the target answered before it read the whole body
-	}
+	sent := x.hasWritten() && x.writeErr == nil // otherwise the target answered before it read the whole body
 	if complete && sent && x.framed() && !x.Close && x.conn.r.Buffered() == 0 && x.stopCancel() {
 		c.put(x.conn)
 		return
@@ -276,6 +275,16 @@
 	x.close()
 }
 
+// hasWritten reports whether the write of the request has ended.
+func (x *exchange) hasWritten() bool {
+	select {
+	case <-x.written:
+		return true
+	default:
+		return false
+	}
+}
+
 // framed reports whether the end of the answer can be told from the end of the connection.
 func (x *exchange) framed() bool { return x.ContentLength >= 0 || len(x.TransferEncoding) > 0 }
 
--- /dev/null
+++ b/router/direct/memory.go
@@ -0,0 +1,222 @@
+package direct
+
+import (
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/ident"
+)
+
+// The memory that a router holds for requests and answers.
+//
+// Load pattern: a router takes over the callers of others, and some send bodies of megabytes. Bodies are held until their
+// requests cannot be sent again, plain answers until they are complete. Both share one limit, so that the process stays
+// within its memory. Large bodies have a part of it, and those of one account always leave some of that free, so that small
+// bodies, of which there are many more, and other accounts find room while large ones are refused.
+
+const (
+	// answerMax limits an answer that is buffered until it is complete, in bytes.
+	answerMax = 8 << 20
+	// answerStep is the unit in which the memory for a buffered answer is reserved, in bytes. Most answers fit
+	// into one.
+	answerStep = 16 << 10
+	// memoryDefault is the memory of the process in bytes where the settings do not limit it.
+	memoryDefault = 512 << 20
+	// totalShare is the share of the process's memory that bodies and answers may use together; answerShare, bodyShare and
+	// largeShare are the shares for answers, for bodies, and for large ones among them. What answers and large bodies leave
+	// of the total is for small bodies.
+	totalShare  = 0.6
+	answerShare = 0.15
+	bodyShare   = 0.45
+	largeShare  = 0.4
+	// accountFactor is the multiple of the free memory for large bodies that those of one account may use.
+	accountFactor = 4
+	// smallBodyMax is the size of a small body in bytes.
+	smallBodyMax = 64 << 10
+	// bodyChunkMin and bodyChunkMax bound the pieces in which a body is read, in bytes.
+	bodyChunkMin = 4 << 10
+	bodyChunkMax = 64 << 10
+)
+
+var (
+	errAnswerTooLarge = errors.Errorf("answer of the target is larger than %d bytes", answerMax)
+	errAnswerMemory   = errors.New("buffered answers use all memory that is reserved for them")
+	errBodyMemory     = errors.New("bodies of requests use all memory that is reserved for them")
+)
+
+// memoryBudget limits the memory of the bodies and the buffered answers that are held at a time. It is safe for
+// concurrent use.
+type memoryBudget struct {
+	totalMax, answersMax, bodiesMax, largeMax int64
+
+	// mu guards the fields below, which are in bytes.
+	mu sync.Mutex
+	// answers, small and large are in use for answers, for small and for large bodies; byAccount holds the large ones.
+	answers, small, large int64
+	byAccount             map[ident.AccountID]int64
+}
+
+func newMemoryBudget(memoryMB float64) *memoryBudget {
+	all := memoryMB * (1 << 20)
+	if memoryMB <= 0 {
+		all = memoryDefault
+	}
+	return &memoryBudget{
+		totalMax: int64(totalShare * all), answersMax: max(int64(answerShare*all), answerMax), bodiesMax: int64(bodyShare * all), largeMax: int64(largeShare * all),
+		byAccount: map[ident.AccountID]int64{},
+	}
+}
+
+// reserveAnswer reserves n bytes for an answer, if there are so many.
+func (m *memoryBudget) reserveAnswer(n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.answers+n > m.answersMax || m.answers+m.small+m.large+n > max(m.totalMax, m.answersMax) {
+		return false
+	}
+	m.answers += n
+	return true
+}
+
+func (m *memoryBudget) releaseAnswer(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answers -= n
+}
+
+// hasRoom reports whether n bytes more fit for a body of an account that has own bytes of the memory for large ones; m.mu
+// is held. The only large body, and the only one of an account, may be larger than the part that is for several.
+func (m *memoryBudget) hasRoom(a ident.AccountID, large bool, own, n int64) bool {
+	switch {
+	case large && m.large > own && m.large+n > m.largeMax,
+		large && m.byAccount[a] > own && m.byAccount[a]+n > accountFactor*(m.largeMax-m.large-n):
+		return false
+	}
+	return m.small+m.large+n <= m.bodiesMax && m.answers+m.small+m.large+n <= m.totalMax
+}
+
+// body is the body of a request while it may be sent. Its methods are not safe for concurrent use.
+type body struct {
+	memory  *memoryBudget
+	account ident.AccountID
+	chunks  [][]byte
+	size    int64
+	// reserved is the memory of the chunks; large is true once it counts as that of a large body.
+	reserved int64
+	large    bool
+}
+
+// newBody returns an empty body. It returns errBodyMemory if a body of the declared length would not fit now; a negative
+// one is not known.
+func (m *memoryBudget) newBody(a ident.AccountID, declared int64) (*body, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hasRoom(a, declared > smallBodyMax, 0, max(declared, 0)) {
+		return nil, errBodyMemory
+	}
+	return &body{memory: m, account: a}, nil
+}
+
+// grow adds an empty chunk of n bytes. It returns errBodyMemory if there is no memory for it.
+func (b *body) grow(n int64) error {
+	m := b.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	large, more, own := b.reserved+n > smallBodyMax, n, b.reserved
+	if large && !b.large {
+		more, own = b.reserved+n, 0 // counts as large from now on
+		m.small -= b.reserved
+	}
+	if !m.hasRoom(b.account, large, own, more) {
+		if large && !b.large {
+			m.small += b.reserved
+		}
+		return errBodyMemory
+	}
+	if b.large = large; large {
+		m.large += more
+		m.byAccount[b.account] += more
+	} else {
+		m.small += more
+	}
+	b.reserved += n
+	b.chunks = append(b.chunks, make([]byte, 0, n))
+	return nil
+}
+
+// readFrom reads the body from r, of which limit bytes are read at most; what is longer has more than limit bytes then.
+func (b *body) readFrom(r io.Reader, declared, limit int64) error {
+	for b.size <= limit && b.size != declared {
+		if len(b.chunks) == 0 || len(b.chunks[len(b.chunks)-1]) == cap(b.chunks[len(b.chunks)-1]) {
+			n := min(max(b.size, bodyChunkMin), bodyChunkMax)
+			if declared >= 0 {
+				n = min(declared-b.size, bodyChunkMax)
+			}
+			if err := b.grow(n); err != nil {
+				return err
+			}
+		}
+		last := &b.chunks[len(b.chunks)-1]
+		n, err := r.Read((*last)[len(*last):cap(*last)])
+		*last, b.size = (*last)[:len(*last)+n], b.size+int64(n)
+		switch {
+		case err == io.EOF && b.size < declared:
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+	return nil
+}
+
+// release gives the memory back. The body is empty then.
+func (b *body) release() {
+	if b == nil || b.reserved == 0 {
+		return
+	}
+	m := b.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !b.large {
+		m.small -= b.reserved
+	} else {
+		m.large -= b.reserved
+		if m.byAccount[b.account] -= b.reserved; m.byAccount[b.account] <= 0 {
+			delete(m.byAccount, b.account)
+		}
+	}
+	b.reserved, b.chunks = 0, nil
+}
+
+// readAll reads an answer to its end. The caller calls release once it no longer needs the answer.
+func (m *memoryBudget) readAll(r io.Reader) (b []byte, release func(), err error) {
+	reserved := int64(0)
+	release = func() { m.releaseAnswer(reserved) }
+	for {
+		if len(b) == cap(b) {
+			step := max(int64(cap(b)), answerStep)
+			if int64(len(b)) > answerMax {
+				return nil, release, errAnswerTooLarge
+			}
+			if !m.reserveAnswer(step) {
+				return nil, release, errAnswerMemory
+			}
+			reserved += step
+			b = append(make([]byte, 0, int64(cap(b))+step), b...)
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case err == io.EOF && len(b) > answerMax:
+			return nil, release, errAnswerTooLarge
+		case err == io.EOF:
+			return b, release, nil
+		case err != nil:
+			return nil, release, err
+		}
+	}
+}
