Placement while stopping: no scan of all targets for each job

Cause: whether a job runs already was found by a scan of all runs, for each candidate of each waiting job, and the bound of a plain call was computed for each target although it does not depend on one.

Change: a job counts the targets at which it runs; calls and streams have functions of their own.

--- a/core/sched/ending.go
+++ b/core/sched/ending.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -32,12 +31,7 @@
 // isUnbound reports whether the job is placed whenever the router stops: a job whose deadline comes first, and one that
 // would be lost otherwise, as its answer has begun or it goes on elsewhere.
 func (p *Pool) isUnbound(j *Job) bool {
-	return p.stopAt.IsZero() || j.AnswerStarted || !j.Deadline.After(p.stopAt) || p.runs(j)
-}
-
-// runs reports whether the job runs at a target.
-func (p *Pool) runs(j *Job) bool {
-	return slices.ContainsFunc(p.sorted, func(t *target) bool { return t.runIndex(j) >= 0 })
+	return p.stopAt.IsZero() || j.AnswerStarted || !j.Deadline.After(p.stopAt) || j.running > 0
 }
 
 // endsInTime reports whether the job, sent to the target now, ends before the router stops.
@@ -45,8 +39,15 @@
 	if p.isUnbound(j) {
 		return true
 	}
-	d, ok := p.longestDuration(now, t, j)
-	return ok && !now.Add(d+targetPauseMax).After(p.stopAt)
+	if j.isCall() {
+		return p.fitsBeforeStop(now, p.longestCall(now, j))
+	}
+	return p.fitsBeforeStop(now, p.longestStream(t, j))
+}
+
+// fitsBeforeStop reports whether what takes d at the longest ends before the router stops.
+func (p *Pool) fitsBeforeStop(now time.Time, d time.Duration) bool {
+	return !now.Add(d + targetPauseMax).After(p.stopAt)
 }
 
 // canEndInTime reports whether a target can end the job before the router stops once it has a free slot.
@@ -54,26 +55,37 @@
 	if p.isUnbound(j) {
 		return true
 	}
+	if j.isCall() {
+		return p.fitsBeforeStop(now, p.longestCall(now, j))
+	}
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && p.endsInTime(now, t, j) {
+		if !t.CanaryOnly && !t.draining && p.fitsBeforeStop(now, p.longestStream(t, j)) {
 			return true
 		}
 	}
 	return false
 }
 
-// longestDuration returns the time that the job, sent to the target now, takes at the longest; ok is false while nothing
-// is known about it.
-func (p *Pool) longestDuration(now time.Time, t *target, j *Job) (d time.Duration, ok bool) {
-	s := p.statsOf(arrivalClass(j))
-	switch {
-	case j.isCall():
-		return max(seconds(s.durations.upper()), endingAgeFactor*p.oldestRun(now, arrivalClass(j))), s.hasDurations
-	case !j.generates() || t.eventGap <= 0:
-		return 0, false
+// unknownDuration stands for the duration of a job about which nothing is known yet.
+const unknownDuration = 365 * 24 * time.Hour
+
+// longestCall returns the time that a plain call takes at the longest.
+func (p *Pool) longestCall(now time.Time, j *Job) time.Duration {
+	k := arrivalClass(j)
+	s := p.statsOf(k)
+	if !s.hasDurations {
+		return unknownDuration
+	}
+	return max(seconds(s.durations.upper()), endingAgeFactor*p.oldestRun(now, k))
+}
+
+// longestStream returns the time that a stream takes at the longest at a target.
+func (p *Pool) longestStream(t *target, j *Job) time.Duration {
+	if !j.generates() || t.eventGap <= 0 {
+		return unknownDuration
 	}
-	events := s.lengths.upper() * float64(j.Output) / float64(j.Stride)
-	return seconds(endingFirstFactor*t.expectedFirstEvent(j).Seconds() + endingGapFactor*events*t.eventGap.Seconds()), true
+	events := p.statsOf(arrivalClass(j)).lengths.upper() * float64(j.Output) / float64(j.Stride)
+	return seconds(endingFirstFactor*t.expectedFirstEvent(j).Seconds() + endingGapFactor*events*t.eventGap.Seconds())
 }
 
 // oldestRun returns the age of the oldest running call of a class.
@@ -119,8 +131,7 @@
 // upper returns a bound that nearly all samples stay below.
 func (s *lengthStats) upper() float64 { return math.Exp(s.mean + endingSpreads*s.spread()) }
 
-// seconds converts a number of seconds; what does not fit is a year.
+// seconds converts a number of seconds; what does not fit is unknownDuration.
 func seconds(s float64) time.Duration {
-	const year = 365 * 24 * time.Hour
-	return time.Duration(min(s, year.Seconds()) * float64(time.Second))
+	return time.Duration(min(s, unknownDuration.Seconds()) * float64(time.Second))
 }
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -31,7 +31,7 @@
 	hopelessChance = 0.1
 )
 
-// lengthStats is the learnt distribution of the logarithm of actual over expected length.
+// lengthStats is the learnt distribution of the logarithm of actual over expected length, or of a duration in seconds.
 type lengthStats struct{ mean, variance float64 }
 
 func newLengthStats() lengthStats {
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -44,6 +44,8 @@
 	Canary bool
 	// Prefer lists canary targets that a canary job goes to first, if one of them is idle.
 	Prefer []ident.TargetID
+	// running is the number of targets at which the job runs.
+	running int
 	// orderTime is the arrival time plus the deferral of long jobs; see wait.go.
 	orderTime time.Time
 }
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -115,6 +115,7 @@
 }
 
 func (t *target) start(now time.Time, j *Job) {
+	j.running++
 	t.runs = append(t.runs, run{job: j, sent: now, promptAhead: t.pendingPrompt + t.peerPendingPrompt})
 	t.pendingPrompt += j.Prompt
 }
@@ -176,6 +177,7 @@
 		t.pendingPrompt -= j.Prompt
 	}
 	t.runs = append(t.runs[:i], t.runs[i+1:]...)
+	j.running--
 	t.learnGap(o.Gap)
 	switch {
 	case o.Full:
--- a/router/direct/brokenwrite_test.go
+++ b/router/direct/brokenwrite_test.go
@@ -59,7 +59,7 @@
 			_ = c.(*net.TCPConn).CloseWrite()
 			time.Sleep(100 * time.Millisecond)
 		},
-		"silent until the deadline": func(c net.Conn) {
+		"silent until the deadline": func(net.Conn) {
 			time.Sleep(600 * time.Millisecond)
 		},
 	} {
