Tests: sessions begin once the object API accepts connections

Cause: startDeployment waited for the list of VMs only; the operator's tool tells of a call to the object API that fails, and goes on. The golden files are unchanged.

--- a/proof/deployment_test.go
+++ b/proof/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -84,9 +85,23 @@
 	vms, err := os.ReadFile(filepath.Join(s.runDir, "vms.json"))
 	s.Expect(err).NotTo(HaveOccurred())
 	s.postStandin("vms", "/vms", string(vms))
+	s.awaitStore()
 	return s
 }
 
+// awaitStore waits until the object API accepts connections, as the operator's tool tells of each call that fails.
+func (s *deployment) awaitStore() {
+	for _, p := range s.endpointsFor("store") {
+		s.Eventually(func() error {
+			c, err := net.Dial("tcp", p.addr)
+			if err == nil {
+				_ = c.Close()
+			}
+			return err
+		}, readyTimeout, pollInterval).Should(Succeed())
+	}
+}
+
 // readTable reads a file of tab-separated lines. Missing fields are empty.
 func (s *deployment) readTable(name string) (rows [][]string) {
 	b, err := os.ReadFile(filepath.Join(s.runDir, name))
