Crashes: the log tells what counts against a suspected request

Change: event 414 gives the targets, the events, the weight and the weight needed of each suspicion, when it changes. No decision is changed.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -43,6 +43,7 @@
 	BlockLifted           ID = 411
 	CallerClosed          ID = 412
 	RequestUnsent         ID = 413
+	SuspicionWeighed      ID = 414
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -106,6 +107,7 @@
 	{BlockLifted, log.InfoLevel, "block of requests lifted"},
 	{CallerClosed, log.DebugLevel, "resting connection of a caller closed"},
 	{RequestUnsent, log.InfoLevel, "request not sent to its target"},
+	{SuspicionWeighed, log.InfoLevel, "crashes weighed against requests"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -14,6 +14,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -111,9 +112,31 @@
 	due time.Time
 	// accused are the features that were running at more than one crash, as of the last Step.
 	accused []ident.Fingerprint
+	// weighed are the suspicions as of the last Step that looked at the crashes.
+	weighed []Suspicion
 	lifted  []Block
 }
 
+// Suspicion is what counts against a feature that was running when several targets crashed and did not pass since.
+type Suspicion struct {
+	Feature ident.Fingerprint
+	// Targets is the number of targets that crashed, Events the number of times at which some did.
+	Targets, Events int
+	// Weight is the weight of the events; the feature is blocked from Needed on.
+	Weight, Needed int
+	// counted is the number of targets whose crashes have a weight.
+	counted int
+}
+
+// suffices reports whether the feature is to be blocked.
+func (s Suspicion) suffices() bool { return s.Weight >= s.Needed && s.counted >= targetsMin }
+
+// Suspicions returns the suspicions as of the last Step, in the order of their features.
+func (d *Detector) Suspicions() []Suspicion {
+	slices.SortFunc(d.weighed, func(a, b Suspicion) int { return cmp.Compare(a.Feature, b.Feature) })
+	return d.weighed
+}
+
 // New returns a detector that suspects nothing.
 func New() *Detector { return &Detector{recentPasses: map[ident.Fingerprint]time.Time{}} }
 
--- a/core/poison/step.go
+++ b/core/poison/step.go
@@ -44,15 +44,19 @@
 		}
 		d.accuse(k, accusations)
 	}
-	d.accused = d.accused[:0]
+	d.accused, d.weighed = d.accused[:0], d.weighed[:0]
 	most := 0
 	for f, list := range accusations {
 		if len(list) > 1 {
 			d.accused = append(d.accused, f)
 		}
 		list = d.withoutMassCrashes(list)
-		weight, ok := d.convicted(f, list)
-		if !ok || weight < most {
+		w := d.weigh(f, list)
+		if w.Targets >= targetsMin {
+			d.weighed = append(d.weighed, w)
+		}
+		weight := w.Weight
+		if !w.suffices() || weight < most {
 			continue
 		}
 		b := d.newBlock(now, f, list)
@@ -170,23 +174,26 @@
 	return out
 }
 
-// convicted returns the weight of the crashes of which a feature is accused, and whether they suffice to block it.
-func (d *Detector) convicted(f ident.Fingerprint, list []accusation) (weight int, ok bool) {
-	targets := map[ident.TargetID]bool{}
+// weigh returns the weight of the crashes of which a feature is accused.
+func (d *Detector) weigh(f ident.Fingerprint, list []accusation) Suspicion {
+	w := Suspicion{Feature: f, Needed: blockWeight}
+	if !d.lastPass(f).IsZero() {
+		w.Needed = passedWeight
+	}
+	targets, counted := map[ident.TargetID]bool{}, map[ident.TargetID]bool{}
 	var last time.Time
 	for _, a := range list {
+		targets[a.target] = true
 		if !last.IsZero() && a.at.Sub(last) < episodeGap {
 			continue
 		}
 		last = a.at
-		weight += a.weight
-		targets[a.target] = true
-	}
-	needed := blockWeight
-	if !d.lastPass(f).IsZero() {
-		needed = passedWeight
+		w.Events++
+		w.Weight += a.weight
+		counted[a.target] = true
 	}
-	return weight, weight >= needed && len(targets) >= targetsMin
+	w.Targets, w.counted = len(targets), len(counted)
+	return w
 }
 
 // newBlock returns a block on the features that occurred with f in a request at each of its crashes, as nothing tells
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -150,6 +150,7 @@
 // updateBlocks derives blocks from the crashes that are known; r.mu is held.
 func (r *Router) updateBlocks(now time.Time) {
 	blocked, lifted := r.poison.Step(now)
+	r.logSuspicions()
 	for _, b := range blocked {
 		r.log.Log(event.RequestsBlocked, "prints", b.Features, "parts", r.namesOf(b.Features), "until", b.Until.Sub(now), "own", b.Own)
 		if b.Own {
@@ -163,6 +164,17 @@
 	}
 }
 
+// logSuspicions logs the suspicions that changed; r.mu is held.
+func (r *Router) logSuspicions() {
+	list := r.poison.Suspicions()
+	for _, s := range list {
+		if !slices.Contains(r.suspicions, s) {
+			r.log.Log(event.SuspicionWeighed, "print", s.Feature, "targets", s.Targets, "events", s.Events, "weight", s.Weight, "needed", s.Needed)
+		}
+	}
+	r.suspicions = append(r.suspicions[:0], list...)
+}
+
 // namesOf returns the ids of those features that are parts of prompts of this router's requests; r.mu is held.
 func (r *Router) namesOf(features []ident.Fingerprint) (out []ident.PromptPart) {
 	for _, f := range features {
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -165,6 +165,8 @@
 	// lostAnswers are lost answers that may turn out to be crashes, by target; recentCrashes are the crashes that
 	// are sent to other routers. partNames are the ids of parts of prompts by their features.
 	lostAnswers map[ident.TargetID][]lostAnswer
+	// suspicions are the last ones that were logged.
+	suspicions []poison.Suspicion
 	// blockChanges are changes of blocks that are to be written to the store.
 	blockChanges chan blockChange
 	// storeRestored gets a value when the store was restored from an older copy.
