BUDGET: what ran on several crashed targets is sent one at a time

Callers saw all targets of a service end together under one request, three times in a row, and every request of the service refused for three seconds each time.

Cause: targets that end within 250 ms of each other count as one crash, as they may end for a reason of their own, and a block needs three. But targets that end together also come back together, so a round of crashes counts once, whatever it takes. The class is evidence that is discounted because it comes at the same moment, while nothing limits what follows until there is more. Event 414 shows it: targets=3 events=1 weight=2 needed=6, then 6/2/4.

Change: what was running when two targets crashed and has not passed since is on trial. All routers together send one such request at a time (core/poison, Docket, claims in heartbeats). A pass ends the trial everywhere; a crash under the trial counts as two crashes. Nothing on trial is sent to the last target in use for 5 s after a crash. A part of prompts that ever passed is not put on trial. Counting each target of a round was ruled out: it refuses a sound request for minutes after a rack or a deploy ended its targets.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -44,6 +44,7 @@
 	CallerClosed          ID = 412
 	RequestUnsent         ID = 413
 	SuspicionWeighed      ID = 414
+	RequestOnTrial        ID = 415
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -108,6 +109,7 @@
 	{CallerClosed, log.DebugLevel, "resting connection of a caller closed"},
 	{RequestUnsent, log.InfoLevel, "request not sent to its target"},
 	{SuspicionWeighed, log.InfoLevel, "crashes weighed against requests"},
+	{RequestOnTrial, log.InfoLevel, "request sent as a trial"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -60,6 +60,8 @@
 	Features []ident.Fingerprint
 	// Late is true if a part of the answer had come well before the crash.
 	Late bool
+	// Trial is true if the request was sent as a trial.
+	Trial bool
 }
 
 // Crash is what one router knows of the crash of a target.
@@ -114,7 +116,11 @@
 	accused []ident.Fingerprint
 	// weighed are the suspicions as of the last Step that looked at the crashes.
 	weighed []Suspicion
-	lifted  []Block
+	// onTrial is derived from the crashes, and anew if suspectsChanged is true. cleared are features that passed a trial.
+	onTrial         []suspect
+	suspectsChanged bool
+	cleared         []ident.Fingerprint
+	lifted          []Block
 }
 
 // Suspicion is what counts against a feature that was running when several targets crashed and did not pass since.
@@ -149,10 +155,19 @@
 func (d *Detector) merge(c Crash, own bool) {
 	k := d.crashOf(c.Target, c.At)
 	for _, r := range c.Requests {
-		if len(r.Features) == 0 || slices.ContainsFunc(k.requests, func(o runner) bool { return o.Features[0] == r.Features[0] }) {
+		if len(r.Features) == 0 {
 			continue
 		}
-		k.requests = append(k.requests, runner{Request: r, own: own})
+		i := slices.IndexFunc(k.requests, func(o runner) bool { return o.Features[0] == r.Features[0] })
+		switch {
+		case i < 0:
+			k.requests = append(k.requests, runner{Request: r, own: own})
+		case r.Trial && !k.requests[i].Trial:
+			k.requests[i].Trial = true
+		default:
+			continue
+		}
+		d.suspectsChanged = true
 		d.look(k.at.Add(settleTime))
 	}
 }
@@ -209,6 +224,7 @@
 	if !at.After(d.lastPass(f)) {
 		return
 	}
+	d.clearSuspects(f)
 	if len(d.recentPasses) >= passesMax {
 		d.recentPasses, d.olderPasses = map[ident.Fingerprint]time.Time{}, d.recentPasses
 	}
@@ -325,7 +341,7 @@
 
 // Passes returns the last passes of the features that are accused or blocked, for the other routers.
 func (d *Detector) Passes() (out []Pass) {
-	features := slices.Clone(d.accused)
+	features := slices.Concat(d.accused, d.cleared)
 	for _, b := range d.blocks {
 		features = append(features, b.Features...)
 	}
--- a/core/poison/step.go
+++ b/core/poison/step.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 	*crash
 	requests []runner
 	weight   int
+	// trial is true if a request on trial was running.
+	trial bool
 }
 
 // Step drops what has expired and derives new blocks. It returns the blocks that are new or renewed, and those that
@@ -71,15 +74,17 @@
 }
 
 // wider orders blocks of the same weight, whatever the order of a map: those on fewer features come first.
-func wider(a, b *block) bool {
-	if len(a.Features) != len(b.Features) {
-		return len(a.Features) < len(b.Features)
-	}
-	return slices.Compare(a.Features, b.Features) < 0
+func wider(a, b *block) bool { return compareSets(a.Features, b.Features) < 0 }
+
+func compareSets(a, b []ident.Fingerprint) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), slices.Compare(a, b))
 }
 
 func (d *Detector) expire(now time.Time) {
+	n := len(d.crashes)
 	d.crashes = slices.DeleteFunc(d.crashes, func(k *crash) bool { return now.Sub(k.at) >= crashTTL })
+	d.suspectsChanged = d.suspectsChanged || len(d.crashes) < n
+	d.cleared = slices.DeleteFunc(d.cleared, func(f ident.Fingerprint) bool { return now.Sub(d.lastPass(f)) >= crashTTL })
 	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.Until) >= RenewTime })
 }
 
@@ -123,13 +128,21 @@
 		}
 	}
 	for f, requests := range of {
-		accusations[f] = append(accusations[f], accusation{crash: k, requests: requests, weight: weight})
+		accusations[f] = append(accusations[f], accusation{crash: k, requests: requests, weight: weight, trial: weight == trialWeight})
 	}
 }
 
-// suspects returns the requests that may have caused a crash, and how much it counts against them. If some have the
-// features of a block, the others are innocent.
+// suspects returns the requests that may have caused a crash, and how much it counts against them. If some were on trial
+// or have the features of a block, the others are innocent.
 func (d *Detector) suspects(k *crash) (out []runner, weight int) {
+	for _, r := range k.requests {
+		if r.Trial && !r.Late {
+			out = append(out, r)
+		}
+	}
+	if len(out) > 0 {
+		return out, trialWeight
+	}
 	for _, r := range k.requests {
 		if !r.Late {
 			out = append(out, r)
@@ -181,13 +194,13 @@
 		w.Needed = passedWeight
 	}
 	targets, counted := map[ident.TargetID]bool{}, map[ident.TargetID]bool{}
-	var last time.Time
+	var last accusation
 	for _, a := range list {
 		targets[a.target] = true
-		if !last.IsZero() && a.at.Sub(last) < episodeGap {
+		if last.crash != nil && a.at.Sub(last.at) < episodeGap && (!a.trial || last.trial) {
 			continue
 		}
-		last = a.at
+		last = a
 		w.Events++
 		w.Weight += a.weight
 		counted[a.target] = true
@@ -196,10 +209,18 @@
 	return w
 }
 
-// newBlock returns a block on the features that occurred with f in a request at each of its crashes, as nothing tells
-// them apart.
+// newBlock returns a block on the features that cannot be told apart from f.
 func (d *Detector) newBlock(now time.Time, f ident.Fingerprint, list []accusation) *block {
-	b := &block{Block: Block{At: now, Until: now.Add(firstBlock)}, duration: firstBlock}
+	b := &block{Block: Block{Features: d.commonFeatures(f, list), At: now, Until: now.Add(firstBlock)}, duration: firstBlock}
+	for _, a := range list {
+		b.Own = b.Own || slices.ContainsFunc(a.requests, func(r runner) bool { return r.own })
+	}
+	return b
+}
+
+// commonFeatures returns the features that occurred with f in a request at each of its crashes, as nothing tells them
+// apart.
+func (d *Detector) commonFeatures(f ident.Fingerprint, list []accusation) (common []ident.Fingerprint) {
 	for i, a := range list {
 		var with []ident.Fingerprint
 		for _, r := range a.requests {
@@ -208,13 +229,12 @@
 					with = append(with, g)
 				}
 			}
-			b.Own = b.Own || r.own
 		}
 		if i == 0 {
-			b.Features = slices.Compact(slices.Sorted(slices.Values(with)))
+			common = slices.Compact(slices.Sorted(slices.Values(with)))
 			continue
 		}
-		b.Features = slices.DeleteFunc(b.Features, func(g ident.Fingerprint) bool { return !slices.Contains(with, g) })
+		common = slices.DeleteFunc(common, func(g ident.Fingerprint) bool { return !slices.Contains(with, g) })
 	}
-	return b
+	return common
 }
--- /dev/null
+++ b/core/poison/trial.go
@@ -0,0 +1,225 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"hickoryvane.example/core/ident"
+)
+
+// Trials.
+//
+// Load pattern: requests with the same content run on several targets, and these end together. They may have ended for a
+// reason of their own, so together they count as one crash. But targets that end together come back together, and if the
+// requests are the cause, they end all targets once more for each crash that counts.
+//
+// What was running when several targets crashed, and has not passed since, is on trial: all routers together send one
+// such request at a time. If it passes, all others follow; if its target crashes, too, that counts for more than a crash
+// among many requests. What is sound waits for one of its like, and what is not costs one target.
+
+const (
+	// trialTargets is the number of targets whose crashes put a feature on trial.
+	trialTargets = 2
+	// trialWeight is the weight of a crash under a request on trial.
+	trialWeight = 2 * earlyWeight
+	// clearedMax bounds the features that passed a trial and are told to the other routers.
+	clearedMax = 64
+	// waitingClaimTTL is the time after which the claim of a request that no longer asks for its trial ends.
+	waitingClaimTTL = 200 * time.Millisecond
+	// verifyTime is the time after a lost answer in which its target is found down; until then the trial has not ended.
+	verifyTime = 500 * time.Millisecond
+	// peerClaimTTL is the time for which the claims of a silent router hold; peerClaimsMax bounds those of one router.
+	peerClaimTTL  = 2 * time.Second
+	peerClaimsMax = 16
+)
+
+// suspect is a set of features that were running at the crashes of several targets and cannot be told apart.
+type suspect struct {
+	features []ident.Fingerprint
+	// last is the time of the last of these crashes.
+	last time.Time
+}
+
+// Trial is why a request may be sent only as a trial.
+type Trial struct {
+	// Features are those that the request has in common with others that were running at crashes.
+	Features []ident.Fingerprint
+	// Crashed is the time of the last of these crashes.
+	Crashed time.Time
+	// Reported is true once all routers have reported on it.
+	Reported bool
+}
+
+// Trial returns whether a request with the features is on trial.
+func (d *Detector) Trial(now time.Time, features []ident.Fingerprint) (Trial, bool) {
+	if d.suspectsChanged {
+		d.findSuspects()
+	}
+	for _, s := range d.onTrial {
+		if now.Sub(s.last) < crashTTL && contains(features, s.features) {
+			return Trial{Features: s.features, Crashed: s.last, Reported: now.Sub(s.last) >= settleTime}, true
+		}
+	}
+	return Trial{}, false
+}
+
+// findSuspects derives from the crashes what is on trial. A part of prompts is not if requests with it passed before:
+// many sound requests have it.
+func (d *Detector) findSuspects() {
+	d.suspectsChanged, d.onTrial = false, d.onTrial[:0]
+	accusations := map[ident.Fingerprint][]accusation{}
+	for _, k := range d.crashes {
+		d.accuse(k, accusations)
+	}
+	for f, list := range accusations {
+		targets := map[ident.TargetID]bool{}
+		for _, a := range list {
+			targets[a.target] = true
+		}
+		if len(targets) < trialTargets || !d.lastPass(f).IsZero() && !isContent(f, list) {
+			continue
+		}
+		s := suspect{features: d.commonFeatures(f, list), last: list[len(list)-1].at}
+		if !slices.ContainsFunc(d.onTrial, func(o suspect) bool { return slices.Equal(o.features, s.features) }) {
+			d.onTrial = append(d.onTrial, s)
+		}
+	}
+	slices.SortFunc(d.onTrial, func(a, b suspect) int { return compareSets(a.features, b.features) })
+}
+
+// isContent reports whether a feature is the content of a request.
+func isContent(f ident.Fingerprint, list []accusation) bool {
+	return slices.ContainsFunc(list[0].requests, func(r runner) bool { return r.Features[0] == f })
+}
+
+// clearSuspects ends the trials of what has a feature that passes.
+func (d *Detector) clearSuspects(f ident.Fingerprint) {
+	if d.suspectsChanged {
+		d.findSuspects()
+	}
+	if !slices.ContainsFunc(d.onTrial, func(s suspect) bool { return slices.Contains(s.features, f) }) {
+		return
+	}
+	d.suspectsChanged = true
+	if !slices.Contains(d.cleared, f) {
+		d.cleared = append(d.cleared, f)
+	}
+	if len(d.cleared) > clearedMax {
+		d.cleared = d.cleared[1:]
+	}
+}
+
+// Claim tells the other routers of a request on trial that waits at a router, or runs.
+type Claim struct {
+	Features []ident.Fingerprint
+	Running  bool
+}
+
+// claim is a claim of this router.
+type claim struct {
+	Claim
+	since, until time.Time
+}
+
+// Docket decides which router sends a request on trial. A router claims the trial, waits until the others have heard of
+// it, and goes ahead if none of them runs a trial of the same features or is first by its name. It is not safe for
+// concurrent use.
+type Docket struct {
+	self ident.ProcessID
+	// own holds at most one claim for the same features.
+	own   []*claim
+	peers map[ident.ProcessID]peerClaims
+}
+
+// peerClaims are the claims of another router at a time.
+type peerClaims struct {
+	claims []Claim
+	at     time.Time
+}
+
+// NewDocket returns a docket of the router self.
+func NewDocket(self ident.ProcessID) *Docket {
+	return &Docket{self: self, peers: map[ident.ProcessID]peerClaims{}}
+}
+
+// Begin asks for the trial of a request. It is to be called again and again until ok is true, and End after that. heard is
+// the time after which the other routers have heard of a claim. changed is true if they are to be told.
+func (k *Docket) Begin(now time.Time, t Trial, request []ident.Fingerprint, heard time.Duration) (ok, changed bool) {
+	k.expire(now)
+	c := k.claimOn(t.Features)
+	if c == nil {
+		c = &claim{Claim: Claim{Features: request}, since: now}
+		k.own = append(k.own, c)
+		changed = true
+	}
+	if c.Running {
+		return false, changed
+	}
+	c.until = now.Add(waitingClaimTTL)
+	if !t.Reported || now.Sub(c.since) < heard || k.precedes(t.Features) {
+		return false, changed
+	}
+	c.Features, c.Running, c.until = request, true, time.Time{}
+	return true, true
+}
+
+// End ends the trial of a request. If its answer was lost, the trial goes on until it is known whether the target is down.
+func (k *Docket) End(now time.Time, request []ident.Fingerprint, lost bool) {
+	for _, c := range k.own {
+		if c.Running && c.until.IsZero() && slices.Equal(c.Features, request) {
+			c.until = now
+			if lost {
+				c.until = now.Add(verifyTime)
+			}
+			return
+		}
+	}
+}
+
+// claimOn returns the claim of this router for a request with the features, or nil.
+func (k *Docket) claimOn(features []ident.Fingerprint) *claim {
+	i := slices.IndexFunc(k.own, func(c *claim) bool { return contains(c.Features, features) })
+	if i < 0 {
+		return nil
+	}
+	return k.own[i]
+}
+
+// precedes reports whether the claim of another router goes first.
+func (k *Docket) precedes(features []ident.Fingerprint) bool {
+	for id, p := range k.peers {
+		for _, c := range p.claims {
+			if (c.Running || id < k.self) && contains(c.Features, features) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (k *Docket) expire(now time.Time) {
+	k.own = slices.DeleteFunc(k.own, func(c *claim) bool { return !c.until.IsZero() && !now.Before(c.until) })
+	for id, p := range k.peers {
+		if now.Sub(p.at) >= peerClaimTTL {
+			delete(k.peers, id)
+		}
+	}
+}
+
+// Claims returns the claims of this router, for the others.
+func (k *Docket) Claims(now time.Time) (out []Claim) {
+	k.expire(now)
+	for _, c := range k.own[:min(len(k.own), peerClaimsMax)] {
+		out = append(out, c.Claim)
+	}
+	return out
+}
+
+// Merge replaces the claims of another router.
+func (k *Docket) Merge(now time.Time, from ident.ProcessID, claims []Claim) {
+	if len(claims) == 0 {
+		delete(k.peers, from)
+		return
+	}
+	k.peers[from] = peerClaims{claims: claims[:min(len(claims), peerClaimsMax)], at: now}
+}
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -85,7 +85,7 @@
 // PeerFoundDown records that another router found a target down.
 func (p *Pool) PeerFoundDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok {
-		t.backoffUntil = later(t.backoffUntil, now.Add(downReportTime))
+		t.backoffUntil, t.foundDownByAny = later(t.backoffUntil, now.Add(downReportTime)), true
 	}
 }
 
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -183,6 +183,16 @@
 	return ok && !t.draining && !now.Before(t.pause.until)
 }
 
+// InUse returns the number of targets that jobs are placed on and that were not found down since their last answer.
+func (p *Pool) InUse(now time.Time) (n int) {
+	for _, t := range p.sorted {
+		if p.Accepts(now, t.ID) && !t.missing && !t.CanaryOnly && !t.foundDownByAny {
+			n++
+		}
+	}
+	return n
+}
+
 // MarkMissing makes a target whose registration is missing the last choice until Put or Drain.
 func (p *Pool) MarkMissing(id ident.TargetID) {
 	if t, ok := p.targets[id]; ok {
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -77,8 +77,10 @@
 	// failures counts consecutive failures; no job is placed before backoffUntil.
 	failures     int
 	backoffUntil time.Time
-	// downAt is the time at which this router last found the target down.
-	downAt time.Time
+	// downAt is the time at which this router last found the target down. foundDownByAny is true if it or another router
+	// did and no answer has come since.
+	downAt         time.Time
+	foundDownByAny bool
 	// pause is the time for which the target wants no jobs; see pause.go. placements counts the recent placements of
 	// this router.
 	pause      pause
@@ -137,7 +139,7 @@
 	r := &t.runs[i]
 	r.answering = true
 	t.pendingPrompt -= j.Prompt
-	t.failures = 0
+	t.failures, t.foundDownByAny = 0, false
 	t.learnFirstEvent(now.Sub(r.sent), r.promptAhead, j.Prompt)
 }
 
@@ -230,5 +232,5 @@
 // markDown starts a back-off time after this router found that the target cannot be reached or was replaced by
 // another one.
 func (t *target) markDown(now time.Time, d time.Duration) {
-	t.backoffUntil, t.downAt = later(t.backoffUntil, now.Add(d)), now
+	t.backoffUntil, t.downAt, t.foundDownByAny = later(t.backoffUntil, now.Add(d)), now, true
 }
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -46,6 +46,16 @@
 	TargetCount int
 	// Leaving are targets that announced in their answers that they leave, while their registrations do not say so.
 	Leaving []HeartbeatLeaving
+	// Trials are the requests on trial that wait or run at the sender.
+	Trials []HeartbeatTrial
+}
+
+// HeartbeatTrial is a request on trial; see package poison.
+type HeartbeatTrial struct {
+	_struct bool `codec:",toarray"`
+
+	Features []ident.Fingerprint
+	Running  bool
 }
 
 // HeartbeatLeaving is a target that announced that it leaves.
@@ -142,6 +152,7 @@
 
 	Features []ident.Fingerprint
 	Late     bool
+	Trial    bool
 }
 
 // HeartbeatPass is the last time at which a request with a suspected feature did not crash its target.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -30,7 +30,9 @@
 	body               *body
 	// features are what the request may have in common with others that crash targets; the first is its content.
 	features []ident.Fingerprint
-	job      *sched.Job
+	// onTrial is true while the request may be sent as a trial.
+	onTrial bool
+	job     *sched.Job
 	// uri is the path and query as the caller sent them.
 	uri string
 	// unread is true if the body was refused before all of it was read.
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -80,11 +80,11 @@
 	now := time.Now()
 	switch {
 	case a.result == answerLost:
-		l := lostAnswer{id: c.ID, request: poison.Request{Features: c.features, Late: a.passed}, events: a.events, at: now}
+		l := lostAnswer{id: c.ID, request: poison.Request{Features: c.features, Late: a.passed, Trial: c.onTrial}, events: a.events, at: now}
 		r.lostAnswers[a.target.ID] = append(r.lostAnswers[a.target.ID], l)
 		r.requestVerify(a.target)
 		r.keepPartNames(c)
-	case a.result == delivered && a.sound:
+	case a.result == delivered && (a.sound || c.onTrial && a.survived()):
 		r.poison.RecordPass(now, c.features)
 	}
 }
@@ -195,7 +195,7 @@
 		}
 		w := wire.HeartbeatCrash{Target: c.Target, AgeMillis: age.Milliseconds()}
 		for _, q := range c.Requests {
-			w.Requests = append(w.Requests, wire.HeartbeatSuspect{Features: q.Features, Late: q.Late})
+			w.Requests = append(w.Requests, wire.HeartbeatSuspect{Features: q.Features, Late: q.Late, Trial: q.Trial})
 		}
 		m.Crashes = append(m.Crashes, w)
 	}
@@ -204,6 +204,9 @@
 			m.Passes = append(m.Passes, wire.HeartbeatPass{Feature: p.Feature, AgeMillis: age.Milliseconds()})
 		}
 	}
+	for _, k := range r.docket.Claims(now) {
+		m.Trials = append(m.Trials, wire.HeartbeatTrial{Features: k.Features, Running: k.Running})
+	}
 	for _, b := range r.poison.Blocks(now) {
 		if age := now.Sub(b.At); age < crashGossipOften || rare {
 			m.Blocks = append(m.Blocks, wire.HeartbeatBlock{Features: b.Features, AgeMillis: age.Milliseconds(), LeftMillis: b.Until.Sub(now).Milliseconds()})
@@ -217,13 +220,18 @@
 	for _, w := range b.Crashes {
 		c := poison.Crash{Target: w.Target, At: ago(w.AgeMillis)}
 		for _, q := range w.Requests {
-			c.Requests = append(c.Requests, poison.Request{Features: q.Features, Late: q.Late})
+			c.Requests = append(c.Requests, poison.Request{Features: q.Features, Late: q.Late, Trial: q.Trial})
 		}
 		r.poison.MergeCrash(c)
 	}
 	for _, p := range b.Passes {
 		r.poison.MergePass(p.Feature, ago(p.AgeMillis))
 	}
+	var claims []poison.Claim
+	for _, t := range b.Trials {
+		claims = append(claims, poison.Claim{Features: t.Features, Running: t.Running})
+	}
+	r.docket.Merge(now, b.Process, claims)
 	for _, k := range b.Blocks {
 		r.poison.MergeBlock(now, poison.Block{Features: k.Features, At: ago(k.AgeMillis), Until: ago(-k.LeftMillis)})
 	}
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -68,6 +68,9 @@
 	err           error
 }
 
+// survived reports whether the target gave a complete answer that is no failure of its own.
+func (a *attempt) survived() bool { return a.answer != nil && a.answer.status < 500 }
+
 // bufferedAnswer is a complete answer that was not forwarded yet.
 type bufferedAnswer struct {
 	status int
@@ -126,16 +129,20 @@
 	c.job.Canary = r.assignCanary(c)
 	canary := c.job.Canary
 	defer func() { r.returnRetries(c.service, prog.spareRetries) }()
+	defer func() { r.endTrial(c, false) }()
 	for {
 		c.job.AnswerStarted = prog.started
 		var d decision
 		var err error
+		var blocked *fault.Error
 		if next != nil {
 			d, next = *next, nil
-		} else {
+		} else if blocked = r.awaitTrial(ctx, c); blocked == nil {
 			d, err = r.awaitPlacement(ctx, c.service, c.job)
 		}
-		blocked := r.releaseIfBlocked(c, d)
+		if blocked == nil {
+			blocked = r.releaseIfBlocked(c, d)
+		}
 		if err != nil || d.refusal != nil || blocked != nil {
 			if last == nil {
 				r.undoAssign(c, canary)
@@ -143,13 +150,14 @@
 			r.finishUnplaced(w, c, d.refusal, blocked, last, &prog, err)
 			return
 		}
-		if r.releaseIfClosed(c, d) {
+		if r.releaseIfClosed(c, d) || r.releaseIfOnTrial(c, d) {
 			continue
 		}
 		prog.placements++
 		r.logPlacement(c, d, prog.placements)
 		var a *attempt
 		a, next = r.tryTarget(ctx, w, c, d.target, &prog)
+		r.endTrial(c, a.result == answerLost)
 		if next != nil {
 			prog.spareRetries += next.spareRetries
 		}
--- /dev/null
+++ b/router/direct/trial.go
@@ -0,0 +1,101 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/ident"
+)
+
+// Requests on trial; see package poison.
+
+const (
+	// trialPoll is the interval at which a request on trial asks for its turn.
+	trialPoll = 20 * time.Millisecond
+	// trialHeardSlack is the time that a heartbeat takes to other routers, with some delay.
+	trialHeardSlack = 50 * time.Millisecond
+	// trialRetryAfter is the time after which the caller of a request that was not tried may retry.
+	trialRetryAfter = time.Second
+	// trialTargetsMin is the number of targets of a service that have to be in use, so that a trial does not take the
+	// last one; loneTrialDelay is the time after a crash from which that does not matter.
+	trialTargetsMin = 2
+	loneTrialDelay  = 5 * time.Second
+)
+
+// awaitTrial waits until a request may be sent. One that is on trial waits for its turn, for at most half of its time.
+func (r *Router) awaitTrial(ctx context.Context, c *call) *fault.Error {
+	end := time.Now().Add(time.Until(c.deadline) / 2)
+	for {
+		ok, f := r.beginTrial(time.Now(), c)
+		switch {
+		case ok || f != nil:
+			return f
+		case ctx.Err() != nil:
+			return nil // the wait for a placement ends at once, too
+		case time.Now().After(end):
+			return trialRefusal("another request with this content is tried first")
+		}
+		pause(ctx, trialPoll)
+	}
+}
+
+func trialRefusal(detail string) *fault.Error {
+	return withRetryAfter(fault.NotRunf(fault.Crashes, "targets crashed while requests with this content ran: %s", detail), trialRetryAfter)
+}
+
+// beginTrial reports whether a request may be sent now, or refuses it.
+func (r *Router) beginTrial(now time.Time, c *call) (ok bool, f *fault.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f = r.checkBlocked(now, c); f != nil {
+		return false, f
+	}
+	t, onTrial := r.poison.Trial(now, c.features)
+	if !onTrial {
+		return true, nil
+	}
+	if r.pool(c.service).InUse(now) < trialTargetsMin && now.Sub(t.Crashed) < loneTrialDelay {
+		return false, trialRefusal("it would run on the last target")
+	}
+	ok, changed := r.docket.Begin(now, t, c.features, r.reportInterval(now)+trialHeardSlack)
+	if changed {
+		r.urgentHeartbeats = urgentHeartbeatsMax
+	}
+	if ok {
+		c.onTrial = true
+		r.log.Log(event.RequestOnTrial, "id", c.ID, "prints", t.Features, "since", now.Sub(t.Crashed).Milliseconds(), "waited", now.Sub(c.arrived).Milliseconds())
+	}
+	return ok, nil
+}
+
+// endTrial ends the trial of a request, if it was one.
+func (r *Router) endTrial(c *call, lost bool) {
+	if !c.onTrial {
+		return
+	}
+	c.onTrial = false
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.docket.End(time.Now(), c.features, lost)
+	r.urgentHeartbeats = urgentHeartbeatsMax
+}
+
+// releaseIfOnTrial releases a placement if requests like this one are on trial since it waited for the placement, and
+// reports whether it did.
+func (r *Router) releaseIfOnTrial(c *call, d decision) bool {
+	if c.onTrial || !r.needsTrial(c.features) {
+		return false
+	}
+	r.log.Log(event.RequestUnsent, "id", c.ID, "target", d.target.ID)
+	r.releasePlacement(c, d)
+	return true
+}
+
+func (r *Router) needsTrial(features []ident.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.poison.Trial(time.Now(), features)
+	return ok
+}
