--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -283,8 +283,13 @@
 // startTarget starts a target that calls script for each request, with the number of requests so far; it closes
 // the connection when script returns false.
 func startTarget(t *testing.T, id string, script func(n int, r *http.Request, c net.Conn) (more bool)) *scriptedTarget {
+	return startTargetAt(t, id, "127.0.0.1:0", script)
+}
+
+// startTargetAt starts a target at an address.
+func startTargetAt(t *testing.T, id, addr string, script func(n int, r *http.Request, c net.Conn) (more bool)) *scriptedTarget {
 	g := NewWithT(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", addr)
 	g.Expect(err).NotTo(HaveOccurred())
 	x := &scriptedTarget{id: id, addr: ln.Addr().String(), ln: ln}
 	t.Cleanup(func() { _ = ln.Close() })
--- a/router/direct/together_test.go
+++ b/router/direct/together_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,10 +22,12 @@
 	lateMax    = 3
 )
 
-// restartingFleet is a set of targets that end under each request with the body "deadly", and start again.
+// restartingFleet is a set of targets that end under each deadly request, and start again.
 type restartingFleet struct {
 	t *testing.T
 	e *env
+	// silent is true if targets keep their connections and answer nothing until they start again.
+	silent bool
 	// mu guards the fields below.
 	mu      sync.Mutex
 	started int
@@ -42,25 +45,27 @@
 	*scriptedTarget
 	n     int
 	conns map[net.Conn]bool
-	ended bool
+	// ended is closed when the process ends, hung is true from then on or once it is silent.
+	ended chan struct{}
+	hung  bool
 }
 
 func newRestartingFleet(t *testing.T, e *env, size int) *restartingFleet {
 	f := &restartingFleet{t: t, e: e, running: map[int]*restartingTarget{}}
 	for range size {
-		f.start()
+		f.start("127.0.0.1:0")
 	}
 	return f
 }
 
 // start starts a process under a new id.
-func (f *restartingFleet) start() {
+func (f *restartingFleet) start(addr string) {
 	f.mu.Lock()
 	f.started++
-	p := &restartingTarget{n: f.started, conns: map[net.Conn]bool{}}
+	p := &restartingTarget{n: f.started, conns: map[net.Conn]bool{}, ended: make(chan struct{})}
 	f.running[p.n] = p
 	f.mu.Unlock()
-	x := startTarget(f.t, fmt.Sprint("t", p.n), func(_ int, r *http.Request, c net.Conn) bool { return f.serve(p, r, c) })
+	x := startTargetAt(f.t, fmt.Sprint("t", p.n), addr, func(_ int, r *http.Request, c net.Conn) bool { return f.serve(p, r, c) })
 	f.mu.Lock()
 	p.scriptedTarget = x
 	f.mu.Unlock()
@@ -70,41 +75,68 @@
 func (f *restartingFleet) serve(p *restartingTarget, r *http.Request, c net.Conn) bool {
 	f.mu.Lock()
 	p.conns[c] = true
-	ended := p.ended
+	hung := p.hung
 	deadly := r.Header.Get("X-Deadly") != ""
-	if deadly && !ended {
+	if deadly && !hung {
 		f.arrivals = append(f.arrivals, time.Now())
 	}
 	f.mu.Unlock()
-	if ended {
+	switch {
+	case hung:
+		<-p.ended
 		return false
-	}
-	if deadly {
+	case deadly:
 		time.Sleep(deadlyTime)
 		f.end(p, true)
 		return false
 	}
 	time.Sleep(20 * time.Millisecond)
-	return answerOK(0, r, c)
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return answerOK(0, r, c)
+	}
 }
 
-// end ends a process: connections close, and new ones are refused until the next process is up.
+// end ends a process, or makes it silent. Connections close, at once or when the next process starts.
 func (f *restartingFleet) end(p *restartingTarget, byRequest bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p.ended {
+	if p.hung {
 		return
 	}
-	p.ended = true
+	p.hung = true
 	delete(f.running, p.n)
-	_ = p.ln.Close()
-	for c := range p.conns {
-		_ = c.Close()
+	if !f.silent {
+		p.close()
 	}
 	if byRequest {
 		f.ends = append(f.ends, time.Now())
 	}
-	time.AfterFunc(restartTime, f.start)
+	time.AfterFunc(restartTime, func() { f.restart(p) })
+}
+
+// restart ends a process for good, removes its registration, and starts the next one at its address.
+func (f *restartingFleet) restart(p *restartingTarget) {
+	f.mu.Lock()
+	if f.silent {
+		p.close()
+	}
+	f.mu.Unlock()
+	ctx := context.Background()
+	if o, err := f.e.store.Get(ctx, "targets", p.id); err == nil {
+		_ = f.e.store.Delete(ctx, o)
+	}
+	f.start(p.addr)
+}
+
+func (p *restartingTarget) close() {
+	close(p.ended)
+	_ = p.ln.Close()
+	for c := range p.conns {
+		_ = c.Close()
+	}
 }
 
 // endAll ends all processes at once, for a reason of their own.
@@ -147,13 +179,24 @@
 // Guards against a request that ends all targets of a service together, again and again, as targets that end together
 // also come back together.
 func TestRequestThatEndsAllTargetsTogetherIsRefused(t *testing.T) {
+	testDeadlyRequest(t, false)
+}
+
+// Guards against a request under which targets fall silent until they start again, and that is never suspected as no
+// connection is refused.
+func TestRequestThatSilencesAllTargetsIsRefused(t *testing.T) {
+	testDeadlyRequest(t, true)
+}
+
+func testDeadlyRequest(t *testing.T, silent bool) {
 	e := newEnv(t)
 	f := newRestartingFleet(t, e, 3)
+	f.silent = silent
 	routers := twoRouters(t, e)
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	served, sent := 0, 0
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, r := range routers {
 			callers.Go(func() { r.request("GET", "/safe/x", "", "X-Deadly", "1") })
 			callers.Go(func() {
