BUDGET: requests that a silent target left unanswered are suspected

Callers saw one target after the other fall silent under a request, for seconds each, and nobody else was served by them.

Cause: only a lost answer whose target refuses a connection within 2 s counted as a crash.

Change: what a target has not answered since its last sign of life is reported once it is due, puts requests on trial, and counts for a block when the process turns out to have ended (also by another target at its address). Requests sent to a target that was already silent are not suspected, a trial is not sent to one, and a target that answers again clears what it had not answered.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -27,6 +27,8 @@
 	crashesMax = 64
 	// sameCrash is the time within which reports of different routers on one target mean the same crash.
 	sameCrash = 2 * time.Second
+	// SilentTime is the time for which the silence of a target counts, unless it is found to have ended.
+	SilentTime = 10 * time.Second
 	// episodeGap is the time within which crashes count as one: targets that end together have a cause in common that
 	// is no request.
 	episodeGap = 250 * time.Millisecond
@@ -71,6 +73,8 @@
 	At time.Time
 	// Requests are the router's own that ran on the target.
 	Requests []Request
+	// Silent is true if the target is not known to have ended: it has been silent since At.
+	Silent bool
 }
 
 // Block refuses the requests that have all its features.
@@ -87,6 +91,8 @@
 	target   ident.TargetID
 	at       time.Time
 	requests []runner
+	// silent is true until a router found that the target ended; wasSilent is true from then on, too.
+	silent, wasSilent bool
 }
 
 // runner is a request that ran at a crash; own is true if it was this router's.
@@ -153,7 +159,11 @@
 func (d *Detector) MergeCrash(c Crash) { d.merge(c, false) }
 
 func (d *Detector) merge(c Crash, own bool) {
-	k := d.crashOf(c.Target, c.At)
+	k := d.crashOf(c)
+	if k.silent && !c.Silent {
+		k.silent, d.suspectsChanged = false, true
+		d.look(k.at.Add(settleTime))
+	}
 	for _, r := range c.Requests {
 		if len(r.Features) == 0 {
 			continue
@@ -179,15 +189,19 @@
 	}
 }
 
-// crashOf returns the crash of a target at about the given time.
-func (d *Detector) crashOf(t ident.TargetID, at time.Time) *crash {
+// crashOf returns what is known of a crash that a router reports.
+func (d *Detector) crashOf(c Crash) *crash {
 	for _, k := range d.crashes {
-		if k.target == t && at.Sub(k.at).Abs() < sameCrash {
+		within := sameCrash
+		if k.wasSilent || c.Silent {
+			within = SilentTime
+		}
+		if k.target == c.Target && c.At.Sub(k.at).Abs() < within {
 			return k
 		}
 	}
-	k := &crash{target: t, at: at}
-	i, _ := slices.BinarySearchFunc(d.crashes, at, func(k *crash, at time.Time) int { return k.at.Compare(at) })
+	k := &crash{target: c.Target, at: c.At, silent: c.Silent, wasSilent: c.Silent}
+	i, _ := slices.BinarySearchFunc(d.crashes, c.At, func(k *crash, at time.Time) int { return k.at.Compare(at) })
 	d.crashes = slices.Insert(d.crashes, i, k)
 	if len(d.crashes) > crashesMax {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
--- a/core/poison/step.go
+++ b/core/poison/step.go
@@ -41,6 +41,9 @@
 func (d *Detector) strongest(now time.Time) (best *block) {
 	accusations := map[ident.Fingerprint][]accusation{}
 	for _, k := range d.crashes {
+		if k.silent {
+			continue
+		}
 		if now.Sub(k.at) < settleTime {
 			d.look(k.at.Add(settleTime))
 			continue
@@ -82,7 +85,9 @@
 
 func (d *Detector) expire(now time.Time) {
 	n := len(d.crashes)
-	d.crashes = slices.DeleteFunc(d.crashes, func(k *crash) bool { return now.Sub(k.at) >= crashTTL })
+	d.crashes = slices.DeleteFunc(d.crashes, func(k *crash) bool {
+		return now.Sub(k.at) >= crashTTL || k.silent && now.Sub(k.at) >= SilentTime
+	})
 	d.suspectsChanged = d.suspectsChanged || len(d.crashes) < n
 	d.cleared = slices.DeleteFunc(d.cleared, func(f ident.Fingerprint) bool { return now.Sub(d.lastPass(f)) >= crashTTL })
 	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.Until) >= RenewTime })
@@ -96,7 +101,7 @@
 		}
 		for _, k := range d.crashes {
 			own := false
-			again := k.at.After(b.Until) && slices.ContainsFunc(k.requests, func(r runner) bool {
+			again := !k.silent && k.at.After(b.Until) && slices.ContainsFunc(k.requests, func(r runner) bool {
 				hit := !r.Late && contains(r.Features, b.Features)
 				own = own || hit && r.own
 				return hit
@@ -171,7 +176,7 @@
 	for _, a := range list {
 		all, accused := 0, 0
 		for _, k := range d.crashes {
-			if near(k.at, a.at) {
+			if !k.silent && near(k.at, a.at) {
 				all++
 			}
 		}
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -13,7 +13,7 @@
 // reason of their own, so together they count as one crash. But targets that end together come back together, and if the
 // requests are the cause, they end all targets once more for each crash that counts.
 //
-// What was running when several targets crashed, and has not passed since, is on trial: all routers together send one
+// What was running when several targets crashed or fell silent, and has not passed since, is on trial: all routers together send one
 // such request at a time. If it passes, all others follow; if its target crashes, too, that counts for more than a crash
 // among many requests. What is sound waits for one of its like, and what is not costs one target.
 
@@ -26,8 +26,6 @@
 	clearedMax = 64
 	// waitingClaimTTL is the time after which the claim of a request that no longer asks for its trial ends.
 	waitingClaimTTL = 200 * time.Millisecond
-	// verifyTime is the time after a lost answer in which its target is found down; until then the trial has not ended.
-	verifyTime = 500 * time.Millisecond
 	// peerClaimTTL is the time for which the claims of a silent router hold; peerClaimsMax bounds those of one router.
 	peerClaimTTL  = 2 * time.Second
 	peerClaimsMax = 16
@@ -92,6 +90,16 @@
 	return slices.ContainsFunc(list[0].requests, func(r runner) bool { return r.Features[0] == f })
 }
 
+// SilentSince returns the time since which a target is silent, as far as any router has reported.
+func (d *Detector) SilentSince(t ident.TargetID) (at time.Time, ok bool) {
+	for _, k := range d.crashes {
+		if k.silent && k.target == t {
+			return k.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // clearSuspects ends the trials of what has a feature that passes.
 func (d *Detector) clearSuspects(f ident.Fingerprint) {
 	if d.suspectsChanged {
@@ -163,14 +171,11 @@
 	return true, true
 }
 
-// End ends the trial of a request. If its answer was lost, the trial goes on until it is known whether the target is down.
-func (k *Docket) End(now time.Time, request []ident.Fingerprint, lost bool) {
+// End ends the trial of a request after the given time, in which it turns out whether its target is down.
+func (k *Docket) End(now time.Time, request []ident.Fingerprint, after time.Duration) {
 	for _, c := range k.own {
 		if c.Running && c.until.IsZero() && slices.Equal(c.Features, request) {
-			c.until = now
-			if lost {
-				c.until = now.Add(verifyTime)
-			}
+			c.until = now.Add(after)
 			return
 		}
 	}
--- a/core/poison/trial_test.go
+++ b/core/poison/trial_test.go
@@ -138,7 +138,7 @@
 				}
 				switch {
 				case !r.runs.IsZero() && now.Sub(r.runs) >= runTime:
-					r.docket.End(now, features, false)
+					r.docket.End(now, features, 0)
 					r.runs = time.Time{}
 					r.finished++
 					running--
@@ -174,7 +174,40 @@
 	g.Expect(k.Claims(after(1.5))).To(BeEmpty(), "its caller left")
 	g.Expect(begin(2.5)).To(BeTrue())
 	g.Expect(begin(2.6)).To(BeFalse(), "one is running")
-	k.End(after(3), features, true)
+	k.End(after(3), features, 500*time.Millisecond)
 	g.Expect(begin(3.1)).To(BeFalse(), "the target may be found down")
 	g.Expect(begin(3.6)).To(BeTrue())
 }
+
+// Guards against a target that falls silent and accuses nobody, and against one that goes on and is taken for crashed.
+func TestSilenceCountsOnceItsTargetEnded(t *testing.T) {
+	g := NewWithT(t)
+	r := request()
+	silent := func(n int, at float64) poison.Crash {
+		return poison.Crash{Target: targetID(n), At: after(at), Requests: early(r), Silent: true}
+	}
+	d := poison.New()
+	for i := range 4 {
+		d.RecordCrash(silent(i, float64(i)))
+		d.Step(after(float64(i) + 0.5))
+	}
+	_, blocked := d.Match(after(4), r)
+	g.Expect(blocked).To(BeFalse())
+	g.Expect(onTrial(d, 4, r)).To(BeTrue())
+	_, isSilent := d.SilentSince(targetID(0))
+	g.Expect(isSilent).To(BeTrue())
+	for i := range 3 {
+		d.MergeCrash(poison.Crash{Target: targetID(i), At: after(float64(i) + 0.1), Requests: early(r)})
+		d.MergeCrash(poison.Crash{Target: targetID(i), At: after(float64(i) + 4), Requests: early(r)})
+	}
+	d.Step(after(5))
+	_, blocked = d.Match(after(5), r)
+	g.Expect(blocked).To(BeTrue())
+	g.Expect(d.Suspicions()).To(ConsistOf(HaveField("Targets", 3)), "one crash of each target, however late it was found")
+
+	d = poison.New()
+	d.RecordCrash(silent(0, 0))
+	d.RecordCrash(silent(1, 0))
+	d.Step(after(11))
+	g.Expect(onTrial(d, 11, r)).To(BeFalse(), "the targets went on")
+}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -183,10 +183,10 @@
 	return ok && !t.draining && !now.Before(t.pause.until)
 }
 
-// InUse returns the number of targets that jobs are placed on and that were not found down since their last answer.
+// InUse returns the number of targets that jobs are placed on and that were not found down since their last answer, nor are silent.
 func (p *Pool) InUse(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if p.Accepts(now, t.ID) && !t.missing && !t.CanaryOnly && !t.foundDownByAny {
+		if p.Accepts(now, t.ID) && !t.missing && !t.CanaryOnly && !t.foundDownByAny && !t.silent(now) {
 			n++
 		}
 	}
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -144,6 +144,8 @@
 	AgeMillis int64
 	// Requests are those of the sender that were running on the target.
 	Requests []HeartbeatSuspect
+	// Silent is true if the target is not known to have ended.
+	Silent bool
 }
 
 // HeartbeatSuspect is a request that was running on a target when it crashed; see package poison.
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -36,7 +36,9 @@
 	request poison.Request
 	// events is the number of events of the answer that the target had sent.
 	events int
+	// at is the time of the loss, or the time at which the request was sent if the target was silent from then on.
 	at     time.Time
+	silent bool
 }
 
 // setFeatures sets what the request may have in common with others; see package poison.
@@ -64,7 +66,11 @@
 		return nil
 	}
 	r.mu.Lock()
-	f := r.checkBlocked(time.Now(), c)
+	now := time.Now()
+	f := r.checkBlocked(now, c)
+	if activity := r.activity[d.target.ID]; f == nil && c.onTrial && activity != nil && r.isSilent(now, d.target.ID, activity) {
+		f = trialRefusal("its target does not answer")
+	}
 	r.mu.Unlock()
 	if f != nil {
 		r.releasePlacement(c, d)
@@ -78,12 +84,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	silent := (a.result == answerLost || a.result == abandoned) && a.silent(now)
+	if (silent || a.result == answerLost) && !a.unsuspected {
+		r.lostAnswers[a.target.ID] = append(r.lostAnswers[a.target.ID], newLostAnswer(now, c, a, silent))
+		r.keepPartNames(c)
+	}
+	if silent && !a.unsuspected {
+		a.activity.suspected.Store(true)
+	}
 	switch {
 	case a.result == answerLost:
-		l := lostAnswer{id: c.ID, request: poison.Request{Features: c.features, Late: a.passed, Trial: c.onTrial}, events: a.events, at: now}
-		r.lostAnswers[a.target.ID] = append(r.lostAnswers[a.target.ID], l)
 		r.requestVerify(a.target)
-		r.keepPartNames(c)
 	case a.result == delivered && (a.sound || c.onTrial && a.survived()):
 		r.poison.RecordPass(now, c.features)
 	}
@@ -107,9 +118,17 @@
 	}
 }
 
-// forgetLostAnswers forgets the answers that a target lost before a time at which it was up; r.mu is held.
-func (r *Router) forgetLostAnswers(t ident.TargetID, up time.Time) {
-	kept := slices.DeleteFunc(r.lostAnswers[t], func(l lostAnswer) bool { return l.at.Before(up) })
+// expired reports whether the target was not found down in time.
+func (l lostAnswer) expired(now time.Time) bool {
+	if l.silent {
+		return now.Sub(l.at) >= poison.SilentTime
+	}
+	return now.Sub(l.at) >= crashConfirmWindow
+}
+
+// forgetLostAnswers forgets some of the answers that a target lost; r.mu is held.
+func (r *Router) forgetLostAnswers(t ident.TargetID, which func(lostAnswer) bool) {
+	kept := slices.DeleteFunc(r.lostAnswers[t], which)
 	if r.lostAnswers[t] = kept; len(kept) == 0 {
 		delete(r.lostAnswers, t)
 	}
@@ -118,35 +137,74 @@
 // expireLostAnswers forgets the lost answers of targets that were not found down in time; r.mu is held.
 func (r *Router) expireLostAnswers(now time.Time) {
 	for t := range r.lostAnswers {
-		r.forgetLostAnswers(t, now.Add(-crashConfirmWindow))
+		r.forgetLostAnswers(t, func(l lostAnswer) bool { return l.expired(now) })
+	}
+}
+
+func newLostAnswer(now time.Time, c *call, a *attempt, silent bool) lostAnswer {
+	l := lostAnswer{id: c.ID, request: poison.Request{Features: c.features, Late: a.passed, Trial: c.onTrial}, events: a.events, at: now, silent: silent}
+	if silent {
+		l.at = a.sent
 	}
+	return l
+}
+
+// reportedCrash is a crash that the other routers are told of, since the given time.
+type reportedCrash struct {
+	poison.Crash
+	since time.Time
+}
+
+// recordCrash records a crash and tells the other routers, in place of an earlier report that the target is silent; r.mu
+// is held.
+func (r *Router) recordCrash(now time.Time, c poison.Crash) {
+	r.poison.RecordCrash(c)
+	known := r.forgetSilence(c.Target)
+	if len(r.recentCrashes) == recentCrashesMax {
+		r.recentCrashes = r.recentCrashes[1:]
+	}
+	r.recentCrashes = append(r.recentCrashes, reportedCrash{Crash: c, since: now})
+	if !c.Silent || !known {
+		r.urgentHeartbeats = urgentHeartbeatsMax
+	}
+}
+
+// forgetSilence ends the reports that a target is silent, and reports whether there were any; r.mu is held.
+func (r *Router) forgetSilence(t ident.TargetID) bool {
+	n := len(r.recentCrashes)
+	r.recentCrashes = slices.DeleteFunc(r.recentCrashes, func(o reportedCrash) bool { return o.Silent && o.Target == t })
+	return len(r.recentCrashes) < n
 }
 
 // confirmCrashes turns the recent lost answers of a target that is down into a crash; r.mu is held.
 func (r *Router) confirmCrashes(now time.Time, t ident.TargetID) {
-	lost := slices.DeleteFunc(r.lostAnswers[t], func(l lostAnswer) bool { return now.Sub(l.at) >= crashConfirmWindow })
+	lost := slices.DeleteFunc(r.lostAnswers[t], func(l lostAnswer) bool { return l.expired(now) })
+	lost = append(lost, r.unansweredBy(now, t)...)
 	delete(r.lostAnswers, t)
 	if registered, ok := r.targets[t]; !ok || registered.Leaving || len(lost) == 0 {
 		return // a target that is leaving was to end
 	}
-	c := poison.Crash{Target: t, At: lost[0].at}
+	c := poison.Crash{Target: t}
 	var ids []ident.RequestID
 	var prints []ident.Fingerprint
 	var events []int
 	for _, l := range lost {
-		c.Requests = append(c.Requests, l.request)
+		addLost(&c, l)
 		ids, prints, events = append(ids, l.id), append(prints, l.request.Features[0]), append(events, l.events)
 	}
 	r.log.Log(event.RequestSuspected, "target", t, "prints", prints, "among", len(lost), "ids", ids, "events", events, "since", now.Sub(c.At).Milliseconds())
-	r.poison.RecordCrash(c)
-	if len(r.recentCrashes) == recentCrashesMax {
-		r.recentCrashes = r.recentCrashes[1:]
-	}
-	r.recentCrashes = append(r.recentCrashes, c)
-	r.urgentHeartbeats = urgentHeartbeatsMax
+	r.recordCrash(now, c)
 	r.updateBlocks(now)
 }
 
+// addLost adds a request to a crash, whose time is that of the first loss.
+func addLost(c *poison.Crash, l lostAnswer) {
+	if len(c.Requests) == 0 || l.at.Before(c.At) {
+		c.At = l.at
+	}
+	c.Requests = append(c.Requests, l.request)
+}
+
 // updateBlocks derives blocks from the crashes that are known; r.mu is held.
 func (r *Router) updateBlocks(now time.Time) {
 	blocked, lifted := r.poison.Step(now)
@@ -189,11 +247,11 @@
 func (r *Router) addCrashes(now time.Time, m *wire.Heartbeat) {
 	rare := (uint64(m.Seq)+rankOf(r.cfg.Name))%levelsEvery == 0
 	for _, c := range r.recentCrashes {
-		age := now.Sub(c.At)
-		if age >= crashGossipTTL || age >= crashGossipOften && !rare {
+		known := now.Sub(c.since)
+		if known >= crashGossipTTL || known >= crashGossipOften && !rare {
 			continue
 		}
-		w := wire.HeartbeatCrash{Target: c.Target, AgeMillis: age.Milliseconds()}
+		w := wire.HeartbeatCrash{Target: c.Target, AgeMillis: now.Sub(c.At).Milliseconds(), Silent: c.Silent}
 		for _, q := range c.Requests {
 			w.Requests = append(w.Requests, wire.HeartbeatSuspect{Features: q.Features, Late: q.Late, Trial: q.Trial})
 		}
@@ -218,7 +276,7 @@
 func (r *Router) mergeCrashes(now time.Time, b *wire.Heartbeat) {
 	ago := func(millis int64) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, w := range b.Crashes {
-		c := poison.Crash{Target: w.Target, At: ago(w.AgeMillis)}
+		c := poison.Crash{Target: w.Target, At: ago(w.AgeMillis), Silent: w.Silent}
 		for _, q := range w.Requests {
 			c.Requests = append(c.Requests, poison.Request{Features: q.Features, Late: q.Late, Trial: q.Trial})
 		}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -166,6 +166,8 @@
 	// lostAnswers are lost answers that may turn out to be crashes, by target; recentCrashes are the crashes that
 	// are sent to other routers. partNames are the ids of parts of prompts by their features.
 	lostAnswers map[ident.TargetID][]lostAnswer
+	// unanswered are the requests to which their targets have sent nothing yet, by target.
+	unanswered map[ident.TargetID]map[*attempt]*unanswered
 	// suspicions are the last ones that were logged.
 	suspicions []poison.Suspicion
 	// blockChanges are changes of blocks that are to be written to the store.
@@ -183,7 +185,7 @@
 	// reportedUsage is the use of accounts as last reported.
 	reportedUsage map[ident.AccountID]reportedUsage
 	peers         map[ident.ProcessID]*peer
-	recentCrashes []poison.Crash
+	recentCrashes []reportedCrash
 	partNames     map[ident.Fingerprint]ident.PromptPart
 	rnd           *rand.Rand
 	// rollouts are the rollouts of services that are running or were rolled back; see rollouts.go.
@@ -247,7 +249,7 @@
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), partNames: map[ident.Fingerprint]ident.PromptPart{},
-		lostAnswers: map[ident.TargetID][]lostAnswer{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
+		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
 		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
@@ -372,6 +374,7 @@
 		events := r.fleet.Expire(now)
 		r.applyFleetEvents(events)
 		r.judgeRollouts(now)
+		r.reportSilences(now)
 		r.updateBlocks(now)
 		if now.Sub(lastScouting) >= scoutInterval {
 			lastScouting = now
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -64,8 +64,11 @@
 	// target; sound is true for a complete answer that is a success.
 	events        int
 	passed, sound bool
-	answer        *bufferedAnswer
-	err           error
+	// activity is that of the target. unsuspected is true if the target was silent before the request was sent.
+	activity    *targetActivity
+	unsuspected bool
+	answer      *bufferedAnswer
+	err         error
 }
 
 // survived reports whether the target gave a complete answer that is no failure of its own.
@@ -129,7 +132,7 @@
 	c.job.Canary = r.assignCanary(c)
 	canary := c.job.Canary
 	defer func() { r.returnRetries(c.service, prog.spareRetries) }()
-	defer func() { r.endTrial(c, false) }()
+	defer func() { r.endTrial(c, nil) }()
 	for {
 		c.job.AnswerStarted = prog.started
 		var d decision
@@ -157,7 +160,7 @@
 		r.logPlacement(c, d, prog.placements)
 		var a *attempt
 		a, next = r.tryTarget(ctx, w, c, d.target, &prog)
-		r.endTrial(c, a.result == answerLost)
+		r.endTrial(c, a)
 		if next != nil {
 			prog.spareRetries += next.spareRetries
 		}
@@ -255,12 +258,16 @@
 	defer cancel()
 	stall := r.watchStall(c, t, prog, cancel)
 	defer func() { next = stall.stop() }()
+	a.activity = stall.shared
+	r.addUnanswered(c, a)
 	x, err := r.send(attemptCtx, t.Address, maxIdle, r.newTargetRequest(c, t, prog))
+	r.removeUnanswered(a)
 	if err != nil {
 		a.setError(ctx, err)
 		r.recordAnswerEnd(c, a)
 		return a, nil
 	}
+	r.recordLife(t.ID, a.activity)
 	r.recordRate(t, x.answer)
 	if !c.route.Repeatable() && !x.refused(c.ID) && x.hasWritten() {
 		c.body.release() // the request is not sent again
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -33,8 +33,18 @@
 	stallRetry = 50 * time.Millisecond
 )
 
-// targetActivity is the time of the last event that this router received from a target, in Unix nanoseconds.
-type targetActivity struct{ lastEvent atomic.Int64 }
+// targetActivity tells what this router received from a target.
+type targetActivity struct {
+	// lastEvent and lastAnswer are the times of the last event and of the last head of an answer, in Unix nanoseconds.
+	lastEvent, lastAnswer atomic.Int64
+	// suspected is true if the target left requests without an answer and has sent nothing since.
+	suspected atomic.Bool
+}
+
+// silentSince reports whether the target has sent nothing since a time.
+func (a *targetActivity) silentSince(t time.Time) bool {
+	return max(a.lastEvent.Load(), a.lastAnswer.Load()) < t.UnixNano()
+}
 
 // stallWatch ends an attempt whose target is stalled once another target can take the request.
 type stallWatch struct {
--- a/router/direct/together_test.go
+++ b/router/direct/together_test.go
@@ -88,6 +88,7 @@
 	case deadly:
 		time.Sleep(deadlyTime)
 		f.end(p, true)
+		<-p.ended
 		return false
 	}
 	time.Sleep(20 * time.Millisecond)
@@ -213,6 +214,9 @@
 	callers.Wait()
 	t.Logf("%d targets ended, %d deadly requests arrived, %d late, %d of %d sound requests served", len(f.ends), len(f.arrivals), f.late(), served, sent)
 	e.g.Expect(f.late()).To(BeNumerically("<=", lateMax))
+	for _, r := range routers {
+		e.g.Expect(r.request("GET", "/safe/sound", "").code).To(Equal(200), "a request that only ran beside the others")
+	}
 }
 
 // Guards against a sound request that is refused because it ran on targets that ended together for another reason.
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -22,6 +22,10 @@
 	// last one; loneTrialDelay is the time after a crash from which that does not matter.
 	trialTargetsMin = 2
 	loneTrialDelay  = 5 * time.Second
+	// trialVerifyTime is the time after a lost answer in which its target is found down; silentTrialTime is that in which
+	// a silent target is replaced, or answers again.
+	trialVerifyTime = 500 * time.Millisecond
+	silentTrialTime = 4 * time.Second
 )
 
 // awaitTrial waits until a request may be sent. One that is on trial waits for its turn, for at most half of its time.
@@ -70,15 +74,23 @@
 	return ok, nil
 }
 
-// endTrial ends the trial of a request, if it was one.
-func (r *Router) endTrial(c *call, lost bool) {
+// endTrial ends the trial of a request, if it was one, with the attempt a; nil if nothing was sent.
+func (r *Router) endTrial(c *call, a *attempt) {
 	if !c.onTrial {
 		return
 	}
 	c.onTrial = false
+	var after time.Duration
+	switch {
+	case a == nil:
+	case a.silent(time.Now()):
+		after = silentTrialTime
+	case a.result == answerLost:
+		after = trialVerifyTime
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.docket.End(time.Now(), c.features, lost)
+	r.docket.End(time.Now(), c.features, after)
 	r.urgentHeartbeats = urgentHeartbeatsMax
 }
 
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -281,6 +281,9 @@
 		}
 		pool := r.pool(t.Service)
 		if e.Change == fleet.Up {
+			if !known {
+				r.confirmReplaced(now, t)
+			}
 			if known && old.Service != t.Service {
 				r.pool(old.Service).Drain(t.ID)
 			}
