LOST: answers to checks without end no longer fill the memory of a process

Cause: an agent decoded the answers of its target to reads of load and cache without a limit, for as long as half a second a call; a watch of the object API decoded the body of a refusal without one. Heads from targets had only the limit of net/http (10 MB).

Change: 16 MB for an answer to a check, 1 MB for a head at agents, 2 MB for the refusal of a watch.

Not tried: callers that read slowly, beside a target that sends without end.

--- a/agent/target/dispatch.go
+++ b/agent/target/dispatch.go
@@ -21,6 +21,8 @@
 	headerTimeout = 10 * time.Minute
 	// partBytesMax is the largest part of an answer that is not a stream.
 	partBytesMax = 64 << 10
+	// headerBytesMax limits the head of an answer.
+	headerBytesMax = 1 << 20
 	// requestIDHeader carries the id of a request, in the answer as well if the target echoes it.
 	requestIDHeader = "X-Request-Id"
 	// idleConnsMax bounds the idle connections to the target.
@@ -31,12 +33,13 @@
 // the transport never retries a request by itself.
 func newTransport(reuse bool) *http.Transport {
 	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   idleConnsMax,
-		IdleConnTimeout:       time.Minute,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
-		DisableKeepAlives:     !reuse,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    idleConnsMax,
+		IdleConnTimeout:        time.Minute,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: headerBytesMax,
+		DisableCompression:     true,
+		DisableKeepAlives:      !reuse,
 	}
 }
 
--- a/agent/target/engine.go
+++ b/agent/target/engine.go
@@ -21,6 +21,8 @@
 	resumesMax = 3
 	// resumePause is the pause before each attempt to resume a broken stream.
 	resumePause = 100 * time.Millisecond
+	// replyBytesMax limits the answer to a check, in bytes: the contents of the largest prefix cache.
+	replyBytesMax = 16 << 20
 )
 
 // Engine is a model engine that speaks the chat-completions protocol.
@@ -231,7 +233,7 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: e.rt}
+	client := &http.Client{Transport: boundedTransport{e.rt}}
 	res, err := sling.New().Client(client).Do(req.WithContext(ctx), v, nil)
 	if err != nil {
 		return err
@@ -242,6 +244,18 @@
 	return nil
 }
 
+// boundedTransport limits the bodies of answers to replyBytesMax.
+type boundedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (b boundedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, err := b.RoundTripper.RoundTrip(req)
+	if err == nil {
+		res.Body = http.MaxBytesReader(nil, res.Body, replyBytesMax)
+	}
+	return res, err
+}
+
 func isStream(res *http.Response) bool {
 	return res.StatusCode == http.StatusOK && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/core/store/watch.go
+++ b/core/store/watch.go
@@ -52,7 +52,7 @@
 func readEvents(req *http.Request, res *http.Response, f func(Change)) error {
 	if res.StatusCode >= 300 {
 		var raw json.RawMessage
-		_ = json.NewDecoder(res.Body).Decode(&raw) // the status code is enough
+		_ = json.NewDecoder(io.LimitReader(res.Body, eventBytesMax)).Decode(&raw) // the status code is enough
 		return statusError(req, res.StatusCode, raw)
 	}
 	r := bufio.NewReader(res.Body)
