--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -13,9 +13,9 @@
 // reason of their own, so together they count as one crash. But targets that end together come back together, and if the
 // requests are the cause, they end all targets once more for each crash that counts.
 //
-// What was running when several targets crashed or fell silent, and has not passed since, is on trial: all routers together send one
-// such request at a time. If it passes, all others follow; if its target crashes, too, that counts for more than a crash
-// among many requests. What is sound waits for one of its like, and what is not costs one target.
+// What was running when several targets crashed or fell silent, and has not passed since, is on trial: all routers
+// together send one such request at a time. If it passes, all others follow; if its target crashes, too, that counts for
+// more than a crash among many requests. What is sound waits for one of its like, and what is not costs one target.
 
 const (
 	// trialTargets is the number of targets whose crashes put a feature on trial.
