Tests: agents block a sound request after targets end together (known red)

Not fixed here: counting both as one without a trial over all agents would let a request end all targets twice.

--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -99,3 +99,13 @@
 	gu.Merge(after(99).Add(guard.TTL), old)
 	g.Expect(gu.Len()).To(BeZero())
 }
+
+// Guards against a sound request that is refused for minutes because it ran alone on targets that ended together for
+// another reason.
+func TestTargetsThatEndTogetherBlockNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	gu := guard.New()
+	gu.RecordCrash(t0, "t1", []ident.Fingerprint{innocent})
+	gu.RecordCrash(t0.Add(20*time.Millisecond), "t2", []ident.Fingerprint{innocent})
+	g.Expect(gu.Check(after(1), innocent)).NotTo(Equal(guard.Blocked))
+}
