BUDGET: a request that never reached a silent target is not suspected

A request that waited for a connection to a target which answers no connection counted as left unanswered by it, though nothing was sent; a popular sound request could so be accused of the end of a target. A crash with closed connections took the time of the oldest request that had no answer yet, so that routers could date one crash more than 2 s apart and count it twice.

Change: a request counts from when it is written to a connection. The time of a crash is that of the first lost answer if there is one, and that of the silence otherwise. A trial that was not sent ends at once.

The wait for a connection itself has no test: loopback refuses or accepts at once.

--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -166,6 +166,8 @@
 	// body holds bodySize bytes.
 	body     [][]byte
 	bodySize int64
+	// connected, if not nil, is called before the request is written.
+	connected func()
 	// observe, if not nil, is called for the head of each answer on the connection, also of those that are skipped.
 	observe func(Answer)
 }
@@ -191,6 +193,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.connected != nil {
+		o.connected()
+	}
 	x := &exchange{conn: k, written: make(chan struct{})}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = k.Close() }) // unblocks the reads and writes
 	if o.bodySize <= inlineBodyMax {
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -149,6 +149,17 @@
 	return l
 }
 
+// timeOfCrash returns the time of the first answer that a crashed target lost, or that since which it was silent.
+func timeOfCrash(lost []lostAnswer) (at time.Time) {
+	silent := !slices.ContainsFunc(lost, func(l lostAnswer) bool { return !l.silent })
+	for _, l := range lost {
+		if l.silent == silent && (at.IsZero() || l.at.Before(at)) {
+			at = l.at
+		}
+	}
+	return at
+}
+
 // reportedCrash is a crash that the other routers are told of, since the given time.
 type reportedCrash struct {
 	poison.Crash
@@ -184,12 +195,12 @@
 	if registered, ok := r.targets[t]; !ok || registered.Leaving || len(lost) == 0 {
 		return // a target that is leaving was to end
 	}
-	c := poison.Crash{Target: t}
+	c := poison.Crash{Target: t, At: timeOfCrash(lost)}
 	var ids []ident.RequestID
 	var prints []ident.Fingerprint
 	var events []int
 	for _, l := range lost {
-		addLost(&c, l)
+		c.Requests = append(c.Requests, l.request)
 		ids, prints, events = append(ids, l.id), append(prints, l.request.Features[0]), append(events, l.events)
 	}
 	r.log.Log(event.RequestSuspected, "target", t, "prints", prints, "among", len(lost), "ids", ids, "events", events, "since", now.Sub(c.At).Milliseconds())
@@ -197,14 +208,6 @@
 	r.updateBlocks(now)
 }
 
-// addLost adds a request to a crash, whose time is that of the first loss.
-func addLost(c *poison.Crash, l lostAnswer) {
-	if len(c.Requests) == 0 || l.at.Before(c.At) {
-		c.At = l.at
-	}
-	c.Requests = append(c.Requests, l.request)
-}
-
 // updateBlocks derives blocks from the crashes that are known; r.mu is held.
 func (r *Router) updateBlocks(now time.Time) {
 	blocked, lifted := r.poison.Step(now)
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -64,11 +64,12 @@
 	// target; sound is true for a complete answer that is a success.
 	events        int
 	passed, sound bool
-	// activity is that of the target. unsuspected is true if the target was silent before the request was sent.
-	activity    *targetActivity
-	unsuspected bool
-	answer      *bufferedAnswer
-	err         error
+	// activity is that of the target. connected is true once the request is written to a connection; unsuspected is true
+	// if the target was silent before.
+	activity               *targetActivity
+	connected, unsuspected bool
+	answer                 *bufferedAnswer
+	err                    error
 }
 
 // survived reports whether the target gave a complete answer that is no failure of its own.
@@ -259,8 +260,9 @@
 	stall := r.watchStall(c, t, prog, cancel)
 	defer func() { next = stall.stop() }()
 	a.activity = stall.shared
-	r.addUnanswered(c, a)
-	x, err := r.send(attemptCtx, t.Address, maxIdle, r.newTargetRequest(c, t, prog))
+	req := r.newTargetRequest(c, t, prog)
+	req.connected = func() { r.addUnanswered(c, a) }
+	x, err := r.send(attemptCtx, t.Address, maxIdle, req)
 	r.removeUnanswered(a)
 	if err != nil {
 		a.setError(ctx, err)
--- a/router/direct/silence.go
+++ b/router/direct/silence.go
@@ -27,7 +27,7 @@
 
 // silent reports whether the target has sent nothing, to this request or another one, since this one was sent.
 func (a *attempt) silent(now time.Time) bool {
-	return now.Sub(a.sent) >= minSilence && a.activity.silentSince(a.sent)
+	return a.connected && now.Sub(a.sent) >= minSilence && a.activity.silentSince(a.sent)
 }
 
 // isSilent reports whether a target was silent before now, as far as this router or another one knows; r.mu is held.
@@ -44,6 +44,7 @@
 func (r *Router) addUnanswered(c *call, a *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a.connected = true
 	if a.unsuspected = r.isSilent(a.sent, a.target.ID, a.activity); a.unsuspected {
 		return
 	}
@@ -88,14 +89,15 @@
 		if !due {
 			continue
 		}
-		c := poison.Crash{Target: t, Silent: true}
+		lost := r.unansweredBy(now, t)
 		for _, l := range r.lostAnswers[t] {
 			if l.silent {
-				addLost(&c, l)
+				lost = append(lost, l)
 			}
 		}
-		for _, l := range r.unansweredBy(now, t) {
-			addLost(&c, l)
+		c := poison.Crash{Target: t, At: timeOfCrash(lost), Silent: true}
+		for _, l := range lost {
+			c.Requests = append(c.Requests, l.request)
 		}
 		for a, u := range m {
 			u.reported = u.reported || a.silent(now)
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -82,7 +82,7 @@
 	c.onTrial = false
 	var after time.Duration
 	switch {
-	case a == nil:
+	case a == nil || a.result == notRun:
 	case a.silent(time.Now()):
 		after = silentTrialTime
 	case a.result == answerLost:
