BUDGET: two trials on one target are no proof against either

Cause: found while reading the change. A deadly request and a popular sound one that ran beside it are both on trial, and both are sent as soon as targets are back. If the two trials run on the same target, its crash counted as a proof against each, and the sound request was blocked for two minutes.

Change: a crash with trials of several requests weighs as much as any crash.

Result: TestTrialsOfTwoRequestsOnOneTargetAreAmbiguous failed before and passes.

--- a/core/poison/step.go
+++ b/core/poison/step.go
@@ -138,15 +138,19 @@
 }
 
 // suspects returns the requests that may have caused a crash, and how much it counts against them. If some were on trial
-// or have the features of a block, the others are innocent.
+// or have the features of a block, the others are innocent; trials of several requests say no more than other crashes.
 func (d *Detector) suspects(k *crash) (out []runner, weight int) {
 	for _, r := range k.requests {
 		if r.Trial && !r.Late {
 			out = append(out, r)
 		}
 	}
-	if len(out) > 0 {
+	switch len(out) {
+	case 0:
+	case 1:
 		return out, trialWeight
+	default:
+		return out, earlyWeight
 	}
 	for _, r := range k.requests {
 		if !r.Late {
--- a/core/poison/trial_test.go
+++ b/core/poison/trial_test.go
@@ -211,3 +211,29 @@
 	d.Step(after(11))
 	g.Expect(onTrial(d, 11, r)).To(BeFalse(), "the targets went on")
 }
+
+// Guards against a sound request that is blocked because its trial ran on the target that the trial of another request
+// ended.
+func TestTrialsOfTwoRequestsOnOneTargetAreAmbiguous(t *testing.T) {
+	g := NewWithT(t)
+	d := poison.New()
+	sound, guilty := request(), request()
+	crashTogether(d, 0, 0, 3, early(sound, guilty)...)
+	trial := func(seconds float64, target int, features ...[]ident.Fingerprint) {
+		requests := early(features...)
+		for i := range requests {
+			requests[i].Trial = true
+		}
+		d.RecordCrash(poison.Crash{Target: targetID(target), At: after(seconds), Requests: requests})
+		d.Step(after(seconds + 0.5))
+	}
+	trial(4, 4, sound, guilty)
+	_, blocked := d.Match(after(5), sound)
+	g.Expect(blocked).To(BeFalse())
+	d.RecordPass(after(5), sound)
+	trial(8, 5, guilty)
+	_, blocked = d.Match(after(9), guilty)
+	g.Expect(blocked).To(BeTrue())
+	_, blocked = d.Match(after(9), sound)
+	g.Expect(blocked).To(BeFalse())
+}
