--- a/core/sched/classes.go
+++ b/core/sched/classes.go
@@ -25,6 +25,8 @@
 	// meanOutput is the mean length of answers, in tokens; zero for plain services, which generate none.
 	meanOutput float64
 	lengths    lengthStats
+	// firstEvents is the mean logarithm of the time to a first event, as a multiple of plainEstimate.
+	firstEvents float64
 	// durations is the distribution of the durations of plain calls, in seconds; it is set once hasDurations is true.
 	durations    lengthStats
 	hasDurations bool
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -89,7 +89,7 @@
 	switch {
 	case j.AnswerStarted || !now.Before(j.waitLimit()):
 		return min(hopelessChance, best/2)
-	case isLate(now, p.shortestLatency, j):
+	case p.isLate(now, j):
 		return lateChanceShare * best
 	}
 	return best - chanceTolerance
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -31,9 +31,10 @@
 type Report struct {
 	Router ident.ProcessID
 	Region ident.Region
-	// Demand is the mean number of running and waiting jobs; Waiting is the current number of waiting jobs.
-	Demand  float64
-	Waiting int
+	// Demand is the mean number of running and waiting jobs; Waiting is the current number of waiting jobs, and Urgent
+	// the number of those that can still be on time.
+	Demand          float64
+	Waiting, Urgent int
 	// Loads omits targets without running jobs.
 	Loads []Load
 	// Rates are those of targets that state one. A report may omit those that have not changed lately.
@@ -52,7 +53,7 @@
 // Report returns the state of this router.
 func (p *Pool) Report(now time.Time) Report {
 	p.updateDemand(now)
-	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Rates: p.rates(now)}
+	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Urgent: p.urgent(now), Rates: p.rates(now)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
 			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -36,6 +36,9 @@
 		}
 		j.Canary = false
 	}
+	if !p.lateMayRun(now, j) {
+		return nil, 0
+	}
 	return p.bestTarget(now, j)
 }
 
@@ -100,9 +103,10 @@
 	var bestScore time.Duration
 	bestRisk := 0
 	avoid := len(j.Avoid) > 0 && p.hasUntriedTarget(now, j)
-	chanceMin := 0.0
+	chanceMin, mayBeOnTime := 0.0, false
 	if len(p.usable) > 0 {
 		chanceMin = p.chanceMin(now, j)
+		mayBeOnTime = !j.AnswerStarted && !p.isLate(now, j)
 	}
 	kind := p.answerKind(j)
 	for _, t := range p.usable {
@@ -115,11 +119,19 @@
 		}
 		risk := p.riskLevel(now, t, chance)
 		score := p.score(t, j)
+		if mayBeOnTime {
+			score += p.lateCost(now, j, t.expectedFirstEvent(j), p.gapOf(t))
+		}
 		if best == nil || risk < bestRisk || risk == bestRisk && score < bestScore {
 			best, bestScore, bestRisk = t, score, risk
 			expected = t.expectedFirstEvent(j)
 		}
 	}
+	if p.mayWaitAhead(now, j) {
+		if t, score, first := p.bestAhead(now, j); t != nil && (best == nil || score < bestScore) {
+			return t, first
+		}
+	}
 	return best, expected
 }
 
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -37,6 +37,8 @@
 	Stride         int
 	// Stream is true if the answer is a stream of events.
 	Stream bool
+	// GapGoal is the longest time between two events of an answer that is on time; zero means no limit.
+	GapGoal time.Duration
 	// Avoid lists targets that failed the request.
 	Avoid []ident.TargetID
 	// Canary is true for a job that goes to a canary target. Placing the job clears it if no canary target had a
@@ -115,6 +117,10 @@
 	// meanEventGap is the mean time between events over the targets, shortestEventGap that of the fastest one, and
 	// shortestLatency the shortest time to a first event; see finish.go.
 	meanEventGap, shortestEventGap, shortestLatency time.Duration
+	// speed is what was learnt of the speed of all targets; see speed.go.
+	speed poolSpeed
+	// pauses is what was learnt of pauses within streams; see ontime.go.
+	pauses pauseStats
 	// split is true while long and short answers are separated, by meanDuration; see ratesplit.go.
 	split        bool
 	meanDuration time.Duration
@@ -122,10 +128,17 @@
 	demandShare float64
 	// spareSlots is the number of free slots beyond those that waiting jobs need, as of the last Schedule.
 	spareSlots int
+	// lateRoom is the number of free slots that late jobs may take, as of the last Schedule.
+	lateRoom int
 	// running is the number of own jobs at all targets. usable lists the targets that could accept a job when
 	// Schedule began.
 	running int
 	usable  []*target
+	// ahead lists the targets at which a job of the highest classes may wait, up to lastAhead if anyAhead is true; see
+	// ahead.go.
+	ahead     []*target
+	lastAhead class
+	anyAhead  bool
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
 }
@@ -134,6 +147,7 @@
 func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
 	return &Pool{
 		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
+		speed: poolSpeed{errors: newErrorStats()},
 	}
 }
 
@@ -223,9 +237,14 @@
 
 // FirstEvent records the first event of the job's answer.
 func (p *Pool) FirstEvent(now time.Time, id ident.TargetID, j *Job) {
-	if t, ok := p.targets[id]; ok {
-		t.firstEvent(now, j)
+	t, ok := p.targets[id]
+	if !ok {
+		return
+	}
+	if i := t.runIndex(j); i >= 0 && !t.runs[i].answering {
+		p.learnFirstEvent(t, now.Sub(t.runs[i].sent), t.runs[i].promptAhead, j)
 	}
+	t.firstEvent(now, j)
 }
 
 // Outcome is the result of a job at a target.
@@ -242,6 +261,8 @@
 	Gap time.Duration
 	// Events is the number of events of a complete answer; zero if the answer is incomplete or began elsewhere.
 	Events int
+	// Pauses is the number of times between two events that were longer than the job's GapGoal.
+	Pauses int
 	// Complete is true for a complete answer that is not a stream.
 	Complete bool
 }
@@ -259,6 +280,7 @@
 	if t.done(now, j, o) {
 		p.running--
 		p.recordLength(j, o.Events)
+		p.recordPauses(t, j, o)
 	}
 	p.updateEventGap()
 	p.removeDrained(t)
@@ -305,22 +327,27 @@
 	if len(p.waiting) == 0 {
 		return nil, nil
 	}
-	minLatency := p.minBaseLatency()
-	p.shortestLatency = minLatency
-	p.sortWaiting(now, minLatency)
+	p.shortestLatency = p.minBaseLatency()
+	p.sortWaiting(now)
 	p.collectUsable(now)
+	p.updateAhead(now)
+	p.collectAhead(now)
 	p.updateSplit(now)
 	p.spareSlots = p.countSpareSlots(now)
+	p.lateRoom = p.countLateRoom(now)
 	kept := p.waiting[:0]
 	var last class
 	sameClass := 0
 	for _, j := range p.waiting {
-		k := classOf(now, minLatency, j)
+		k := p.classOf(now, j)
 		if k != last {
 			last, sameClass = k, 0
 		}
 		t, firstEvent := p.place(now, j)
 		if t != nil {
+			if p.isLate(now, j) {
+				p.lateRoom--
+			}
 			placed = append(placed, p.begin(now, t, j, firstEvent))
 			p.countPlacement(now, k)
 			continue
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -159,12 +159,16 @@
 	case len(p.peers) == 0, len(t.runs) < t.allotted:
 		return true
 	}
-	interval := p.intervalNumber(now)
+	return p.mayBorrow(now, t, free-t.peerUnfilled)
+}
+
+// mayBorrow reports whether this router may place one more job beyond its share, of as many as there is room for.
+func (p *Pool) mayBorrow(now time.Time, t *target, room int) bool {
 	borrowed := 0
-	if t.borrowInterval == interval {
+	if t.borrowInterval == p.intervalNumber(now) {
 		borrowed = t.borrowed
 	}
-	return float64(borrowed)+p.draw(now, t) < borrowFraction*float64(free-t.peerUnfilled+borrowed)/float64(p.waitingRouters)
+	return float64(borrowed)+p.draw(now, t) < borrowFraction*float64(room+borrowed)/float64(p.waitingRouters)
 }
 
 // draw returns a number in [0, 1) for a target in the present report interval, which differs between routers.
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -42,13 +42,19 @@
 	return Refusal{Job: j, JobsAhead: ahead, ExpectedWait: expected, RetryAfter: min(max(expected, shortestRetryAfter), longestRetryAfter)}, true
 }
 
-// countSpareSlots returns the number of free slots that remain if all waiting jobs of all routers get one.
-func (p *Pool) countSpareSlots(now time.Time) (n int) {
+// freeSlots returns the number of jobs that all routers together can place now.
+func (p *Pool) freeSlots(now time.Time) (n int) {
 	for _, t := range p.sorted {
 		if !t.CanaryOnly && !t.draining && !t.missing && !t.resting(now) {
 			n += p.rateRoom(now, t, max(t.freeSlots(), 0))
 		}
 	}
+	return n
+}
+
+// countSpareSlots returns the number of free slots that remain if all waiting jobs of all routers get one.
+func (p *Pool) countSpareSlots(now time.Time) int {
+	n := p.freeSlots(now)
 	for _, r := range p.peers {
 		n -= r.Waiting
 	}
@@ -64,22 +70,29 @@
 	return limit
 }
 
-// expectedWait estimates the time until a job is placed. Behind jobs of higher classes, of which more arrive all
-// the time, a class gets only the slots that these leave free, which is the rate of its recent placements. The
-// first class of a pool without recent placements waits for the next free slot, whose time is unknown.
+// expectedWait estimates the time until a job is placed. Behind jobs of higher classes, of which more arrive all the
+// time, a class gets the slots that these leave free, whose rate is that of the recent placements of the class and of
+// those after it. The first class of a pool without recent placements waits for the next free slot, whose time is unknown.
 func (p *Pool) expectedWait(now time.Time, k class, ahead, sameClass int) time.Duration {
 	n, rate := ahead+1, p.placements.perSecond(now)
 	if ahead > sameClass {
-		n, rate = sameClass+1, 0
-		if r := p.classes[k]; r != nil {
-			rate = r.placements.perSecond(now)
-		}
+		n, rate = sameClass+1, p.rateFrom(now, k)
 	} else if rate == 0 {
 		return 0
 	}
 	return time.Duration(float64(n) / max(rate, placementRateMin) * float64(time.Second))
 }
 
+// rateFrom returns the recent placements per second of a class and of those that go after it.
+func (p *Pool) rateFrom(now time.Time, k class) (rate float64) {
+	for other, s := range p.classes {
+		if other.compare(k) >= 0 {
+			rate += s.placements.perSecond(now)
+		}
+	}
+	return rate
+}
+
 // rateCounter counts placements or refusals over the last rateSteps steps.
 type rateCounter struct {
 	// steps holds one count for each rateStep of time; newest is the number of the newest step.
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -65,9 +65,10 @@
 	borrowInterval         int64
 	borrowed               int
 	// baseLatency is the time to a first event without the prompt; promptRate is the number of prompt tokens
-	// read per second.
+	// read per second. Both are estimates; see speed.go. own is what this router has measured.
 	baseLatency time.Duration
 	promptRate  float64
+	own         ownSpeed
 	// eventGap is the time between events; zero until it is known. observed is true once this router has measured it
 	// itself; until then it is what another router reported.
 	eventGap time.Duration
@@ -140,21 +141,6 @@
 	r.answering = true
 	t.pendingPrompt -= j.Prompt
 	t.failures, t.foundDownByAny = 0, false
-	t.learnFirstEvent(now.Sub(r.sent), r.promptAhead, j.Prompt)
-}
-
-// learnFirstEvent updates the base latency or the prompt rate from the time to a first event: the prompt rate
-// from long prompts, the base latency from short ones.
-func (t *target) learnFirstEvent(elapsed time.Duration, ahead, prompt ident.Tokens) {
-	if prompt >= promptMin {
-		if read := elapsed - t.baseLatency; read > 0 {
-			sample := float64(prompt+ahead/2) / read.Seconds()
-			t.promptRate += sampleWeight * (min(sample, 4*t.promptRate) - t.promptRate)
-		}
-		return
-	}
-	read := time.Duration(float64(prompt+ahead/2) / t.promptRate * float64(time.Second))
-	t.baseLatency += time.Duration(sampleWeight * float64(max(elapsed-read, time.Millisecond)-t.baseLatency))
 }
 
 // learnGap updates the time between events with a sample, which may be zero.
@@ -204,7 +190,7 @@
 	return b
 }
 
-// updateEventGap updates the mean and the shortest time between events over the targets.
+// updateEventGap updates the mean and the shortest time between events over the targets, and the estimates of their speeds.
 func (p *Pool) updateEventGap() {
 	var sum, shortest time.Duration
 	n := 0
@@ -221,6 +207,9 @@
 	if n > 0 {
 		p.meanEventGap, p.shortestEventGap = sum/time.Duration(n), shortest
 	}
+	for _, t := range p.sorted {
+		p.estimateSpeed(t)
+	}
 }
 
 // foundDown records that the target cannot be reached. The back-off time doubles with each time in a row.
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -45,23 +45,23 @@
 	return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.tier, b.tier), cmp.Compare(a.routeTier, b.routeTier))
 }
 
-// classOf returns the class of a job, given the shortest time to a first event over all targets.
-func classOf(now time.Time, minLatency time.Duration, j *Job) class {
+// classOf returns the class of a job.
+func (p *Pool) classOf(now time.Time, j *Job) class {
 	k := class{timeliness: 1, tier: j.Tier, routeTier: j.RouteTier}
 	switch {
 	case j.AnswerStarted:
 		k.timeliness = 0
-	case isLate(now, minLatency, j):
+	case p.isLate(now, j):
 		k.timeliness = 2
 	}
 	return k
 }
 
 // sortWaiting sorts the waiting jobs into the order of placement.
-func (p *Pool) sortWaiting(now time.Time, minLatency time.Duration) {
+func (p *Pool) sortWaiting(now time.Time) {
 	order := p.classOrder(now)
 	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
-		x, y := classOf(now, minLatency, a), classOf(now, minLatency, b)
+		x, y := p.classOf(now, a), p.classOf(now, b)
 		if x.tier == y.tier && x.timeliness == 1 && y.timeliness == 1 {
 			return cmp.Or(cmp.Compare(order[x], order[y]), cmp.Compare(x.routeTier, y.routeTier), a.orderTime.Compare(b.orderTime))
 		}
@@ -69,9 +69,14 @@
 	})
 }
 
-// isLate reports whether the job can no longer be on time.
-func isLate(now time.Time, minLatency time.Duration, j *Job) bool {
-	return now.Add(minLatency).After(j.FirstEventDue)
+// ownTimeShare is the part of the time to its due first event that a job is assumed to need at most once it is placed. The
+// longest prompts need more, and would otherwise count as late, and be refused, before they have waited at all.
+const ownTimeShare = 0.5
+
+// isLate reports whether the job can no longer be expected to be on time.
+func (p *Pool) isLate(now time.Time, j *Job) bool {
+	own := min(p.typicalFirstEvent(j), time.Duration(ownTimeShare*float64(j.FirstEventDue.Sub(j.Arrived))))
+	return now.Add(max(own, p.shortestLatency)).After(j.FirstEventDue)
 }
 
 // minBaseLatency returns the shortest time to a first event over all targets.
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -99,6 +99,8 @@
 	Waiting int
 	// Loads omits targets without running requests.
 	Loads []HeartbeatLoad
+	// Urgent is the number of waiting requests that can still be on time.
+	Urgent int
 }
 
 // TargetKey stands for the id of a target in heartbeats, of which there are many. A receiver ignores the keys of
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
@@ -170,6 +172,9 @@
 	case errors.Is(err, errBodyMemory):
 		c.unread = true
 		return withRetryAfter(fault.NotRunf(fault.Shed, "%v", err), bodyRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.unread = true
+		return fault.NotRunf(fault.Deadline, "the body was not read within the time of the request")
 	case err != nil:
 		f = fault.NotRunf(fault.ClientDisconnected, "the body ended early: %v", err)
 		f.StatusOverride = http.StatusBadRequest
@@ -228,7 +233,15 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal}
+}
+
+// recognizeRetry makes the first event of a retry due as long after the caller's first attempt as that of any other
+// request.
+func (c *call) recognizeRetry(d *comeback.Detector) {
+	if age := d.Observe(c.route.Name, c.Timeout); age > 0 {
+		c.job.FirstEventDue = c.job.FirstEventDue.Add(-age)
+	}
 }
 
 // expectedOutput returns the expected tokens of the answer. Callers' estimates are exact at the median; answers
@@ -247,6 +260,7 @@
 	if f := r.checkBlocked(c.arrived, c); f != nil {
 		return f
 	}
+	c.recognizeRetry(r.comebacks)
 	if c.account == nil {
 		return nil
 	}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -17,6 +17,7 @@
 
 	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/cells"
+	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
@@ -163,6 +164,8 @@
 	retryBudgets  map[ident.Service]*retry.Budget
 	poison        *poison.Detector
 	docket        *poison.Docket
+	// comebacks tells retries of callers from first attempts.
+	comebacks *comeback.Detector
 	// lostAnswers are lost answers that may turn out to be crashes, by target; recentCrashes are the crashes that
 	// are sent to other routers. partNames are the ids of parts of prompts by their features.
 	lostAnswers map[ident.TargetID][]lostAnswer
@@ -248,7 +251,7 @@
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
-		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), partNames: map[ident.Fingerprint]ident.PromptPart{},
+		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), comebacks: comeback.New(), partNames: map[ident.Fingerprint]ident.PromptPart{},
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
 		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -174,7 +174,7 @@
 	turn := uint64(m.Seq) + rankOf(r.cfg.Name) // routers add the rarer fields in different heartbeats
 	for s, p := range r.pools {
 		rep := p.Report(now)
-		d := wire.HeartbeatDemand{Service: s, Mean: float32(rep.Demand), Waiting: rep.Waiting, Loads: make([]wire.HeartbeatLoad, 0, len(rep.Loads))}
+		d := wire.HeartbeatDemand{Service: s, Mean: float32(rep.Demand), Waiting: rep.Waiting, Urgent: rep.Urgent, Loads: make([]wire.HeartbeatLoad, 0, len(rep.Loads))}
 		for _, l := range rep.Loads {
 			load := wire.HeartbeatLoad{Target: wire.KeyOf(l.Target), Running: l.Running, PendingPrompt: l.PendingPrompt}
 			if turn%gapEvery == 0 {
@@ -332,7 +332,7 @@
 func (r *Router) reportsOf(b *wire.Heartbeat) map[ident.Service]sched.Report {
 	out := map[ident.Service]sched.Report{}
 	for _, d := range b.Demands {
-		rep := sched.Report{Demand: float64(d.Mean), Waiting: d.Waiting, Loads: make([]sched.Load, 0, len(d.Loads))}
+		rep := sched.Report{Demand: float64(d.Mean), Waiting: d.Waiting, Urgent: d.Urgent, Loads: make([]sched.Load, 0, len(d.Loads))}
 		for _, l := range d.Loads {
 			if id := r.targetKeys[l.Target]; id != "" {
 				rep.Loads = append(rep.Loads, sched.Load{Target: id, Running: l.Running, PendingPrompt: l.PendingPrompt, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -368,7 +368,11 @@
 			break
 		}
 		if isEvent {
-			lastAt = time.Now()
+			now := time.Now()
+			if !lastAt.IsZero() && c.route.EventGapGoal > 0 && now.Sub(lastAt) > c.route.EventGapGoal {
+				a.outcome.Pauses++
+			}
+			lastAt = now
 			if firstAt.IsZero() {
 				firstAt = lastAt
 				a.timeToFirstEvent = lastAt.Sub(a.sent)
@@ -422,7 +426,7 @@
 func (r *Router) finish(w http.ResponseWriter, c *call, last *attempt, prog *progress) {
 	now := time.Now()
 	a := prog.result(last)
-	fields := []any{"id", c.ID, "target", a.target.ID, "end", a.result, "events", prog.events, "first", a.timeToFirstEvent.Milliseconds(), "ms", now.Sub(c.arrived).Milliseconds(), "tries", prog.placements, "route", c.route.Name, "account", c.accountName()}
+	fields := []any{"id", c.ID, "target", a.target.ID, "end", a.result, "events", prog.events, "first", a.timeToFirstEvent.Milliseconds(), "ms", now.Sub(c.arrived).Milliseconds(), "pauses", a.outcome.Pauses, "tries", prog.placements, "route", c.route.Name, "account", c.accountName()}
 	if a.answer != nil {
 		fields = append(fields, "status", a.answer.status)
 	}
