--- a/core/quota/replicated.go
+++ b/core/quota/replicated.go
@@ -40,6 +40,8 @@
 	filledAt time.Time
 	// used counts the tokens taken by this router since its start.
 	used ident.Tokens
+	// promised are the tokens of requests that this router refused and told when to return, as of filledAt.
+	promised float64
 	// unsettled is true until the level was copied from a router that knows what was taken before; granted is true
 	// once the account got its share of StartTime.
 	unsettled, granted bool
@@ -97,7 +99,7 @@
 	need := min(float64(n), float64(b.limit.Burst))
 	if b.level < need {
 		err := fault.NotRunf(fault.Quota, "account is over its limit of %d tokens per second", b.limit.Rate)
-		err.RetryAfter = min(time.Duration((need-b.level)/float64(b.limit.Rate)*float64(time.Second)), retryAfterMax)
+		err.RetryAfter = q.promise(b, need)
 		return err
 	}
 	b.level -= float64(n)
@@ -105,6 +107,21 @@
 	return nil
 }
 
+// promiseMax bounds the time over which returns are spread; callers wait no longer.
+const promiseMax = 10 * time.Second
+
+// promise returns the time after which a refused request finds its tokens, if those that were refused before it return
+// first: all would find the bucket empty again if each was told when it alone would be served. Of the rate, this router
+// promises its equal part.
+func (q *Replicated) promise(b *replica, need float64) time.Duration {
+	rate := float64(b.limit.Rate)
+	wait := (need-b.level)/rate + b.promised*float64(1+len(q.routers))/rate
+	if wait < promiseMax.Seconds() {
+		b.promised += need
+	}
+	return min(time.Duration(wait*float64(time.Second)), retryAfterMax)
+}
+
 // Refund returns the tokens of a request that did not run to the bucket.
 func (q *Replicated) Refund(now time.Time, a ident.AccountID, n ident.Tokens) {
 	if b, ok := q.accounts[a]; ok && b.limit.Rate > 0 {
@@ -219,5 +236,6 @@
 	}
 	rate := float64(b.limit.Rate) * (1 - float64(silent)/float64(known))
 	b.level = min(b.level+d*rate, float64(b.limit.Burst))
+	b.promised = max(b.promised-d*rate/float64(known), 0)
 	b.filledAt = now
 }
--- a/core/sched/ahead.go
+++ b/core/sched/ahead.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		first := p.slotWait(t) + t.expectedFirstEvent(j)
-		score := p.score(t, j) + p.slotWait(t) + p.lateCost(now, j, first, p.gapOf(t))
+		score := p.score(t, j) + p.slotWait(t) + lateCost(p.onTimeChance(now, j, first, p.gapOf(t)), j)
 		if best == nil || score < bestScore {
 			best, bestScore, expected = t, score, first
 		}
--- a/core/sched/late.go
+++ b/core/sched/late.go
@@ -28,7 +28,11 @@
 	return n
 }
 
-// lateMayRun reports whether a job may be placed now with regard to those that can still be on time.
-func (p *Pool) lateMayRun(now time.Time, j *Job) bool {
-	return p.lateRoom > 0 || j.AnswerStarted || !p.isLate(now, j)
+// lateMayRun reports whether a late job may be placed on a target with regard to those that can still be on time: there are
+// enough free slots, or a stream on that target would hardly be on time either.
+func (p *Pool) lateMayRun(j *Job, t *target) bool {
+	return p.lateRoom > 0 || j.AnswerStarted || p.steadyChance(j, p.gapOf(t)) < unsteadyChance
 }
+
+// unsteadyChance is the chance of a stream without a long pause below which a target is left to late jobs.
+const unsteadyChance = 0.5
--- a/core/sched/ontime.go
+++ b/core/sched/ontime.go
@@ -71,8 +71,27 @@
 	return p.speed.errors.chance(float64(left)/float64(first)) * p.steadyChance(j, gap)
 }
 
-// lateCost returns the time that stands for the risk that the job is late at a target with the given expected time to
-// the first event and time between events.
-func (p *Pool) lateCost(now time.Time, j *Job, first, gap time.Duration) time.Duration {
-	return time.Duration((1 - p.onTimeChance(now, j, first, gap)) * float64(j.FirstEventDue.Sub(j.Arrived)))
+// lateCost returns the time that stands for the risk that the job is late.
+func lateCost(onTime float64, j *Job) time.Duration {
+	return time.Duration((1 - onTime) * float64(j.FirstEventDue.Sub(j.Arrived)))
+}
+
+const (
+	// onTimeShare is the part of the best chance to be on time that a job accepts as long as it can wait for a better
+	// target.
+	onTimeShare = 0.5
+	// slackShare is the part of the time to its due first event that a job must have left beyond the usual time to its
+	// first event in order to wait.
+	slackShare = 0.25
+)
+
+// onTimeMin returns the least chance to be on time that a target must offer to get the job now; zero if the job cannot
+// wait for a better one, or need not because it may wait at a target.
+func (p *Pool) onTimeMin(now time.Time, j *Job) float64 {
+	typical := p.typicalFirstEvent(j)
+	slack := time.Duration(slackShare * float64(j.FirstEventDue.Sub(j.Arrived)))
+	if p.mayWaitAhead(now, j) || j.AnswerStarted || now.Add(typical+slack).After(j.FirstEventDue) {
+		return 0
+	}
+	return onTimeShare * p.onTimeChance(now, j, typical, p.shortestEventGap)
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -36,9 +36,6 @@
 		}
 		j.Canary = false
 	}
-	if !p.lateMayRun(now, j) {
-		return nil, 0
-	}
 	return p.bestTarget(now, j)
 }
 
@@ -103,10 +100,11 @@
 	var bestScore time.Duration
 	bestRisk := 0
 	avoid := len(j.Avoid) > 0 && p.hasUntriedTarget(now, j)
-	chanceMin, mayBeOnTime := 0.0, false
+	chanceMin, onTimeMin, mayBeOnTime := 0.0, 0.0, false
 	if len(p.usable) > 0 {
 		chanceMin = p.chanceMin(now, j)
 		mayBeOnTime = !j.AnswerStarted && !p.isLate(now, j)
+		onTimeMin = p.onTimeMin(now, j)
 	}
 	kind := p.answerKind(j)
 	for _, t := range p.usable {
@@ -120,7 +118,13 @@
 		risk := p.riskLevel(now, t, chance)
 		score := p.score(t, j)
 		if mayBeOnTime {
-			score += p.lateCost(now, j, t.expectedFirstEvent(j), p.gapOf(t))
+			onTime := p.onTimeChance(now, j, t.expectedFirstEvent(j), p.gapOf(t))
+			if onTime < onTimeMin {
+				continue
+			}
+			score += lateCost(onTime, j)
+		} else if !p.lateMayRun(j, t) {
+			continue
 		}
 		if best == nil || risk < bestRisk || risk == bestRisk && score < bestScore {
 			best, bestScore, bestRisk = t, score, risk
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -35,6 +35,8 @@
 	// tokens in an event.
 	Prompt, Output ident.Tokens
 	Stride         int
+	// Deferral is the time by which the job goes behind others of its class; see core/fair.
+	Deferral time.Duration
 	// Stream is true if the answer is a stream of events.
 	Stream bool
 	// GapGoal is the longest time between two events of an answer that is on time; zero means no limit.
@@ -216,7 +218,7 @@
 
 // Add adds a job to the waiting jobs.
 func (p *Pool) Add(j *Job) {
-	j.orderTime = j.Arrived.Add(p.deferral(j))
+	j.orderTime = j.Arrived.Add(p.deferral(j) + j.Deferral)
 	p.learnDuration(j)
 	p.waiting = append(p.waiting, j)
 	p.statsOf(arrivalClass(j)).recordArrival(j)
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -13,6 +13,7 @@
 
 	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fair"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/route"
@@ -273,6 +274,9 @@
 		c.tokens = n
 	}
 	c.quotaLevel = r.limiter.Level(c.arrived, c.account.Name)
+	if c.account.Rate > 0 {
+		c.job.Deferral = fair.Deferral(c.quotaLevel, c.account.Burst, c.route.FirstEventGoal)
+	}
 	return f
 }
 
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -56,6 +56,9 @@
 	generation     ident.Generation
 	admin          string
 	storeReachable bool
+	// region is empty until the first heartbeat. While requests wait, routers of other regions get heartbeats at the
+	// usual rate only: their bytes are most of what crosses the link between regions.
+	region ident.Region
 	// readySince is the time since which the router has been ready for callers; zero while it is not.
 	readySince time.Time
 	// otherCell is true for a router of another cell. phase distributes over time the heartbeats that are not
@@ -145,8 +148,11 @@
 			r.log.Log(event.PeerDown, "peer", id, "silent", now.Sub(p.lastSeen))
 		}
 		every, payload := uint64(1), sameCell
-		if p.otherCell {
+		switch {
+		case p.otherCell:
 			every, payload = max(uint64(otherCellInterval/interval), 1), otherCell
+		case p.region != r.cfg.Region:
+			every = max(uint64(heartbeatInterval(r.cellPeers, maxHeartbeatsPerSecond)/interval), 1)
 		}
 		if silent {
 			every *= silentPeerDivisor
@@ -276,7 +282,7 @@
 		return
 	}
 	p.position = scout.Position{Rev: store.Rev(b.TargetRev), Count: b.TargetCount}
-	p.generation, p.admin, p.storeReachable = b.Generation, b.Admin, b.StoreReachable
+	p.generation, p.admin, p.storeReachable, p.region = b.Generation, b.Admin, b.StoreReachable, b.Region
 	if !b.Ready {
 		p.readySince = time.Time{}
 	} else if p.readySince.IsZero() {
