moves: a slow version is confirmed by the reports of all agents

Cause: agents report every 2 s at different times.

Change: if the version is slow in a running epoch that has requests of the old version to compare with, the judgement applies once it has held for 2.5 s: each agent has published what it had counted by then. Shares stay as they are until then.

--- a/core/moves/machine.go
+++ b/core/moves/machine.go
@@ -13,6 +13,10 @@
 // agents, three routes and two classes.
 const MinJudgeInterval = 500 * time.Millisecond
 
+// slowConfirmTime is the time for which a version has to be found slow: within it, each agent has published what it
+// had counted before (minPublishInterval) and the entry has arrived.
+const slowConfirmTime = minPublishInterval + UrgentPublishInterval
+
 // Action is what a Machine asks its daemon to do: PublishEntry or RecordConclusion.
 type Action interface{ action() }
 
@@ -38,8 +42,12 @@
 	startedAt time.Time
 	evidence  Evidence
 	judgement Judgement
-	// judgementStale is true when evidence, deadline or state have changed since the last judgement.
+	// judgementStale is true when evidence, deadline or state have changed since the last judgement, and while a
+	// judgement that the version is slow is not confirmed.
 	judgementStale bool
+	// slowSince is the time from which all judgements found the version slow in a running epoch with requests of the
+	// old version; zero if the last one did not.
+	slowSince time.Time
 	// verdict is set when the new version was judged bad by this or another process, and never reset.
 	verdict *Verdict
 	// conclusion is the decision, or nil; recorded is true once the object API holds it.
@@ -118,7 +126,7 @@
 		return nil
 	}
 	if m.state == Running && m.judgementStale {
-		m.judgement, m.judgementStale = Judge(m.evidence, m.judgeConfig()), false
+		m.judge(now)
 	}
 	if m.judgement.Bad && m.verdict == nil {
 		v := Verdict{Reason: m.judgement.Reason, Route: m.judgement.Route, Class: m.judgement.Class, JudgedAt: now, Score: m.judgement.Score, Counts: m.judgement.Counts}
@@ -133,6 +141,25 @@
 	return append(out, PublishEntry{Kind: facts.KindConclusion, Key: string(m.rollout.Name), Value: c.Encode()}, RecordConclusion{c})
 }
 
+// judge applies a new judgement. If the version is slow in a running epoch in which the old version has requests to
+// compare with, the judgement is applied once it has held for slowConfirmTime: agents report at different times, so that
+// slow seconds of the machine may be known of the new version only. Until then the shares stay as they are.
+func (m *Machine) judge(now time.Time) {
+	j := Judge(m.evidence, m.judgeConfig())
+	unconfirmed := j.Bad && j.Reason == ReasonSlow && m.evidence.comparesNewest(routeClass{j.Route, j.Class})
+	switch {
+	case !unconfirmed:
+		m.slowSince = time.Time{}
+	case m.slowSince.IsZero():
+		m.slowSince = now
+	}
+	if m.judgementStale = unconfirmed && now.Sub(m.slowSince) < slowConfirmTime; m.judgementStale {
+		m.judgement.Proven, m.judgement.Score = false, j.Score
+		return
+	}
+	m.judgement = j
+}
+
 // judgeConfig counts the duration from the start of the rollout in the evidence, so that a process which was
 // replaced during the rollout requires the same soak as the others.
 func (m *Machine) judgeConfig() JudgeConfig {
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -178,6 +178,12 @@
 	return all
 }
 
+// comparesNewest reports whether the answers of the newest span are compared with those of the old version in it.
+func (ev *Evidence) comparesNewest(k routeClass) bool {
+	all := ev.slowEvents(k)
+	return len(all) > 0 && all[len(all)-1].hasControl()
+}
+
 // usualAnswers returns the mean number of answers of both versions per epoch in ended spans, zero if there are none.
 func (ev *Evidence) usualAnswers(k routeClass) float64 {
 	n, epochs := 0.0, 0.0
