--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -22,9 +22,24 @@
 
 // Load reads, merges and checks the *.json files of a folder in the order of their names.
 func Load(dir string) (Config, []Problem) {
+	cfg, _, problems := LoadWithPositions(dir)
+	return cfg, problems
+}
+
+// Positions finds the keys of declarations in their files.
+type Positions struct{ r *report }
+
+// Locate returns the file and line of a key, or of the closest enclosing key that is in a file.
+func (p Positions) Locate(key string) (file string, line int) {
+	pos := p.r.positionOf(key)
+	return pos.file, pos.line
+}
+
+// LoadWithPositions is Load and returns the positions of the keys as well.
+func LoadWithPositions(dir string) (Config, Positions, []Problem) {
 	names, err := filepath.Glob(filepath.Join(quoteMeta(dir), "*.json"))
 	if err != nil || len(names) == 0 {
-		return Config{}, []Problem{{File: dir, Text: "holds no *.json file"}}
+		return Config{}, Positions{newReport()}, []Problem{{File: dir, Text: "holds no *.json file"}}
 	}
 	slices.Sort(names)
 	files := make([]File, 0, len(names))
@@ -37,8 +52,8 @@
 		}
 		files = append(files, File{Name: name, Data: data})
 	}
-	cfg, found := merge(files, len(problems) > 0)
-	return cfg, append(problems, found...)
+	cfg, r := merge(files, len(problems) > 0)
+	return cfg, Positions{r}, append(problems, r.sorted()...)
 }
 
 // quoteMeta escapes the characters that have a meaning in patterns of filepath.Glob.
@@ -60,11 +75,14 @@
 
 // Merge merges and checks files in the given order. Entries of lists merge by name: a later entry replaces an
 // earlier one as a whole, at the place of the earlier one in the list. Other values are replaced key by key.
-func Merge(files []File) (Config, []Problem) { return merge(files, false) }
+func Merge(files []File) (Config, []Problem) {
+	cfg, r := merge(files, false)
+	return cfg, r.sorted()
+}
 
 // merge does not check references when partial is true or a file is not well-formed: the declarations of a
 // missing file are unknown, and each reference to one of them would be reported as a false problem.
-func merge(files []File, partial bool) (cfg Config, problems []Problem) {
+func merge(files []File, partial bool) (cfg Config, r *report) {
 	merged := newReport()
 	setDefaults(reflect.ValueOf(&cfg).Elem())
 	for _, f := range files {
@@ -81,7 +99,7 @@
 		merged.checkMerged(reflect.ValueOf(cfg))
 		merged.checkReferences(cfg)
 	}
-	return cfg, merged.sorted()
+	return cfg, merged
 }
 
 // checkGiven checks the values of the top-level keys in one file, including entries that a later file replaces.
--- a/core/launch/launch.go
+++ b/core/launch/launch.go
@@ -31,6 +31,12 @@
 // ErrInvalidSettings means that settings or declarations are invalid; their problems have been printed.
 var ErrInvalidSettings = errors.New("wrong settings")
 
+// ErrUsage means that the arguments of a command are invalid.
+var ErrUsage = errors.New("wrong arguments")
+
+// ErrFaulty means that what a command checked has errors, which have been printed.
+var ErrFaulty = errors.New("the configuration has errors")
+
 // Command builds one command of a program.
 type Command func(stdout, stderr io.Writer) *ff.Command
 
@@ -57,7 +63,7 @@
 		return InvalidUsage
 	}
 	fmt.Fprintf(stderr, "%s: %v\n", name, err)
-	if errors.Is(err, ErrInvalidSettings) {
+	if errors.Is(err, ErrInvalidSettings) || errors.Is(err, ErrUsage) || errors.Is(err, ErrFaulty) {
 		return InvalidUsage
 	}
 	return Failure
