--- a/hickoryvane/tool.go
+++ b/hickoryvane/tool.go
@@ -56,7 +56,7 @@
 
 // subcommands is the table of commands.
 var subcommands = []subcommand{
-	{"check", "check DIR", "check the declarations in a folder", checkCommand},
+	{"check", "check [FLAGS] DIR", "check the declarations in a folder", checkCommand},
 	{"apply", "apply [FLAGS] DIR", "make the declarations in a folder the accepted configuration", applyCommand},
 	{"show", "show [FLAGS]", "show the accepted generation and the state of each process", showCommand},
 	{"moves", "moves [FLAGS]", "show the moves and their recorded ends", movesCommand},
@@ -88,11 +88,15 @@
 	}
 	err := root.Run(ctx)
 	var problems problemList
+	var faults faultCount
 	switch {
 	case err == nil:
 		return exitOK
 	case errors.Is(err, ff.ErrNoExec), errors.Is(err, errUsage):
 		return t.printUsage(root, err)
+	case errors.As(err, &faults):
+		fmt.Fprintln(t.err, "hickoryvane:", err)
+		return exitInvalid
 	case errors.As(err, &problems):
 		for _, p := range problems {
 			fmt.Fprintln(t.err, p)
