--- a/GNUmakefile
+++ b/GNUmakefile
@@ -36,6 +36,7 @@
 
 golden: build
 	go test -count=1 ./proof/... -update
+	go test -count=1 -run 'TestReport' ./hickoryvane ./platform/names -update
 
 slopes: build
 	bin/bench slopes
