moves: the confirmation of slowness waits for the agents of large services

Cause: the confirmation lasted 2.5 s. With more than 14 agents of a service each publishes less often (140 ms times their number), so that a slow second could still be known of the new version only.

Change: the time is the publish interval for the agents with evidence, plus 0.5 s. With up to 14 agents it is 2.5 s as before.

--- a/core/moves/evidence.go
+++ b/core/moves/evidence.go
@@ -30,6 +30,8 @@
 	newest      epoch
 	// pairs holds the counters by span for each route on each class, for each route, and in total.
 	pairs map[routeClass]map[span]*versionPair
+	// reports is the number of agents with evidence.
+	reports int
 	// malformed counts malformed entries, which are skipped.
 	malformed int
 	// uneven is true when the targets of the two versions differ in speed or load, so that only much slower answers
@@ -61,6 +63,7 @@
 			ev.startedUnix = rep.startedUnix
 		}
 	}
+	ev.reports = len(reports)
 	for _, rep := range reports {
 		ev.merge(rep, rep.version == to)
 	}
@@ -91,6 +94,12 @@
 	return ev.pairs[k][s]
 }
 
+// confirmTime returns the time within which each agent has published what it has counted by now, and the entry has
+// arrived.
+func (ev *Evidence) confirmTime() time.Duration {
+	return PublishInterval(ev.reports) + UrgentPublishInterval
+}
+
 // spans returns the spans of a route and class, the oldest first.
 func (ev *Evidence) spans(k routeClass) []span {
 	out := make([]span, 0, len(ev.pairs[k]))
--- a/core/moves/machine.go
+++ b/core/moves/machine.go
@@ -13,10 +13,6 @@
 // agents, three routes and two classes.
 const MinJudgeInterval = 500 * time.Millisecond
 
-// slowConfirmTime is the time for which a version has to be found slow: within it, each agent has published what it
-// had counted before (minPublishInterval) and the entry has arrived.
-const slowConfirmTime = minPublishInterval + UrgentPublishInterval
-
 // Action is what a Machine asks its daemon to do: PublishEntry or RecordConclusion.
 type Action interface{ action() }
 
@@ -142,7 +138,7 @@
 }
 
 // judge applies a new judgement. If the version is slow in a running epoch in which the old version has requests to
-// compare with, the judgement is applied once it has held for slowConfirmTime: agents report at different times, so that
+// compare with, the judgement is applied once it has held for confirmTime: agents report at different times, so that
 // slow seconds of the machine may be known of the new version only. Until then the shares stay as they are.
 func (m *Machine) judge(now time.Time) {
 	j := Judge(m.evidence, m.judgeConfig())
@@ -153,7 +149,7 @@
 	case m.slowSince.IsZero():
 		m.slowSince = now
 	}
-	if m.judgementStale = unconfirmed && now.Sub(m.slowSince) < slowConfirmTime; m.judgementStale {
+	if m.judgementStale = unconfirmed && now.Sub(m.slowSince) < m.evidence.confirmTime(); m.judgementStale {
 		m.judgement.Proven, m.judgement.Score = false, j.Score
 		return
 	}
