lint: compare all fields of routes, services, accounts and limits

Cause: the differences came from a list of fields.

Change: the fields are taken from the structs; only values whose form differs from their meaning have a format of their own.

--- a/core/lint/changes.go
+++ b/core/lint/changes.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"reflect"
 	"slices"
-	"strconv"
 	"strings"
 
 	"hickoryvane.example/core/conf"
@@ -24,57 +24,33 @@
 	Old, New string
 }
 
-// column is a field of entries and its value for operators. Values are equal if their meaning is.
-type column[T any] struct {
-	field Field
-	value func(*T) string
-}
-
-var routeColumns = []column[route.Route]{
-	{Host, func(r *route.Route) string { return r.Host }},
-	{Prefix, func(r *route.Route) string { return r.Prefix }},
-	{Kind, func(r *route.Route) string { return r.Kind.String() }},
-	{Shares, func(r *route.Route) string { return formatShares(r.Shares) }},
-	{Timeout, func(r *route.Route) string { return r.Timeout.String() }},
-	{FirstEventGoal, func(r *route.Route) string { return r.FirstEventGoal.String() }},
-	{EventGapGoal, func(r *route.Route) string { return r.EventGapGoal.String() }},
-	{Attempts, func(r *route.Route) string { return strconv.Itoa(r.Attempts) }},
-	{Tier, func(r *route.Route) string { return fmt.Sprint(r.Tier) }},
-	{Public, func(r *route.Route) string { return strconv.FormatBool(r.Public) }},
-	{Resumable, func(r *route.Route) string { return strconv.FormatBool(r.Resumable) }},
-	{HomeRegions, func(r *route.Route) string { return formatHomes(r.HomeRegions) }},
-}
-
-var serviceColumns = []column[route.Service]{
-	{Slots, func(s *route.Service) string { return strconv.Itoa(s.Slots) }},
-	{TokensPerEvent, func(s *route.Service) string { return strconv.Itoa(s.TokensPerEvent) }},
-}
-
-var accountColumns = []column[route.Account]{
-	{Tier, formatAccountTier},
-	{Rate, func(a *route.Account) string { return fmt.Sprint(a.Rate) }},
-	{Burst, func(a *route.Account) string { return fmt.Sprint(a.Burst) }},
-	{DefaultTokens, func(a *route.Account) string { return fmt.Sprint(a.DefaultTokens) }},
-	{HomeRegions, func(a *route.Account) string { return formatHomes(a.HomeRegions) }},
-}
-
-var limitColumns = []column[route.Limits]{
-	{BodyBytes, func(l *route.Limits) string { return fmt.Sprint(l.BodyBytesMax) }},
-	{HeaderBytes, func(l *route.Limits) string { return fmt.Sprint(l.HeaderBytesMax) }},
-	{IdleTimeout, func(l *route.Limits) string { return l.IdleTimeout.String() }},
+// formats return the values of fields, by type and name, whose meaning differs from their form. Equal texts have the same
+// meaning. Other fields are compared by their values, so that a new field of package route is never left out.
+var formats = map[string]func(v any) string{
+	"Route.Shares":        func(v any) string { return formatShares(v.([]route.Share)) },
+	"Route.HomeRegions":   func(v any) string { return formatHomes(v.([]ident.Region)) },
+	"Account.HomeRegions": func(v any) string { return formatHomes(v.([]ident.Region)) },
+	"Account.HasTier": func(v any) string {
+		if v.(bool) {
+			return "its own"
+		}
+		return "that of the route"
+	},
+	// Keys are secret; diffKeys counts them.
+	"Account.Keys": func(any) string { return "" },
 }
 
 // Changes returns the differences in meaning from a to b. It ignores the order of entries and of home regions, the scale
 // of weights, and defaults that are written out.
 func Changes(a, b Tables) (out []TableChange) {
-	out = diffEntries(Routes, a.Routes, b.Routes, func(r *route.Route) string { return string(r.Name) }, routeColumns, nil)
-	out = append(out, diffEntries(Services, a.Services, b.Services, func(s *route.Service) string { return string(s.Name) }, serviceColumns, nil)...)
-	out = append(out, diffEntries(Accounts, a.Accounts, b.Accounts, func(a *route.Account) string { return string(a.Name) }, accountColumns, diffKeys)...)
-	return append(out, diffFields(Limits, "", &a.Limits, &b.Limits, limitColumns)...)
+	out = diffEntries(Routes, a.Routes, b.Routes, func(r *route.Route) string { return string(r.Name) }, nil)
+	out = append(out, diffEntries(Services, a.Services, b.Services, func(s *route.Service) string { return string(s.Name) }, nil)...)
+	out = append(out, diffEntries(Accounts, a.Accounts, b.Accounts, func(a *route.Account) string { return string(a.Name) }, diffKeys)...)
+	return append(out, diffFields(Limits, "", &a.Limits, &b.Limits)...)
 }
 
 // diffEntries compares entries by name. more returns further differences of two entries and may be nil.
-func diffEntries[T any](l List, a, b []T, nameOf func(*T) string, columns []column[T], more func(name string, a, b *T) []TableChange) (out []TableChange) {
+func diffEntries[T any](l List, a, b []T, nameOf func(*T) string, more func(name string, a, b *T) []TableChange) (out []TableChange) {
 	before, after := byName(a, nameOf), byName(b, nameOf)
 	for i := range a {
 		name := nameOf(&a[i])
@@ -86,7 +62,7 @@
 			out = append(out, TableChange{Action: conf.Removed, List: l, Name: name})
 			continue
 		}
-		out = append(out, diffFields(l, name, &a[i], other, columns)...)
+		out = append(out, diffFields(l, name, &a[i], other)...)
 		if more != nil {
 			out = append(out, more(name, &a[i], other)...)
 		}
@@ -110,10 +86,19 @@
 	return m
 }
 
-func diffFields[T any](l List, name string, a, b *T, columns []column[T]) (out []TableChange) {
-	for _, c := range columns {
-		if before, after := c.value(a), c.value(b); before != after {
-			out = append(out, TableChange{Action: conf.Changed, List: l, Name: name, Field: c.field, Old: before, New: after})
+func diffFields[T any](l List, name string, a, b *T) (out []TableChange) {
+	before, after := reflect.ValueOf(a).Elem(), reflect.ValueOf(b).Elem()
+	for i := range before.NumField() {
+		f := before.Type().Field(i)
+		if !f.IsExported() {
+			continue
+		}
+		format := formats[before.Type().Name()+"."+f.Name]
+		if format == nil {
+			format = func(v any) string { return fmt.Sprint(v) }
+		}
+		if x, y := format(before.Field(i).Interface()), format(after.Field(i).Interface()); x != y {
+			out = append(out, TableChange{Action: conf.Changed, List: l, Name: name, Field: Field(strings.ToLower(f.Name)), Old: x, New: y})
 		}
 	}
 	return out
@@ -139,13 +124,6 @@
 	}}
 }
 
-func formatAccountTier(a *route.Account) string {
-	if !a.HasTier {
-		return "that of the route"
-	}
-	return fmt.Sprint(a.Tier)
-}
-
 // formatShares returns the share of each service in percent.
 func formatShares(list []route.Share) string {
 	var sum float64
--- a/core/lint/lint_test.go
+++ b/core/lint/lint_test.go
@@ -65,6 +65,12 @@
 	g.Expect(lint.Changes(tables(), b)).To(Equal([]lint.TableChange{{
 		Action: conf.Changed, List: lint.Accounts, Name: "acc", Field: lint.Keys, Old: "2 keys", New: "2 keys (1 added, 1 removed)",
 	}}))
+	b = tables()
+	b.Accounts[0].HasTier, b.Services[1].Slots = true, 4 // tier 0 instead of that of the route
+	g.Expect(lint.Changes(tables(), b)).To(Equal([]lint.TableChange{
+		{Action: conf.Changed, List: lint.Services, Name: "t", Field: "slots", Old: "0", New: "4"},
+		{Action: conf.Changed, List: lint.Accounts, Name: "acc", Field: "hastier", Old: "that of the route", New: "its own"},
+	}))
 }
 
 // Guards against declarations that crash the check or the comparison, or that differ from themselves.
--- a/core/lint/tables.go
+++ b/core/lint/tables.go
@@ -36,33 +36,24 @@
 	Limits   List = "limits"
 )
 
-// Field is a field of an entry. The adapter of a format translates it to the key of the format.
+// Field is a field of an entry: the lower-case name of a field of route.Route, Service, Account or Limits. The adapter of
+// a format translates it to the key of the format.
 type Field string
 
-// Fields.
+// Fields that findings refer to.
 const (
 	Name           Field = "name"
 	Host           Field = "host"
 	Prefix         Field = "prefix"
-	Kind           Field = "kind"
 	Shares         Field = "shares"
 	Timeout        Field = "timeout"
-	FirstEventGoal Field = "goal"
-	EventGapGoal   Field = "gap"
+	FirstEventGoal Field = "firsteventgoal"
 	Attempts       Field = "attempts"
-	Tier           Field = "tier"
-	Public         Field = "public"
 	Resumable      Field = "resumable"
-	HomeRegions    Field = "homes"
-	Slots          Field = "slots"
-	TokensPerEvent Field = "stride"
+	HomeRegions    Field = "homeregions"
 	Keys           Field = "keys"
 	Rate           Field = "rate"
 	Burst          Field = "burst"
-	DefaultTokens  Field = "cost"
-	BodyBytes      Field = "body"
-	HeaderBytes    Field = "header"
-	IdleTimeout    Field = "idle"
 )
 
 // Place is a field of an entry, or the entry itself if Field is empty.
