sched: place requests only where they fit into the target's memory

Targets terminate when the requests that they hold exceed their memory. Slots do not bound it: 12 prompts of 54,600 tokens take 655,000, and the smallest targets have 182,000.

Each router has a right to a part of nine tenths of the memory of each target. The parts decrease with the rank of the router at the target and add up to the whole, so the bound does not depend on the age of the reports. Reported tokens count as well. Ruled out: counting only what others report (a target with memory for 25,660 tokens held 233,286 with reports of 2 s), and equal parts (none of 22 would fit a prompt beyond 7,400 tokens).

--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -23,6 +23,8 @@
 	// those without a first event.
 	Running       int
 	PendingPrompt ident.Tokens
+	// Held is the memory that the router's jobs take there.
+	Held ident.Tokens
 	// EventGap is the time between events that the router has measured at the target; zero if it has not.
 	EventGap time.Duration
 }
@@ -55,7 +57,7 @@
 	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Rates: p.rates(now)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
-			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt}
+			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt, Held: t.held}
 			if t.observed {
 				l.EventGap = t.eventGap
 			}
@@ -101,11 +103,13 @@
 		if t, ok := p.targets[l.Target]; ok {
 			t.peerJobs += l.Running
 			t.peerPendingPrompt += l.PendingPrompt
+			t.peerHeld += l.Held
 			if l.EventGap > 0 && !t.observed {
 				t.eventGap = l.EventGap
 			}
 		}
 	}
+	p.addSharer(r.Router)
 	p.mergeRates(now, r.Router, r.Rates)
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
 	p.ExpireReports(now)
@@ -121,6 +125,7 @@
 		if t, ok := p.targets[l.Target]; ok {
 			t.peerJobs -= l.Running
 			t.peerPendingPrompt -= l.PendingPrompt
+			t.peerHeld -= l.Held
 		}
 	}
 	delete(p.peers, id)
@@ -145,10 +150,11 @@
 
 // sumPeerLoads sums the reported loads of a target that is new in this pool.
 func (p *Pool) sumPeerLoads(t *target) {
-	t.peerJobs, t.peerPendingPrompt = 0, 0
+	t.peerJobs, t.peerPendingPrompt, t.peerHeld = 0, 0, 0
 	for _, r := range p.peers {
 		l := r.loads[t.ID]
 		t.peerJobs += l.Running
 		t.peerPendingPrompt += l.PendingPrompt
+		t.peerHeld += l.Held
 	}
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,7 +48,7 @@
 	mean := p.meanJobs()
 	var below, above, preferred *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
+		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.fits(t, j) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
@@ -106,7 +106,7 @@
 	}
 	kind := p.answerKind(j)
 	for _, t := range p.usable {
-		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
+		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.fits(t, j) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		chance := p.chanceAt(now, t, j)
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -57,6 +57,8 @@
 	Region ident.Region
 	// Slots is the number of requests that the target runs at a time, at least 1.
 	Slots int
+	// Memory is the number of tokens that the prompts and answers of the running requests may take; zero means no limit.
+	Memory ident.Tokens
 	// CanaryOnly is true for a target that gets only canary jobs because its version is a canary or was rolled
 	// back.
 	CanaryOnly bool
@@ -128,6 +130,10 @@
 	usable  []*target
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
+	// sharers are the other routers between which the memory of the targets is divided, in the order of their hashes;
+	// sharersVersion counts their changes. See memory.go.
+	sharers        []sharer
+	sharersVersion uint64
 }
 
 // New returns an empty pool for the router self in the given data centre and region.
@@ -149,7 +155,7 @@
 	n.hash = xxhash.Sum64String(string(p.self) + "/" + string(t.ID))
 	if ok {
 		n.runs = old.runs
-		n.pendingPrompt = old.pendingPrompt
+		n.pendingPrompt, n.held = old.pendingPrompt, old.held
 		p.sorted = slices.DeleteFunc(p.sorted, func(x *target) bool { return x == old })
 	}
 	p.targets[t.ID] = n
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -54,6 +54,14 @@
 	// peerJobs and peerPendingPrompt are the jobs of the other routers and their pending prompt.
 	peerJobs          int
 	peerPendingPrompt ident.Tokens
+	// held is the memory taken by own jobs, peerHeld that of the other routers as last reported.
+	held, peerHeld ident.Tokens
+	// memoryPart is this router's part of the usable memory and memoryRank its rank among the routers, from 0, computed
+	// for the version of the pool's sharers and the number of slots that rankedVersion and rankedSlots state.
+	memoryPart    float64
+	memoryRank    int
+	rankedVersion uint64
+	rankedSlots   int
 	// hash differs between routers, so that they borrow free slots in different intervals.
 	hash uint64
 	// offset shifts the division of the slots, so that rounding favours different routers at each target.
@@ -120,6 +128,7 @@
 	j.running++
 	t.runs = append(t.runs, run{job: j, sent: now, promptAhead: t.pendingPrompt + t.peerPendingPrompt})
 	t.pendingPrompt += j.Prompt
+	t.held += j.tokens()
 }
 
 func (t *target) runIndex(j *Job) int {
@@ -178,6 +187,7 @@
 	if !t.runs[i].answering {
 		t.pendingPrompt -= j.Prompt
 	}
+	t.held -= j.tokens()
 	t.runs = append(t.runs[:i], t.runs[i+1:]...)
 	j.running--
 	t.learnGap(o.Gap)
