--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -17,6 +17,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/sse"
 )
 
 const (
@@ -351,17 +352,17 @@
 // streamAnswer forwards events as they arrive.
 func (r *Router) streamAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, x *exchange, prog *progress, stall *stallWatch) (complete bool) {
 	rc := http.NewResponseController(w)
-	e := newEventReader(x.Body)
+	e := sse.New(x.Body)
 	rest, after := prog.started, prog.lastID
 	var firstAt, lastAt time.Time
 	for {
-		b, isEvent, err := e.next()
+		b, isEvent, err := e.Next()
 		switch {
-		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.count == 0):
+		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.Count == 0):
 			// Without framing, and for the rest of a stream, only the end of an event can be the end of the stream.
 			err = io.ErrUnexpectedEOF
-		case err == nil && isEvent && rest && !follows(e.lastID, after):
-			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.lastID, after)
+		case err == nil && isEvent && rest && !follows(e.LastID, after):
+			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.LastID, after)
 		}
 		if err != nil && err != io.EOF {
 			a.setError(ctx, err)
@@ -378,7 +379,7 @@
 			if !a.passed && lastAt.Sub(firstAt) >= passTime {
 				r.recordPass(c, a)
 			}
-			if e.count == earlyGapEvents {
+			if e.Count == earlyGapEvents {
 				r.recordEventGap(c.service, a.target.ID, lastAt.Sub(firstAt)/(earlyGapEvents-1))
 			}
 		}
@@ -389,11 +390,11 @@
 		_, werr := w.Write(b)
 		if err == nil && isEvent {
 			prog.events++
-			if prog.lastID = e.lastID; !prog.resumable() {
+			if prog.lastID = e.LastID; !prog.resumable() {
 				stall.stop()
 			}
 		}
-		if werr == nil && !e.hasBuffered() {
+		if werr == nil && !e.HasBuffered() {
 			werr = rc.Flush()
 		}
 		if werr != nil {
@@ -408,12 +409,12 @@
 			break
 		}
 	}
-	a.events = e.count
-	if e.count > 1 {
-		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.count-1)
+	a.events = e.Count
+	if e.Count > 1 {
+		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.Count-1)
 	}
 	if complete && prog.runs == 0 {
-		a.outcome.Events = e.count
+		a.outcome.Events = e.Count
 	}
 	return complete
 }
