direct: take the memory of targets from the configuration

kv-capacity of a service's engine (tokens) becomes route.Service.Memory and sched.Target.Memory. Heartbeats carry the tokens held per target.

Memory and slots are now applied to all targets with each configuration, also if the configuration no longer states slots.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -85,6 +85,8 @@
 	Name ident.Service
 	// Slots is the number of concurrent requests per target; zero if each target declares its own.
 	Slots int
+	// Memory is the number of tokens that the requests running at a target may take; zero if it is not known.
+	Memory ident.Tokens
 	// TokensPerEvent is the number of tokens in one event of a stream; zero for plain services.
 	TokensPerEvent int
 }
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -118,6 +118,8 @@
 	// GapMicros is the time between events at the target that the sender measured, in microseconds; zero if it has
 	// not, and in most heartbeats.
 	GapMicros int64
+	// Held is the number of tokens of prompts and expected answers of the sender's requests at the target.
+	Held ident.Tokens
 }
 
 // HeartbeatDown is a target that cannot be reached, or whose address is now used by another target.
--- a/router/direct/cells.go
+++ b/router/direct/cells.go
@@ -37,6 +37,9 @@
 			r.limiter.AddRouter(now, id)
 		}
 	}
+	for _, p := range r.pools {
+		p.SetRouters(r.nearRouters(now))
+	}
 	defer r.startLimits(now)
 	if own == r.cell {
 		return
@@ -51,6 +54,16 @@
 	}
 }
 
+// nearRouters returns the other routers of the cell that may have requests at targets; r.mu is held.
+func (r *Router) nearRouters(now time.Time) (ids []ident.ProcessID) {
+	for id, p := range r.peers {
+		if !p.otherCell && now.Sub(p.lastSeen) < peerTTL {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // applyLimits sets the limits of the accounts. Each cell gets an equal fraction of them, which the routers of
 // the cell share. Accounts of the first configuration that this process reads may have been used before; those that a
 // later one adds have not; r.mu is held.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -285,6 +285,7 @@
 	if !ok {
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
 		p.StopAt(r.stopAt)
+		p.SetRouters(r.nearRouters(time.Now()))
 		r.pools[s] = p
 	}
 	return p
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -176,7 +176,7 @@
 		rep := p.Report(now)
 		d := wire.HeartbeatDemand{Service: s, Mean: float32(rep.Demand), Waiting: rep.Waiting, Loads: make([]wire.HeartbeatLoad, 0, len(rep.Loads))}
 		for _, l := range rep.Loads {
-			load := wire.HeartbeatLoad{Target: wire.KeyOf(l.Target), Running: l.Running, PendingPrompt: l.PendingPrompt}
+			load := wire.HeartbeatLoad{Target: wire.KeyOf(l.Target), Running: l.Running, PendingPrompt: l.PendingPrompt, Held: l.Held}
 			if turn%gapEvery == 0 {
 				load.GapMicros = l.EventGap.Microseconds()
 			}
@@ -335,7 +335,7 @@
 		rep := sched.Report{Demand: float64(d.Mean), Waiting: d.Waiting, Loads: make([]sched.Load, 0, len(d.Loads))}
 		for _, l := range d.Loads {
 			if id := r.targetKeys[l.Target]; id != "" {
-				rep.Loads = append(rep.Loads, sched.Load{Target: id, Running: l.Running, PendingPrompt: l.PendingPrompt, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
+				rep.Loads = append(rep.Loads, sched.Load{Target: id, Running: l.Running, PendingPrompt: l.PendingPrompt, Held: l.Held, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
 			}
 		}
 		out[d.Service] = rep
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -179,10 +179,10 @@
 	r.applySlots(table)
 }
 
-// applySlots applies the configured slots of services to their targets; r.mu is held.
+// applySlots applies the configured slots and memory of services to their targets; r.mu is held.
 func (r *Router) applySlots(table *route.Table) {
 	for _, t := range r.targets {
-		if s := table.Services[t.Service]; s.Slots > 0 && !t.Leaving && r.usable(t) {
+		if !t.Leaving && r.usable(t) {
 			r.pool(t.Service).Update(r.poolTarget(t, table))
 		}
 	}
@@ -192,8 +192,13 @@
 func (r *Router) poolTarget(t fleet.Target, table *route.Table) sched.Target {
 	out := sched.Target{ID: t.ID, Centre: t.Centre, Region: r.regions[t.Centre], Slots: t.Slots, CanaryOnly: r.canaryOnly(t)}
 	out.RateShare = float64(r.cell.ForService(r.targetCounts[t.Service]).Count) / float64(r.cell.Count)
-	if table != nil && table.Services[t.Service].Slots > 0 {
-		out.Slots = table.Services[t.Service].Slots
+	if table == nil {
+		return out
+	}
+	s := table.Services[t.Service]
+	out.Memory = s.Memory
+	if s.Slots > 0 {
+		out.Slots = s.Slots
 	}
 	return out
 }
