prefix: move the set of cached blocks out of core/pick

The routers without agents are to keep such a set, too. The bookkeeping of reports (sequence, trust) stays in core/pick. No behaviour changes.

--- a/core/pick/cache.go
+++ b/core/pick/cache.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 	"hickoryvane.example/core/wire"
 )
 
@@ -14,68 +15,26 @@
 
 // cache is the reported content of one target's prefix cache.
 type cache struct {
+	prefix.Contents
 	// seq is the sequence number of the last report; trusted is false from a gap until a reset.
 	seq     ident.Seq
 	trusted bool
-	// positions maps a block to its index in ring; a ring entry without a matching position is stale.
-	positions map[ident.Block]int
-	ring      []ident.Block
-	next      int
-	capacity  int
 }
 
-func newCache(size int) cache {
-	return cache{positions: map[ident.Block]int{}, capacity: max(size, 1), trusted: true}
-}
-
-func (c *cache) reset() {
-	clear(c.positions)
-	c.ring, c.next = c.ring[:0], 0
-}
-
-// add records a block and returns the one that was evicted for it, if any.
-func (c *cache) add(b ident.Block) (evicted ident.Block, ok bool) {
-	if len(c.ring) < c.capacity {
-		c.positions[b] = len(c.ring)
-		c.ring = append(c.ring, b)
-		return 0, false
-	}
-	old := c.ring[c.next]
-	if i, found := c.positions[old]; found && i == c.next {
-		delete(c.positions, old)
-		evicted, ok = old, true
-	}
-	c.ring[c.next] = b
-	c.positions[b] = c.next
-	c.next = (c.next + 1) % c.capacity
-	return evicted, ok
-}
-
-// prefix returns the number of leading blocks that the target holds. Blocks are chained and engines evict
-// the end of a chain first, so a binary search finds the end of the cached prefix.
-func (c *cache) prefix(blocks []ident.Block) int {
-	if len(c.positions) == 0 {
-		return 0
-	}
-	return sort.Search(len(blocks), func(i int) bool {
-		_, ok := c.positions[blocks[i]]
-		return !ok
-	})
-}
+func newCache(size int) cache { return cache{Contents: prefix.NewContents(size), trusted: true} }
 
 // applyCache applies a trusted cache report of a target.
 func (pl *pool) applyCache(t *target, r *wire.Cache) {
 	for _, b := range r.Removed {
-		if _, ok := t.cache.positions[b]; ok {
-			delete(t.cache.positions, b)
+		if t.cache.Remove(b) {
 			pl.removeHolder(t, b)
 		}
 	}
 	for _, b := range r.Added {
-		if _, ok := t.cache.positions[b]; ok {
+		if t.cache.Has(b) {
 			continue
 		}
-		if old, ok := t.cache.add(b); ok {
+		if old, ok := t.cache.Add(b); ok {
 			pl.removeHolder(t, old)
 		}
 		pl.addHolder(t, b)
@@ -84,7 +43,7 @@
 
 // removeFromIndex removes a target from the index of block holders.
 func (pl *pool) removeFromIndex(t *target) {
-	for b := range t.cache.positions {
+	for b := range t.cache.All() {
 		pl.removeHolder(t, b)
 	}
 }
--- a/core/pick/estimate.go
+++ b/core/pick/estimate.go
@@ -25,7 +25,7 @@
 
 // estimate returns a target with the expected time to the first token there, including penalties.
 func (p *Picker) estimate(t *target, r *Request) candidate {
-	cached := min(ident.Tokens(t.cache.prefix(r.Blocks)*blockTokens), r.Prompt)
+	cached := min(ident.Tokens(t.cache.Leading(r.Blocks)*blockTokens), r.Prompt)
 	d := t.queueTime(r.Tier) + t.prefillTime(r.Prompt-cached)
 	if t.remote {
 		d += p.remotePenalty(r)
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -123,7 +123,7 @@
 	t.waitingTokens, t.lowestWaitingTier = t.waitingTokens[:0], noneWaiting
 	t.trust = min(t.trust, trustReadmitted)
 	t.pool.removeFromIndex(t)
-	t.cache.reset()
+	t.cache.Reset()
 	t.cache.seq = 0
 }
 
@@ -153,7 +153,7 @@
 	t.cache.seq = c.Seq
 	if c.Reset || gap {
 		t.pool.removeFromIndex(t)
-		t.cache.reset()
+		t.cache.Reset()
 		t.cache.trusted = c.Reset
 	}
 	if t.cache.trusted {
--- a/core/pick/pool.go
+++ b/core/pick/pool.go
@@ -43,10 +43,8 @@
 	t.pool.size++
 	t.remote = t.Region != p.region
 	t.listIndex = -1
-	for i, b := range t.cache.ring {
-		if position, ok := t.cache.positions[b]; ok && position == i {
-			t.pool.addHolder(t, b)
-		}
+	for b := range t.cache.All() {
+		t.pool.addHolder(t, b)
 	}
 	p.updateListing(t)
 }
