sched: place requests also by what targets hold of their prompts

The time that a target saves because it holds parts of a prompt is subtracted from its score; wait, load and distance count as before, and tiers and constraints take precedence. Pending prompts count without what is held. A restart, a target that is found down, or one that was replaced discards the estimates. The option WithPrefixes switches it on; without it nothing changes.

Ruled out: always the target that holds most.

Measured: core/sched passes.

--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 )
 
 // reportExpiry is the age at which the report of a silent router expires. The connections of a crashed router
@@ -40,6 +41,8 @@
 	Loads []Load
 	// Rates are those of targets that state one. A report may omit those that have not changed lately.
 	Rates []Rate
+	// Prefixes is empty in most reports.
+	Prefixes prefix.Report
 }
 
 // report is the last report received from another router.
@@ -88,6 +91,7 @@
 func (p *Pool) PeerFoundDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok {
 		t.backoffUntil, t.foundDownByAny = later(t.backoffUntil, now.Add(downReportTime)), true
+		p.prefixes.Lose(id)
 	}
 }
 
@@ -111,6 +115,7 @@
 	}
 	p.addSharer(r.Router)
 	p.mergeRates(now, r.Router, r.Rates)
+	p.prefixes.Merge(r.Router, r.Prefixes)
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
 	p.ExpireReports(now)
 }
@@ -140,6 +145,7 @@
 		switch {
 		case now.Sub(r.receivedAt) >= expiry:
 			p.removeReport(id)
+			p.prefixes.RemoveRouter(id)
 		case r.Waiting > 0:
 			p.waitingRouters++
 		}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -31,6 +31,7 @@
 // free slot, so that a canary delays no requests.
 func (p *Pool) place(now time.Time, j *Job) (*target, time.Duration) {
 	if j.Canary {
+		p.gain = PrefixGain{}
 		if t := p.canaryTarget(now, j); t != nil {
 			return t, t.expectedFirstEvent(j)
 		}
@@ -105,6 +106,7 @@
 		chanceMin = p.chanceMin(now, j)
 	}
 	kind := p.answerKind(j)
+	gains := gainSearch{}
 	for _, t := range p.usable {
 		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.fits(t, j) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
 			continue
@@ -114,12 +116,15 @@
 			continue
 		}
 		risk := p.riskLevel(now, t, chance)
-		score := p.score(t, j)
+		score, held := p.score(t, j), min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
+		gains.consider(t, risk, score)
+		score -= t.readTime(held)
 		if best == nil || risk < bestRisk || risk == bestRisk && score < bestScore {
 			best, bestScore, bestRisk = t, score, risk
-			expected = t.expectedFirstEvent(j)
+			expected, gains.held = t.expectedFirstEvent(j)-t.readTime(held), held
 		}
 	}
+	p.gain = gains.result(best, j)
 	return best, expected
 }
 
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 )
 
 // Job is a request that waits for a target or runs on one.
@@ -35,6 +36,8 @@
 	// tokens in an event.
 	Prompt, Output ident.Tokens
 	Stride         int
+	// Parts are the parts of the prompt that other prompts may have in common, in their order.
+	Parts []prefix.Part
 	// Stream is true if the answer is a stream of events.
 	Stream bool
 	// Avoid lists targets that failed the request.
@@ -48,6 +51,8 @@
 	running int
 	// orderTime is the arrival time plus the deferral of long jobs; see wait.go.
 	orderTime time.Time
+	// chain identifies the Parts; see prefix.go.
+	chain []prefix.Link
 }
 
 // Target is a member of the pool.
@@ -59,6 +64,8 @@
 	Slots int
 	// Memory is the number of tokens that the prompts and answers of the running requests may take; zero means no limit.
 	Memory ident.Tokens
+	// Start identifies what the target holds of prompts, which is lost with a restart.
+	Start prefix.Start
 	// CanaryOnly is true for a target that gets only canary jobs because its version is a canary or was rolled
 	// back.
 	CanaryOnly bool
@@ -75,6 +82,8 @@
 	OwnJobs, OtherJobs int
 	// ExpectedFirstEvent is the estimated time to the first event.
 	ExpectedFirstEvent time.Duration
+	// Prefix is the part of the decision that depends on what the target holds of the prompt.
+	Prefix PrefixGain
 }
 
 // Refusal reports that a job was refused; the job has not run.
@@ -134,19 +143,28 @@
 	// sharersVersion counts their changes. See memory.go.
 	sharers        []sharer
 	sharersVersion uint64
+	// prefixes is nil if placements do not depend on what targets hold of prompts. gain belongs to the last result of
+	// bestTarget. See prefix.go.
+	prefixes *prefix.Model
+	gain     PrefixGain
 }
 
 // New returns an empty pool for the router self in the given data centre and region.
-func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
-	return &Pool{
+func New(self ident.ProcessID, c ident.DataCentre, r ident.Region, opts ...Option) *Pool {
+	p := &Pool{
 		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
 	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Put adds or replaces a target. If fresh is true, the target was restarted and what was learnt about it is
 // discarded.
 func (p *Pool) Put(t Target, fresh bool) {
 	old, ok := p.targets[t.ID]
+	p.setPrefixTarget(t, fresh)
 	if ok && !fresh {
 		old.Target, old.draining, old.missing = t, false, false
 		return
@@ -170,6 +188,7 @@
 func (p *Pool) Update(t Target) {
 	if old, ok := p.targets[t.ID]; ok {
 		old.Target, old.draining = t, false
+		p.setPrefixTarget(t, false)
 		return
 	}
 	p.Put(t, true)
@@ -208,6 +227,7 @@
 
 // Add adds a job to the waiting jobs.
 func (p *Pool) Add(j *Job) {
+	p.setChain(j)
 	j.orderTime = j.Arrived.Add(p.deferral(j))
 	p.learnDuration(j)
 	p.waiting = append(p.waiting, j)
@@ -230,6 +250,7 @@
 // FirstEvent records the first event of the job's answer.
 func (p *Pool) FirstEvent(now time.Time, id ident.TargetID, j *Job) {
 	if t, ok := p.targets[id]; ok {
+		p.recordRead(now, t, j)
 		t.firstEvent(now, j)
 	}
 }
@@ -262,6 +283,9 @@
 	if i >= 0 && o.Complete {
 		p.recordDuration(j, now.Sub(t.runs[i].sent))
 	}
+	if o.Unreachable || o.Replaced {
+		p.prefixes.Lose(id)
+	}
 	if t.done(now, j, o) {
 		p.running--
 		p.recordLength(j, o.Events)
@@ -289,6 +313,7 @@
 func (p *Pool) MarkDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok && !now.Before(t.backoffUntil) {
 		t.foundDown(now)
+		p.prefixes.Lose(id)
 	}
 }
 
@@ -297,11 +322,11 @@
 
 // begin records that a job is placed on a target.
 func (p *Pool) begin(now time.Time, t *target, j *Job, firstEvent time.Duration) Placement {
-	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent}
+	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent, Prefix: p.gain}
 	p.countBorrowed(now, t)
 	p.countRate(now, t)
 	t.countPaced(now)
-	t.start(now, j)
+	t.start(now, j, p.gain.Held)
 	p.running++
 	return d
 }
@@ -362,6 +387,7 @@
 func (p *Pool) removeDrained(t *target) {
 	if t.draining && len(t.runs) == 0 {
 		delete(p.targets, t.ID)
+		p.prefixes.RemoveTarget(t.ID)
 		p.sorted = slices.DeleteFunc(p.sorted, func(x *target) bool { return x == t })
 	}
 }
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 )
 
 const (
@@ -40,6 +41,9 @@
 	promptAhead ident.Tokens
 	// answering is true once the first event arrived.
 	answering bool
+	// start is that of the target when the job was sent; held is the part of the prompt that it was estimated to hold.
+	start prefix.Start
+	held  ident.Tokens
 }
 
 // target is the state that this router keeps of one target.
@@ -49,7 +53,7 @@
 	// missing is true while the registration is missing; such targets are the last choice.
 	missing bool
 	runs    []run
-	// pendingPrompt is the total prompt length of own jobs without a first event.
+	// pendingPrompt is what own jobs without a first event have to read of their prompts.
 	pendingPrompt ident.Tokens
 	// peerJobs and peerPendingPrompt are the jobs of the other routers and their pending prompt.
 	peerJobs          int
@@ -124,10 +128,10 @@
 	return false
 }
 
-func (t *target) start(now time.Time, j *Job) {
+func (t *target) start(now time.Time, j *Job, held ident.Tokens) {
 	j.running++
-	t.runs = append(t.runs, run{job: j, sent: now, promptAhead: t.pendingPrompt + t.peerPendingPrompt})
-	t.pendingPrompt += j.Prompt
+	t.runs = append(t.runs, run{job: j, sent: now, promptAhead: t.pendingPrompt + t.peerPendingPrompt, start: t.Start, held: held})
+	t.pendingPrompt += j.Prompt - held
 	t.held += j.tokens()
 }
 
@@ -147,9 +151,9 @@
 	}
 	r := &t.runs[i]
 	r.answering = true
-	t.pendingPrompt -= j.Prompt
+	t.pendingPrompt -= j.Prompt - r.held
 	t.failures, t.foundDownByAny = 0, false
-	t.learnFirstEvent(now.Sub(r.sent), r.promptAhead, j.Prompt)
+	t.learnFirstEvent(now.Sub(r.sent), r.promptAhead, j.Prompt-r.held)
 }
 
 // learnFirstEvent updates the base latency or the prompt rate from the time to a first event: the prompt rate
@@ -185,7 +189,7 @@
 		return false
 	}
 	if !t.runs[i].answering {
-		t.pendingPrompt -= j.Prompt
+		t.pendingPrompt -= j.Prompt - t.runs[i].held
 	}
 	t.held -= j.tokens()
 	t.runs = append(t.runs[:i], t.runs[i+1:]...)
