direct: prefer targets that hold parts of the prompt, by the setting prefix

The lengths of the parts (Prompt-Prefix) are passed on to the pools. Each eighth heartbeat carries what this router's requests have read at targets, with a hash of the start and version of the target, so that reports about an earlier start are ignored.

Measured: router/direct, core/wire, core/meter, core/conf, core/event, platform and platform/names pass. TestOtherRoutersLearnWhatTargetsHold fails if the heartbeats do not carry the reads.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -73,6 +73,8 @@
 	// and its deadline: ExposureRatio times the requests for the service plus ExtraExposedRequests.
 	ExposureRatio        float64 `json:"expose" default:"0.1" limit:"0..1"`
 	ExtraExposedRequests float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
+	// Prefix makes placements depend on what targets are estimated to hold of prompts.
+	Prefix bool `json:"prefix" default:"false"`
 }
 
 // Seconds converts a number of seconds to a duration.
--- a/core/meter/instrument.go
+++ b/core/meter/instrument.go
@@ -50,6 +50,8 @@
 		{&m.linkBytes, "hickoryvane.link", "By", "bytes sent over the region link"},
 		{&m.refused, "hickoryvane.refused", "{request}", "requests refused"},
 		{&m.overQuota, "hickoryvane.quota.refused", "{request}", "requests over the limit of their account"},
+		{&m.prefixHeld, "hickoryvane.prefix.held", "{token}", "prompt tokens that targets were estimated to hold"},
+		{&m.prefixMoved, "hickoryvane.prefix.moved", "{request}", "requests sent to another target because of them"},
 		{&m.resent, "hickoryvane.repeated", "{request}", "requests sent to one more target"},
 	} {
 		*c.to, err = in.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text))
@@ -57,6 +59,10 @@
 			return errors.WithMessage(err, c.name)
 		}
 	}
+	m.prefixWait, err = in.Float64Counter("hickoryvane.prefix.wait", metric.WithUnit("s"), metric.WithDescription("expected wait of the requests that were moved"))
+	if err != nil {
+		return errors.WithMessage(err, "hickoryvane.prefix.wait")
+	}
 	m.targets, err = in.Int64Gauge("hickoryvane.targets", metric.WithUnit("{target}"), metric.WithDescription("targets that leave or asked for time"))
 	return errors.WithMessage(err, "hickoryvane.targets")
 }
--- a/core/meter/label.go
+++ b/core/meter/label.go
@@ -147,6 +147,8 @@
 	}, func(s shedLabels) shedLabels { return shedLabels{s.tier, other} })
 	m.accounts = newLabelSets(labelSetsMax, func(a ident.AccountID) *labelSet { return newLabelSet(accountLabel(a)) },
 		func(ident.AccountID) ident.AccountID { return other })
+	m.services = newLabelSets(labelSetsMax, func(s ident.Service) *labelSet { return newLabelSet(attribute.String("service", string(s))) },
+		func(ident.Service) ident.Service { return other })
 	m.resends = newLabelSets(labelSetsMax, func(r resendLabels) *labelSet {
 		return newLabelSet(attribute.String("service", string(r.service)), attribute.String("after", r.after))
 	}, func(resendLabels) resendLabels { return resendLabels{other, other} })
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -33,6 +33,8 @@
 	refused, overQuota             metric.Int64Counter
 	resent                         metric.Int64Counter
 	targets                        metric.Int64Gauge
+	prefixHeld, prefixMoved        metric.Int64Counter
+	prefixWait                     metric.Float64Counter
 
 	names    names
 	requests *labelSets[requestLabels]
@@ -41,6 +43,7 @@
 	reasons  *labelSets[fault.Reason]
 	accounts *labelSets[ident.AccountID]
 	resends  *labelSets[resendLabels]
+	services *labelSets[ident.Service]
 }
 
 type options struct {
@@ -147,6 +150,20 @@
 	m.resent.Add(context.Background(), 1, m.resends.get(resendLabels{m.names.service(s), after}).add...)
 }
 
+// CountPrefix counts the prompt tokens that the target of a placement is estimated to hold, whether the request was
+// moved there because of them, and the wait that this is expected to cost.
+func (m *Meter) CountPrefix(s ident.Service, held ident.Tokens, moved bool, wait time.Duration) {
+	if held <= 0 && !moved {
+		return
+	}
+	o := m.services.get(m.names.service(s)).add
+	m.prefixHeld.Add(context.Background(), int64(held), o...)
+	if moved {
+		m.prefixMoved.Add(context.Background(), 1, o...)
+		m.prefixWait.Add(context.Background(), wait.Seconds(), o...)
+	}
+}
+
 // RecordTargets records how many targets of a service are in a state in which they get no requests.
 func (m *Meter) RecordTargets(s ident.Service, state string, n int) {
 	m.targets.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", string(m.names.service(s))), attribute.String("state", state)))
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"encoding/binary"
+
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
@@ -48,6 +50,37 @@
 	Leaving []HeartbeatLeaving
 	// Trials are the requests on trial that wait or run at the sender.
 	Trials []HeartbeatTrial
+	// Reads are parts of prompts that requests of the sender have read lately, Passed the tokens that they brought to
+	// targets. Most heartbeats have none.
+	Reads  []HeartbeatRead
+	Passed []HeartbeatPassed
+}
+
+// StartKey stands for a start of a target with a version of the weights. A receiver ignores those that differ from what
+// it knows of the target.
+type StartKey uint32
+
+// StartKeyOf returns the key of a start.
+func StartKeyOf(b ident.Boot, v ident.Version) StartKey {
+	return StartKey(xxhash.Sum64(append(binary.LittleEndian.AppendUint64(nil, uint64(b)), v...)))
+}
+
+// HeartbeatRead is a part of a prompt that a target has read; see package prefix.
+type HeartbeatRead struct {
+	_struct bool `codec:",toarray"`
+
+	Target TargetKey
+	Start  StartKey
+	Block  ident.Block
+}
+
+// HeartbeatPassed is the number of tokens that the sender's requests have brought to a start of a target.
+type HeartbeatPassed struct {
+	_struct bool `codec:",toarray"`
+
+	Target TargetKey
+	Start  StartKey
+	Tokens ident.Tokens
 }
 
 // HeartbeatTrial is a request on trial; see package poison.
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -45,7 +45,7 @@
 func (c *call) setFeatures() {
 	c.features = append(c.features, ident.FingerprintOf(c.service, append([][]byte{[]byte(c.r.Method + " " + c.uri + " " + c.Key + "\n")}, c.body.chunks...)...))
 	for _, p := range c.Parts {
-		c.features = append(c.features, ident.FingerprintOf(c.service, []byte("part "+p)))
+		c.features = append(c.features, ident.FingerprintOf(c.service, []byte("part "+p.ID)))
 	}
 }
 
@@ -114,7 +114,7 @@
 		clear(r.partNames)
 	}
 	for i, p := range c.Parts {
-		r.partNames[c.features[i+1]] = p
+		r.partNames[c.features[i+1]] = p.ID
 	}
 }
 
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -24,6 +24,7 @@
 	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/poison"
+	"hickoryvane.example/core/prefix"
 	"hickoryvane.example/core/quota"
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/core/route"
@@ -74,7 +75,7 @@
 	HasTokenCounts                bool
 	Prompt, MaxOutput, OutputHint ident.Tokens
 	// Parts are the parts of the prompt that other requests may have in common, in their order.
-	Parts []ident.PromptPart
+	Parts []prefix.Part
 }
 
 // Forward holds what the router states to a target in the headers of a request.
@@ -283,7 +284,11 @@
 func (r *Router) pool(s ident.Service) *sched.Pool {
 	p, ok := r.pools[s]
 	if !ok {
-		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
+		var opts []sched.Option
+		if r.cfg.Prefix {
+			opts = append(opts, sched.WithPrefixes())
+		}
+		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region, opts...)
 		p.StopAt(r.stopAt)
 		p.SetRouters(r.nearRouters(time.Now()))
 		r.pools[s] = p
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -24,6 +24,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/meter"
 	"hickoryvane.example/core/moves"
+	"hickoryvane.example/core/prefix"
 	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/store"
@@ -46,7 +47,7 @@
 		c.HasTokenCounts, c.Prompt = true, ident.Tokens(n)
 	}
 	for _, p := range strings.Fields(h.Get("X-Parts")) {
-		c.Parts = append(c.Parts, ident.PromptPart(p))
+		c.Parts = append(c.Parts, prefix.Part{ID: ident.PromptPart(p), Tokens: 100})
 	}
 	return c
 }
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -184,6 +184,9 @@
 		}
 		m.Demands = append(m.Demands, d)
 		r.addRates(now, m, rep.Rates, turn%levelsEvery == 0)
+		if turn%levelsEvery == 1 {
+			addPrefixes(m, p.PrefixReport(now))
+		}
 		for _, t := range p.RecentlyDown(now) {
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
 		}
@@ -299,10 +302,10 @@
 			pool.PeerFoundDown(now, d.Target)
 		}
 	}
-	rates := r.ratesOf(now, b)
+	rates, prefixes := r.ratesOf(now, b), r.prefixesOf(b)
 	for s, pool := range r.pools {
 		rep := reports[s]
-		rep.Router, rep.Region, rep.Rates = b.Process, b.Region, rates[s]
+		rep.Router, rep.Region, rep.Rates, rep.Prefixes = b.Process, b.Region, rates[s], prefixes
 		pool.SetReportInterval(r.reportInterval(now))
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -224,10 +224,11 @@
 
 // logPlacement logs the inputs of a placement and counts it in the metrics.
 func (r *Router) logPlacement(c *call, d decision, try int) {
-	now := time.Now()
+	now, gain := time.Now(), d.placement.Prefix
+	r.meter.CountPrefix(c.service, gain.Held, gain.Moved, gain.Wait)
 	r.meter.RecordQueueing(c.job.Tier, c.accountName(), c.service, now.Sub(c.arrived))
 	r.meter.RecordLength(c.job.Tier, c.accountName(), c.service, c.Prompt+c.MaxOutput)
 	r.log.Log(event.RequestPlaced, "id", c.ID, "route", c.route.Name, "account", c.accountName(), "tier", c.job.Tier,
 		"target", d.target.ID, "mine", d.placement.OwnJobs, "others", d.placement.OtherJobs, "expected", d.placement.ExpectedFirstEvent.Milliseconds(),
-		"waited", now.Sub(c.arrived).Milliseconds(), "prompt", c.Prompt, "tokens", c.tokens, "level", c.quotaLevel, "left", c.deadline.Sub(now).Milliseconds(), "try", try, "parts", c.Parts)
+		"waited", now.Sub(c.arrived).Milliseconds(), "prompt", c.Prompt, "tokens", c.tokens, "level", c.quotaLevel, "left", c.deadline.Sub(now).Milliseconds(), "try", try, "parts", c.Parts, "held", gain.Held, "moved", gain.Moved, "later", gain.Wait.Milliseconds())
 }
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -9,6 +9,7 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
@@ -190,7 +191,7 @@
 
 // poolTarget returns a target in the form that the pool takes.
 func (r *Router) poolTarget(t fleet.Target, table *route.Table) sched.Target {
-	out := sched.Target{ID: t.ID, Centre: t.Centre, Region: r.regions[t.Centre], Slots: t.Slots, CanaryOnly: r.canaryOnly(t)}
+	out := sched.Target{ID: t.ID, Centre: t.Centre, Region: r.regions[t.Centre], Slots: t.Slots, CanaryOnly: r.canaryOnly(t), Start: prefix.Start{Boot: t.Boot, Version: t.Version}}
 	out.RateShare = float64(r.cell.ForService(r.targetCounts[t.Service]).Count) / float64(r.cell.Count)
 	if table == nil {
 		return out
