--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 )
 
 const (
@@ -40,6 +41,9 @@
 	promptAhead ident.Tokens
 	// answering is true once the first event arrived.
 	answering bool
+	// start is that of the target when the job was sent; held is the part of the prompt that it was estimated to hold.
+	start prefix.Start
+	held  ident.Tokens
 }
 
 // target is the state that this router keeps of one target.
@@ -49,11 +53,19 @@
 	// missing is true while the registration is missing; such targets are the last choice.
 	missing bool
 	runs    []run
-	// pendingPrompt is the total prompt length of own jobs without a first event.
+	// pendingPrompt is what own jobs without a first event have to read of their prompts.
 	pendingPrompt ident.Tokens
 	// peerJobs and peerPendingPrompt are the jobs of the other routers and their pending prompt.
 	peerJobs          int
 	peerPendingPrompt ident.Tokens
+	// held is the memory taken by own jobs, peerHeld that of the other routers as last reported.
+	held, peerHeld ident.Tokens
+	// memoryPart is this router's part of the usable memory and memoryRank its rank among the routers, from 0, computed
+	// for the version of the pool's sharers and the number of slots that rankedVersion and rankedSlots state.
+	memoryPart    float64
+	memoryRank    int
+	rankedVersion uint64
+	rankedSlots   int
 	// hash differs between routers, so that they borrow free slots in different intervals.
 	hash uint64
 	// offset shifts the division of the slots, so that rounding favours different routers at each target.
@@ -116,10 +128,11 @@
 	return false
 }
 
-func (t *target) start(now time.Time, j *Job) {
+func (t *target) start(now time.Time, j *Job, held ident.Tokens) {
 	j.running++
-	t.runs = append(t.runs, run{job: j, sent: now, promptAhead: t.pendingPrompt + t.peerPendingPrompt})
-	t.pendingPrompt += j.Prompt
+	t.runs = append(t.runs, run{job: j, sent: now, promptAhead: t.pendingPrompt + t.peerPendingPrompt, start: t.Start, held: held})
+	t.pendingPrompt += j.Prompt - held
+	t.held += j.tokens()
 }
 
 func (t *target) runIndex(j *Job) int {
@@ -138,9 +151,9 @@
 	}
 	r := &t.runs[i]
 	r.answering = true
-	t.pendingPrompt -= j.Prompt
+	t.pendingPrompt -= j.Prompt - r.held
 	t.failures, t.foundDownByAny = 0, false
-	t.learnFirstEvent(now.Sub(r.sent), r.promptAhead, j.Prompt)
+	t.learnFirstEvent(now.Sub(r.sent), r.promptAhead, j.Prompt-r.held)
 }
 
 // learnFirstEvent updates the base latency or the prompt rate from the time to a first event: the prompt rate
@@ -176,8 +189,9 @@
 		return false
 	}
 	if !t.runs[i].answering {
-		t.pendingPrompt -= j.Prompt
+		t.pendingPrompt -= j.Prompt - t.runs[i].held
 	}
+	t.held -= j.tokens()
 	t.runs = append(t.runs[:i], t.runs[i+1:]...)
 	j.running--
 	t.learnGap(o.Gap)
