--- a/core/route/route.go
+++ b/core/route/route.go
@@ -56,6 +56,8 @@
 	Public bool
 	// Resumable is true if a stream may continue at another target after the last event received.
 	Resumable bool
+	// HomeRegions are the regions in which requests may be served; empty means anywhere.
+	HomeRegions []ident.Region
 	// Shares is not empty.
 	Shares []Share
 }
@@ -85,6 +87,8 @@
 	Name ident.Service
 	// Slots is the number of concurrent requests per target; zero if each target declares its own.
 	Slots int
+	// Memory is the number of tokens that the requests running at a target may take; zero if it is not known.
+	Memory ident.Tokens
 	// TokensPerEvent is the number of tokens in one event of a stream; zero for plain services.
 	TokensPerEvent int
 }
@@ -101,6 +105,8 @@
 	Burst ident.Tokens
 	// DefaultTokens is the number of tokens charged for a request that states none.
 	DefaultTokens ident.Tokens
+	// HomeRegions are the regions in which requests of the account may be served; empty means anywhere.
+	HomeRegions []ident.Region
 }
 
 // Limits bounds the requests of callers.
--- a/core/sched/ahead.go
+++ b/core/sched/ahead.go
@@ -49,9 +49,12 @@
 		return false
 	}
 	k := p.classOf(now, j)
-	return k.timeliness == 1 && k.compare(p.lastAhead) <= 0
+	return k.timeliness == 1 && p.isHighest(k)
 }
 
+// isHighest reports whether a class of jobs that can be on time is one of the highest.
+func (p *Pool) isHighest(k class) bool { return p.anyAhead && k.compare(p.lastAhead) <= 0 }
+
 // collectAhead lists the targets without a free slot at which one more job may wait.
 func (p *Pool) collectAhead(now time.Time) {
 	p.ahead = p.ahead[:0]
@@ -89,7 +92,7 @@
 func (p *Pool) bestAhead(now time.Time, j *Job) (best *target, bestScore, expected time.Duration) {
 	chanceMin := p.chanceMin(now, j)
 	for _, t := range p.ahead {
-		if slices.Contains(j.Avoid, t.ID) || !p.mayPlaceAhead(now, t) || t.silent(now) || !p.endsInTime(now, t, j) || p.chanceAt(now, t, j) < chanceMin {
+		if slices.Contains(j.Avoid, t.ID) || !p.mayPlaceAhead(now, t) || !p.fits(t, j) || t.silent(now) || !p.endsInTime(now, t, j) || p.chanceAt(now, t, j) < chanceMin {
 			continue
 		}
 		first := p.slotWait(t) + t.expectedFirstEvent(j)
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 )
 
 // reportExpiry is the age at which the report of a silent router expires. The connections of a crashed router
@@ -23,6 +24,8 @@
 	// those without a first event.
 	Running       int
 	PendingPrompt ident.Tokens
+	// Held is the memory that the router's jobs take there.
+	Held ident.Tokens
 	// EventGap is the time between events that the router has measured at the target; zero if it has not.
 	EventGap time.Duration
 }
@@ -39,6 +42,8 @@
 	Loads []Load
 	// Rates are those of targets that state one. A report may omit those that have not changed lately.
 	Rates []Rate
+	// Prefixes is empty in most reports.
+	Prefixes prefix.Report
 }
 
 // report is the last report received from another router.
@@ -56,7 +61,7 @@
 	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Urgent: p.urgent(now), Rates: p.rates(now)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
-			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt}
+			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt, Held: t.held}
 			if t.observed {
 				l.EventGap = t.eventGap
 			}
@@ -87,6 +92,7 @@
 func (p *Pool) PeerFoundDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok {
 		t.backoffUntil, t.foundDownByAny = later(t.backoffUntil, now.Add(downReportTime)), true
+		p.prefixes.Lose(id)
 	}
 }
 
@@ -102,12 +108,15 @@
 		if t, ok := p.targets[l.Target]; ok {
 			t.peerJobs += l.Running
 			t.peerPendingPrompt += l.PendingPrompt
+			t.peerHeld += l.Held
 			if l.EventGap > 0 && !t.observed {
 				t.eventGap = l.EventGap
 			}
 		}
 	}
+	p.addSharer(r.Router)
 	p.mergeRates(now, r.Router, r.Rates)
+	p.prefixes.Merge(r.Router, r.Prefixes)
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
 	p.ExpireReports(now)
 }
@@ -122,6 +131,7 @@
 		if t, ok := p.targets[l.Target]; ok {
 			t.peerJobs -= l.Running
 			t.peerPendingPrompt -= l.PendingPrompt
+			t.peerHeld -= l.Held
 		}
 	}
 	delete(p.peers, id)
@@ -136,6 +146,7 @@
 		switch {
 		case now.Sub(r.receivedAt) >= expiry:
 			p.removeReport(id)
+			p.prefixes.RemoveRouter(id)
 		case r.Waiting > 0:
 			p.waitingRouters++
 		}
@@ -146,10 +157,11 @@
 
 // sumPeerLoads sums the reported loads of a target that is new in this pool.
 func (p *Pool) sumPeerLoads(t *target) {
-	t.peerJobs, t.peerPendingPrompt = 0, 0
+	t.peerJobs, t.peerPendingPrompt, t.peerHeld = 0, 0, 0
 	for _, r := range p.peers {
 		l := r.loads[t.ID]
 		t.peerJobs += l.Running
 		t.peerPendingPrompt += l.PendingPrompt
+		t.peerHeld += l.Held
 	}
 }
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/prefix"
 )
 
 // Job is a request that waits for a target or runs on one.
@@ -37,6 +38,8 @@
 	Stride         int
 	// Deferral is the time by which the job goes behind others of its class; see core/fair.
 	Deferral time.Duration
+	// Parts are the parts of the prompt that other prompts may have in common, in their order.
+	Parts []prefix.Part
 	// Stream is true if the answer is a stream of events.
 	Stream bool
 	// GapGoal is the longest time between two events of an answer that is on time; zero means no limit.
@@ -52,6 +55,8 @@
 	running int
 	// orderTime is the arrival time plus the deferral of long jobs; see wait.go.
 	orderTime time.Time
+	// chain identifies the Parts; see prefix.go.
+	chain []prefix.Link
 }
 
 // Target is a member of the pool.
@@ -61,6 +66,10 @@
 	Region ident.Region
 	// Slots is the number of requests that the target runs at a time, at least 1.
 	Slots int
+	// Memory is the number of tokens that the prompts and answers of the running requests may take; zero means no limit.
+	Memory ident.Tokens
+	// Start identifies what the target holds of prompts, which is lost with a restart.
+	Start prefix.Start
 	// CanaryOnly is true for a target that gets only canary jobs because its version is a canary or was rolled
 	// back.
 	CanaryOnly bool
@@ -77,6 +86,8 @@
 	OwnJobs, OtherJobs int
 	// ExpectedFirstEvent is the estimated time to the first event.
 	ExpectedFirstEvent time.Duration
+	// Prefix is the part of the decision that depends on what the target holds of the prompt.
+	Prefix PrefixGain
 }
 
 // Refusal reports that a job was refused; the job has not run.
@@ -143,20 +154,33 @@
 	anyAhead  bool
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
+	// sharers are the other routers between which the memory of the targets is divided, in the order of their hashes;
+	// sharersVersion counts their changes. See memory.go.
+	sharers        []sharer
+	sharersVersion uint64
+	// prefixes is nil if placements do not depend on what targets hold of prompts. gain belongs to the last result of
+	// bestTarget. See prefix.go.
+	prefixes *prefix.Model
+	gain     PrefixGain
 }
 
 // New returns an empty pool for the router self in the given data centre and region.
-func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
-	return &Pool{
+func New(self ident.ProcessID, c ident.DataCentre, r ident.Region, opts ...Option) *Pool {
+	p := &Pool{
 		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
 		speed: poolSpeed{errors: newErrorStats()},
 	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Put adds or replaces a target. If fresh is true, the target was restarted and what was learnt about it is
 // discarded.
 func (p *Pool) Put(t Target, fresh bool) {
 	old, ok := p.targets[t.ID]
+	p.setPrefixTarget(t, fresh)
 	if ok && !fresh {
 		old.Target, old.draining, old.missing = t, false, false
 		return
@@ -165,7 +189,7 @@
 	n.hash = xxhash.Sum64String(string(p.self) + "/" + string(t.ID))
 	if ok {
 		n.runs = old.runs
-		n.pendingPrompt = old.pendingPrompt
+		n.pendingPrompt, n.held = old.pendingPrompt, old.held
 		p.sorted = slices.DeleteFunc(p.sorted, func(x *target) bool { return x == old })
 	}
 	p.targets[t.ID] = n
@@ -180,6 +204,7 @@
 func (p *Pool) Update(t Target) {
 	if old, ok := p.targets[t.ID]; ok {
 		old.Target, old.draining = t, false
+		p.setPrefixTarget(t, false)
 		return
 	}
 	p.Put(t, true)
@@ -218,6 +243,7 @@
 
 // Add adds a job to the waiting jobs.
 func (p *Pool) Add(j *Job) {
+	p.setChain(j)
 	j.orderTime = j.Arrived.Add(p.deferral(j) + j.Deferral)
 	p.learnDuration(j)
 	p.waiting = append(p.waiting, j)
@@ -243,8 +269,10 @@
 	if !ok {
 		return
 	}
+	p.recordRead(now, t, j)
 	if i := t.runIndex(j); i >= 0 && !t.runs[i].answering {
-		p.learnFirstEvent(t, now.Sub(t.runs[i].sent), t.runs[i].promptAhead, j)
+		r := t.runs[i]
+		p.learnFirstEvent(t, now.Sub(r.sent), r.promptAhead, j, j.Prompt-r.held)
 	}
 	t.firstEvent(now, j)
 }
@@ -279,6 +307,9 @@
 	if i >= 0 && o.Complete {
 		p.recordDuration(j, now.Sub(t.runs[i].sent))
 	}
+	if o.Unreachable || o.Replaced {
+		p.prefixes.Lose(id)
+	}
 	if t.done(now, j, o) {
 		p.running--
 		p.recordLength(j, o.Events)
@@ -307,6 +338,7 @@
 func (p *Pool) MarkDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok && !now.Before(t.backoffUntil) {
 		t.foundDown(now)
+		p.prefixes.Lose(id)
 	}
 }
 
@@ -315,11 +347,11 @@
 
 // begin records that a job is placed on a target.
 func (p *Pool) begin(now time.Time, t *target, j *Job, firstEvent time.Duration) Placement {
-	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent}
+	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent, Prefix: p.gain}
 	p.countBorrowed(now, t)
 	p.countRate(now, t)
 	t.countPaced(now)
-	t.start(now, j)
+	t.start(now, j, p.gain.Held)
 	p.running++
 	return d
 }
@@ -330,9 +362,9 @@
 		return nil, nil
 	}
 	p.shortestLatency = p.minBaseLatency()
+	p.updateAhead(now)
 	p.sortWaiting(now)
 	p.collectUsable(now)
-	p.updateAhead(now)
 	p.collectAhead(now)
 	p.updateSplit(now)
 	p.spareSlots = p.countSpareSlots(now)
@@ -347,7 +379,7 @@
 		}
 		t, firstEvent := p.place(now, j)
 		if t != nil {
-			if p.isLate(now, j) {
+			if k.timeliness == 2 {
 				p.lateRoom--
 			}
 			placed = append(placed, p.begin(now, t, j, firstEvent))
@@ -385,6 +417,7 @@
 func (p *Pool) removeDrained(t *target) {
 	if t.draining && len(t.runs) == 0 {
 		delete(p.targets, t.ID)
+		p.prefixes.RemoveTarget(t.ID)
 		p.sorted = slices.DeleteFunc(p.sorted, func(x *target) bool { return x == t })
 	}
 }
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -58,20 +58,20 @@
 	return min(max(float64(t.eventGap)/float64(p.meanEventGap), slownessMin), slownessMax)
 }
 
-// learnFirstEvent learns from the time to a first event: the prompt rate from long prompts, the base latency from short
-// ones.
-func (p *Pool) learnFirstEvent(t *target, elapsed time.Duration, ahead ident.Tokens, j *Job) {
-	p.learnError(t, elapsed, ahead, j)
+// learnFirstEvent learns from the time to the first event of a job of which prompt tokens were read: the prompt rate from
+// long prompts, the base latency from short ones.
+func (p *Pool) learnFirstEvent(t *target, elapsed time.Duration, ahead ident.Tokens, j *Job, prompt ident.Tokens) {
+	p.learnError(t, elapsed, ahead+prompt)
 	p.learnTypical(j, elapsed)
 	slowness := p.slowness(t)
-	if j.Prompt >= promptMin {
+	if prompt >= promptMin {
 		if read := elapsed - t.baseLatency; read > 0 {
-			sample := min(float64(j.Prompt+ahead/2)/read.Seconds(), rateSampleMax*t.promptRate)
+			sample := min(float64(prompt+ahead/2)/read.Seconds(), rateSampleMax*t.promptRate)
 			t.own.rate = average(t.own.rate, sample, &t.own.rates)
 			p.speed.rate = average(p.speed.rate, sample*slowness, &p.speed.rates)
 		}
 	} else {
-		read := time.Duration(float64(j.Prompt+ahead/2) / t.promptRate * float64(time.Second))
+		read := time.Duration(float64(prompt+ahead/2) / t.promptRate * float64(time.Second))
 		sample := max(elapsed-read, time.Millisecond)
 		t.own.base = time.Duration(average(float64(t.own.base), float64(sample), &t.own.bases))
 		p.speed.base = time.Duration(average(float64(p.speed.base), float64(sample)/slowness, &p.speed.bases))
@@ -102,8 +102,8 @@
 }
 
 // learnError learns how far the expected time to a first event was off.
-func (p *Pool) learnError(t *target, elapsed time.Duration, ahead ident.Tokens, j *Job) {
-	expected := t.baseLatency.Seconds() + float64(ahead+j.Prompt)/t.promptRate
+func (p *Pool) learnError(t *target, elapsed time.Duration, pending ident.Tokens) {
+	expected := t.baseLatency.Seconds() + float64(pending)/t.promptRate
 	if expected <= 0 || elapsed <= 0 {
 		return
 	}
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -12,7 +12,7 @@
 //
 // Load pattern: a burst of all kinds of requests above the capacity of the targets. A request that can still be
 // answered on time is worth more to its caller than one that is late in any case, so late requests get only the
-// slots that the others leave free. Among requests of the same timeliness, higher tiers precede lower ones, then
+// slots that the others leave free, except for those of the highest classes (see ahead.go), which keep their rank. Among requests of the same timeliness, higher tiers precede lower ones, then
 // earlier arrivals precede later ones. A request that will take long is deferred by a fraction of its duration,
 // so that shorter ones of its class overtake it: durations differ a hundredfold, and many short requests are
 // answered in the time of a long one. The fraction is small, so that long requests are served about as often as
@@ -51,7 +51,7 @@
 	switch {
 	case j.AnswerStarted:
 		k.timeliness = 0
-	case p.isLate(now, j):
+	case p.isLate(now, j) && !p.isHighest(k):
 		k.timeliness = 2
 	}
 	return k
@@ -63,12 +63,23 @@
 	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
 		x, y := p.classOf(now, a), p.classOf(now, b)
 		if x.tier == y.tier && x.timeliness == 1 && y.timeliness == 1 {
-			return cmp.Or(cmp.Compare(order[x], order[y]), cmp.Compare(x.routeTier, y.routeTier), a.orderTime.Compare(b.orderTime))
+			return cmp.Or(cmp.Compare(order[x], order[y]), cmp.Compare(x.routeTier, y.routeTier), p.compareLate(now, a, b), a.orderTime.Compare(b.orderTime))
 		}
 		return cmp.Or(x.compare(y), a.orderTime.Compare(b.orderTime))
 	})
 }
 
+// compareLate orders a job that can be on time before a late one.
+func (p *Pool) compareLate(now time.Time, a, b *Job) int {
+	switch x, y := p.isLate(now, a), p.isLate(now, b); {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
 // ownTimeShare is the part of the time to its due first event that a job is assumed to need at most once it is placed. The
 // longest prompts need more, and would otherwise count as late, and be refused, before they have waited at all.
 const ownTimeShare = 0.5
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -234,7 +234,7 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal, Parts: c.Parts}
 }
 
 // recognizeRetry makes the first event of a retry due as long after the caller's first attempt as that of any other
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -182,7 +182,7 @@
 		rep := p.Report(now)
 		d := wire.HeartbeatDemand{Service: s, Mean: float32(rep.Demand), Waiting: rep.Waiting, Urgent: rep.Urgent, Loads: make([]wire.HeartbeatLoad, 0, len(rep.Loads))}
 		for _, l := range rep.Loads {
-			load := wire.HeartbeatLoad{Target: wire.KeyOf(l.Target), Running: l.Running, PendingPrompt: l.PendingPrompt}
+			load := wire.HeartbeatLoad{Target: wire.KeyOf(l.Target), Running: l.Running, PendingPrompt: l.PendingPrompt, Held: l.Held}
 			if turn%gapEvery == 0 {
 				load.GapMicros = l.EventGap.Microseconds()
 			}
@@ -190,6 +190,9 @@
 		}
 		m.Demands = append(m.Demands, d)
 		r.addRates(now, m, rep.Rates, turn%levelsEvery == 0)
+		if turn%levelsEvery == 1 {
+			addPrefixes(m, p.PrefixReport(now))
+		}
 		for _, t := range p.RecentlyDown(now) {
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
 		}
@@ -305,10 +308,10 @@
 			pool.PeerFoundDown(now, d.Target)
 		}
 	}
-	rates := r.ratesOf(now, b)
+	rates, prefixes := r.ratesOf(now, b), r.prefixesOf(b)
 	for s, pool := range r.pools {
 		rep := reports[s]
-		rep.Router, rep.Region, rep.Rates = b.Process, b.Region, rates[s]
+		rep.Router, rep.Region, rep.Rates, rep.Prefixes = b.Process, b.Region, rates[s], prefixes
 		pool.SetReportInterval(r.reportInterval(now))
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
@@ -341,7 +344,7 @@
 		rep := sched.Report{Demand: float64(d.Mean), Waiting: d.Waiting, Urgent: d.Urgent, Loads: make([]sched.Load, 0, len(d.Loads))}
 		for _, l := range d.Loads {
 			if id := r.targetKeys[l.Target]; id != "" {
-				rep.Loads = append(rep.Loads, sched.Load{Target: id, Running: l.Running, PendingPrompt: l.PendingPrompt, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
+				rep.Loads = append(rep.Loads, sched.Load{Target: id, Running: l.Running, PendingPrompt: l.PendingPrompt, Held: l.Held, EventGap: time.Duration(l.GapMicros) * time.Microsecond})
 			}
 		}
 		out[d.Service] = rep
