Follow the store in a package of its own

Cause: router/direct holds the loop that lists and watches the store, and a test of the number of calls needs it without a router. Change: followKind, watchKind, restartWatch and the choice of the watch mode move from router/direct to router/follow. Behaviour is the same: the handlers that apply objects stay with the router, and the lag and the mode are guarded by the follower's mutex, which is taken after the router's.

--- a/router/direct/blocks.go
+++ b/router/direct/blocks.go
@@ -12,6 +12,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/poison"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/router/follow"
 )
 
 // Blocks in the store.
@@ -67,7 +68,7 @@
 			break
 		}
 		r.log.Log(event.StoreDown, "sort", BlockKind, "error", err)
-		pause(ctx, maxStoreRetry)
+		follow.Pause(ctx, follow.MaxRetry)
 	}
 	rewrite := time.NewTimer(0)
 	rewrite.Stop()
@@ -83,7 +84,7 @@
 		case <-rewrite.C:
 			if err := r.rewriteBlocks(ctx); err != nil {
 				r.log.Log(event.StoreDown, "sort", BlockKind, "error", err)
-				rewrite.Reset(maxStoreRetry)
+				rewrite.Reset(follow.MaxRetry)
 			}
 		}
 	}
@@ -150,7 +151,7 @@
 			return
 		}
 		r.log.Log(event.StoreDown, "sort", BlockKind, "error", err)
-		pause(ctx, maxStoreRetry)
+		follow.Pause(ctx, follow.MaxRetry)
 	}
 }
 
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -28,9 +28,9 @@
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
-	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/follow"
 )
 
 // Catalogue reads the objects that the platform keeps in its store.
@@ -215,13 +215,11 @@
 	urgentHeartbeats int
 	// busyUntil is the time until which heartbeats are more frequent because requests wait.
 	busyUntil time.Time
-	// pacer is nil if the store has no modes. watchCancels end the watches by kind; targetRev is the newest revision
-	// seen of a registration of a target; see scouts.go.
-	pacer        WatchPacer
-	watchMode    scout.Mode
-	watchCancels map[string]context.CancelCauseFunc
-	targetRev    store.Rev
-	lag          scout.Lag
+	// pacer is nil if the store has no modes. targetRev is the newest revision seen of a registration of a target; see
+	// scouts.go.
+	pacer     follow.Pacer
+	follower  *follow.Follower
+	targetRev store.Rev
 }
 
 // decision is the result of waiting for a target: a placement or a refusal.
@@ -251,7 +249,7 @@
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), partNames: map[ident.Fingerprint]ident.PromptPart{},
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
-		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
+		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	r.requestsEnded, r.endRequests = context.WithCancel(context.Background())
@@ -261,6 +259,7 @@
 	for _, o := range opts {
 		o(r)
 	}
+	r.follower = follow.New(st, l, r.pacer)
 	r.callers = accept.New(&http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
 	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed))
@@ -376,7 +375,7 @@
 		r.judgeRollouts(now)
 		r.reportSilences(now)
 		r.updateBlocks(now)
-		if now.Sub(lastScouting) >= scoutInterval {
+		if now.Sub(lastScouting) >= follow.ScoutInterval {
 			lastScouting = now
 			r.followScouts(now)
 		}
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -17,6 +17,7 @@
 	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/follow"
 )
 
 const (
@@ -439,7 +440,7 @@
 	for again := false; ctx.Err() == nil; again = true {
 		if !registered {
 			if again {
-				pause(ctx, r.rewriteDelay())
+				follow.Pause(ctx, r.rewriteDelay())
 				r.log.Log(event.RecordWrittenAgain, "sort", RouterKind, "name", r.cfg.Name)
 			}
 			r.tryRegistration(ctx, v)
@@ -460,7 +461,7 @@
 			return
 		}
 		r.log.Log(event.StoreDown, "sort", RouterKind, "error", err)
-		pause(ctx, minStoreRetry)
+		follow.Pause(ctx, follow.MinRetry)
 	}
 }
 
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -12,6 +12,7 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/router/follow"
 )
 
 const (
@@ -63,7 +64,7 @@
 	for _, o := range l {
 		r.keepTargetObject(o)
 	}
-	r.reportWrongClaims(asOf)
+	r.follower.Listed(asOf, r.scoutPeers(time.Now()))
 }
 
 // updateTargetObject applies a change of one registration to those kept for snapshots.
@@ -118,7 +119,7 @@
 	r.join(ctx, client)
 	var behindSince time.Time
 	for ctx.Err() == nil {
-		pause(ctx, relayInterval)
+		follow.Pause(ctx, relayInterval)
 		now := time.Now()
 		admin, newer := r.snapshotSource(now)
 		if !newer {
@@ -142,7 +143,7 @@
 	jctx, cancel := context.WithTimeout(ctx, joinTime)
 	defer cancel()
 	for jctx.Err() == nil {
-		pause(jctx, joinInterval)
+		follow.Pause(jctx, joinInterval)
 		now := time.Now()
 		if admin, newer := r.snapshotSource(now); newer {
 			if err := r.fetchSnapshot(jctx, client, admin); err != nil {
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -9,6 +9,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/router/follow"
 )
 
 const (
@@ -69,11 +70,11 @@
 }
 
 // rolloutHandler handles rollout requests.
-func (r *Router) rolloutHandler() kindHandler {
-	return kindHandler{
-		kind:   r.catalogue.RolloutKind(),
-		onList: r.applyRolloutList,
-		onChange: func(c store.Change) {
+func (r *Router) rolloutHandler() follow.Handler {
+	return follow.Handler{
+		Kind:   r.catalogue.RolloutKind(),
+		OnList: r.applyRolloutList,
+		OnChange: func(c store.Change) {
 			if c.Deleted {
 				r.withdrawRollout(ident.Service(c.Object.Name))
 				return
@@ -126,7 +127,7 @@
 				break
 			}
 			r.log.Log(event.StoreDown, "sort", r.catalogue.RolloutKind(), "error", err)
-			pause(ctx, relistRetry)
+			follow.Pause(ctx, relistRetry)
 		}
 	}
 }
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -14,6 +14,7 @@
 	"hickoryvane.example/core/group"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/retry"
+	"hickoryvane.example/router/follow"
 )
 
 const (
@@ -105,8 +106,8 @@
 
 // startWorkers starts the goroutines that follow the store and the other routers.
 func (r *Router) startWorkers(ctx context.Context, g *group.Group) {
-	for _, f := range []kindHandler{r.configHandler(), r.targetHandler(), r.routerHandler(), r.rolloutHandler()} {
-		g.Go(ctx, "follow "+f.kind, func(ctx context.Context) error { return r.followKind(ctx, f) })
+	for _, f := range []follow.Handler{r.configHandler(), r.targetHandler(), r.routerHandler(), r.rolloutHandler()} {
+		g.Go(ctx, "follow "+f.Kind, func(ctx context.Context) error { return r.follower.Follow(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.runHeartbeats)
 	g.Go(ctx, "blocks", r.keepBlocks)
@@ -134,10 +135,10 @@
 	r.shutdownDeadline.Store(&end)
 	r.stopping.Store(true)
 	r.log.Log(event.Stopping, "running", r.activeRequests.Load(), "grace", grace)
-	pause(ctx, min(rotationTime, grace/2))
+	follow.Pause(ctx, min(rotationTime, grace/2))
 	r.stopPlacing(end)
 	for time.Until(end) > closeMargin && !r.otherRouterReady(time.Now()) {
-		pause(ctx, takeoverCheckInterval)
+		follow.Pause(ctx, takeoverCheckInterval)
 	}
 	r.closing.Store(true)
 	sctx, cancel := context.WithDeadline(ctx, end)
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -7,6 +7,7 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/router/follow"
 )
 
 // Requests on trial; see package poison.
@@ -41,7 +42,7 @@
 		case time.Now().After(end):
 			return trialRefusal("another request with this content is tried first")
 		}
-		pause(ctx, trialPoll)
+		follow.Pause(ctx, trialPoll)
 	}
 }
 
--- a/router/direct/verify.go
+++ b/router/direct/verify.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/router/follow"
 )
 
 // Whether a target that lost an answer has crashed.
@@ -46,7 +47,7 @@
 // verifyTarget opens a connection to a target. One that refuses it is down; one that accepts it has not crashed, and
 // the connection is kept for the next request.
 func (r *Router) verifyTarget(ctx context.Context, t fleet.Target) {
-	pause(ctx, verifyDelay)
+	follow.Pause(ctx, verifyDelay)
 	began := time.Now()
 	r.mu.Lock()
 	pending := len(r.lostAnswers[t.ID]) > 0
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -1,11 +1,8 @@
 package direct
 
 import (
-	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
@@ -13,132 +10,25 @@
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/follow"
 )
 
-const (
-	// minStoreRetry is the pause after a failed call of the store; it doubles up to maxStoreRetry, below the
-	// time within which a change has to be in force.
-	minStoreRetry = 100 * time.Millisecond
-	maxStoreRetry = 800 * time.Millisecond
-)
-
-// kindHandler applies the objects of one kind and their changes.
-type kindHandler struct {
-	kind string
-	// onList gets the objects and the revision of the store at the time of the list.
-	onList   func(l []store.Object, asOf store.Rev)
-	onChange func(store.Change)
-	// onUnreachable is called when the store cannot be reached, and onRestored before the first list after a restore from
-	// an older copy.
-	onUnreachable, onRestored func()
-}
-
-// followKind lists the objects of a kind and watches them, repeatedly until ctx ends.
-func (r *Router) followKind(ctx context.Context, h kindHandler) error {
-	wait, down, downSince, last := minStoreRetry, false, time.Now(), store.Rev("")
-	lost, lostWait := time.Time{}, minStoreRetry
-	for ctx.Err() == nil {
-		objects, rev, err := r.store.List(ctx, h.kind)
-		if err == nil {
-			if down {
-				down, wait = false, minStoreRetry
-				r.log.Log(event.StoreUp, "sort", h.kind, "objects", len(objects), "rev", rev, "away", time.Since(downSince))
-			}
-			if store.Restored(last, rev) {
-				r.log.Log(event.StoreRestored, "sort", h.kind, "before", last, "rev", rev, "objects", len(objects))
-				if h.onRestored != nil {
-					h.onRestored()
-				}
-			}
-			last = rev
-			h.onList(objects, rev)
-			err = r.watchKind(ctx, h, rev)
-		}
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case errors.Is(err, errWatchRestarted):
-			continue
-		case errors.Is(err, store.ErrUnreadable):
-			r.log.Log(event.ChangeUnreadable, "sort", h.kind, "rev", rev)
-			pause(ctx, maxStoreRetry)
-			continue
-		case errors.Is(err, store.ErrRevTooOld):
-			r.log.Log(event.StoreHistoryLost, "sort", h.kind, "rev", rev)
-			if time.Since(lost) < maxStoreRetry {
-				pause(ctx, lostWait)
-				lostWait = min(2*lostWait, maxStoreRetry)
-			} else {
-				lostWait = minStoreRetry
-			}
-			lost = time.Now()
-			continue
-		case err == nil:
-			continue
-		}
-		if !down {
-			down, downSince = true, time.Now()
-			r.log.Log(event.StoreDown, "sort", h.kind, "error", err)
-		}
-		if h.onUnreachable != nil {
-			h.onUnreachable()
-		}
-		pause(ctx, wait)
-		wait = min(2*wait, maxStoreRetry)
-	}
-	return nil
-}
-
-// errWatchRestarted means that restartWatch ended a watch.
-var errWatchRestarted = errors.New("watch is started again")
-
-// watchKind watches a kind until an error or restartWatch.
-func (r *Router) watchKind(ctx context.Context, h kindHandler, rev store.Rev) error {
-	wctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	r.mu.Lock()
-	r.watchCancels[h.kind] = cancel
-	r.mu.Unlock()
-	err := r.store.Watch(wctx, h.kind, rev, h.onChange)
-	if errors.Is(context.Cause(wctx), errWatchRestarted) {
-		return errWatchRestarted
-	}
-	return err
-}
-
-// restartWatch makes the watch of a kind list the objects again; r.mu is held.
-func (r *Router) restartWatch(kind string) {
-	if cancel, ok := r.watchCancels[kind]; ok {
-		cancel(errWatchRestarted)
-	}
-}
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // configHandler handles the configuration.
-func (r *Router) configHandler() kindHandler {
+func (r *Router) configHandler() follow.Handler {
 	kind, name := r.catalogue.ConfigObject()
 	apply := func(o store.Object) {
 		if o.Name == name {
 			r.applyConfig(o)
 		}
 	}
-	return kindHandler{
-		kind: kind,
-		onList: func(l []store.Object, _ store.Rev) {
+	return follow.Handler{
+		Kind: kind,
+		OnList: func(l []store.Object, _ store.Rev) {
 			for _, o := range l {
 				apply(o)
 			}
 		},
-		onChange: func(c store.Change) {
+		OnChange: func(c store.Change) {
 			if !c.Deleted { // the last configuration stays in force
 				apply(c.Object)
 			}
@@ -199,10 +89,10 @@
 }
 
 // targetHandler handles the registrations of targets.
-func (r *Router) targetHandler() kindHandler {
-	return kindHandler{
-		kind: r.catalogue.TargetKind(),
-		onList: func(l []store.Object, asOf store.Rev) {
+func (r *Router) targetHandler() follow.Handler {
+	return follow.Handler{
+		Kind: r.catalogue.TargetKind(),
+		OnList: func(l []store.Object, asOf store.Rev) {
 			r.awaitRolloutList()
 			list := r.decodeTargets(l)
 			r.replaceTargetObjects(l, asOf)
@@ -214,7 +104,7 @@
 			r.storeReachable.Store(true)
 			r.logReady()
 		},
-		onChange: func(c store.Change) {
+		OnChange: func(c store.Change) {
 			r.updateTargetObject(c)
 			t, ok := fleet.Target{}, false
 			if !c.Deleted {
@@ -227,13 +117,13 @@
 				return f.Remove(time.Now(), ident.TargetID(c.Object.Name))
 			})
 		},
-		onUnreachable: func() {
+		OnUnreachable: func() {
 			r.storeReachable.Store(false)
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.fleet.StoreUnreachable()
 		},
-		onRestored: func() {
+		OnRestored: func() {
 			select {
 			case r.storeRestored <- struct{}{}:
 			default: // an earlier one is still to be handled
@@ -330,7 +220,7 @@
 }
 
 // routerHandler handles the registrations of routers.
-func (r *Router) routerHandler() kindHandler {
+func (r *Router) routerHandler() follow.Handler {
 	put := func(o store.Object) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -338,9 +228,9 @@
 			r.log.Log(event.PeerRejected, "peer", o.Name, "rev", o.Rev, "error", err)
 		}
 	}
-	return kindHandler{
-		kind: RouterKind,
-		onList: func(l []store.Object, _ store.Rev) {
+	return follow.Handler{
+		Kind: RouterKind,
+		OnList: func(l []store.Object, _ store.Rev) {
 			r.mu.Lock()
 			r.ownAddress = ""
 			r.mu.Unlock()
@@ -357,7 +247,7 @@
 			}
 			r.registered <- r.ownAddress == r.cfg.Heartbeat
 		},
-		onChange: func(c store.Change) {
+		OnChange: func(c store.Change) {
 			if !c.Deleted {
 				put(c.Object)
 				return
--- /dev/null
+++ b/router/follow/scout.go
@@ -0,0 +1,65 @@
+package follow
+
+import (
+	"time"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/scout"
+	"hickoryvane.example/core/store"
+)
+
+// Pacer is a store whose watch calls take longer or shorter by mode.
+type Pacer interface {
+	SetWatchMode(m scout.Mode)
+}
+
+// ScoutInterval is the interval at which the scouts are chosen and their claims are checked, below the time after
+// which a lost scout has to be replaced.
+const ScoutInterval = 250 * time.Millisecond
+
+// Own is what a router knows of itself.
+type Own struct {
+	// Rank orders the routers, alike at all of them.
+	Rank uint64
+	// Reachable is true while the router reaches the store.
+	Reachable bool
+	// Position is what the router knows of the objects of Kind, whose changes have to be noticed by all routers.
+	Kind     string
+	Position scout.Position
+}
+
+// Scout chooses the mode of the watches, and lists the objects of own.Kind again if a scout knows of changes that the
+// own watch did not report. Watches of the other kinds are started again when this router becomes a scout.
+func (f *Follower) Scout(now time.Time, own Own, peers []scout.Peer, others ...string) {
+	if f.pacer == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := scout.ModeOf(own.Rank, own.Reachable, peers); m != f.mode {
+		f.log.Log(event.WatchModeChanged, "mode", m, "before", f.mode, "near", len(peers))
+		f.mode = m
+		f.pacer.SetWatchMode(m)
+		if m != scout.Follower { // the calls in progress may last long
+			for _, kind := range append(others, own.Kind) {
+				f.restart(kind)
+			}
+		}
+	}
+	if f.mode != scout.Follower {
+		return
+	}
+	if p, ok := f.lag.Check(now, own.Position, peers); ok {
+		f.log.Log(event.WatchBehind, "peer", p.ID, "rev", own.Position.Rev, "objects", own.Position.Count, "newer", p.Position.Rev, "there", p.Position.Count)
+		f.restart(own.Kind)
+	}
+}
+
+// Listed logs the peers that claimed a later revision than the store had at the time of a list.
+func (f *Follower) Listed(asOf store.Rev, peers []scout.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.lag.Listed(asOf, peers) {
+		f.log.Log(event.PeerRejected, "peer", p.ID, "rev", asOf, "claimed", p.Position.Rev)
+	}
+}
