Keep connections to targets in a package of their own

Cause: the pool of connections is to follow what targets state and router/direct must not grow. Change: the pool, its connections and the limit on heads of answers move from router/direct to router/dial. Behaviour is the same; the exchange of a request and its answer stays.

--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -30,6 +30,7 @@
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/dial"
 	"hickoryvane.example/router/follow"
 )
 
@@ -125,7 +126,7 @@
 	meter       *meter.Meter
 	regions     map[ident.DataCentre]ident.Region
 	callers     *accept.Server
-	conns       *connPool
+	conns       *dial.Pool
 	memory      *memoryBudget
 	table       atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
@@ -242,7 +243,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), memory: newMemoryBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), memory: newMemoryBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
@@ -393,7 +394,7 @@
 		r.mu.Unlock()
 		r.logFleetEvents(events)
 		if everySecond {
-			r.conns.closeExpired(now)
+			r.conns.CloseExpired(now)
 			if r.asyncWriter != nil {
 				if n := r.asyncWriter.Dropped(); n > 0 {
 					r.log.Log(event.LinesDropped, "lines", n)
--- a/router/direct/eventreader.go
+++ b/router/direct/eventreader.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"github.com/pkg/errors"
+	"hickoryvane.example/router/dial"
 )
 
 // eventSizeMax limits one event of a stream with the padding before it, in bytes.
@@ -25,7 +26,7 @@
 }
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, readBufferSize)}
+	return &eventReader{r: bufio.NewReaderSize(r, dial.ReadBufferSize)}
 }
 
 // next returns the next block of lines with its final empty line, and whether the block is an event; empty lines
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -17,6 +17,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
+	"hickoryvane.example/router/dial"
 )
 
 const (
@@ -110,9 +111,9 @@
 	case c.ID == "" || slices.Contains(p.addresses, addr):
 		return 0
 	case c.route.Repeatable():
-		return maxIdleRepeatable
+		return dial.MaxIdleRepeatable
 	}
-	return maxIdleUnsafe
+	return dial.MaxIdleUnsafe
 }
 
 // result returns the attempt that decides what the caller is told. A request that may have run earlier has not
@@ -200,7 +201,7 @@
 	if a.result != notRun && (!c.route.Repeatable() || prog.runs >= c.route.Attempts) {
 		return false
 	}
-	if errors.Is(a.err, errUnreachable) {
+	if errors.Is(a.err, dial.ErrUnreachable) {
 		return true // nothing was sent, so it costs no retry budget
 	}
 	if a.result == notRun && prog.spareRetries > 0 {
@@ -275,7 +276,7 @@
 		c.body.release() // the request is not sent again
 	}
 	complete := false
-	defer func() { r.conns.release(x, complete) }()
+	defer func() { r.release(x, complete) }()
 	switch {
 	case x.refused(c.ID):
 		a.result, a.outcome.Full, a.outcome.Replaced = notRun, !x.answer.Misdirected, x.answer.Misdirected
@@ -306,7 +307,7 @@
 	switch {
 	case ctx.Err() != nil:
 		a.result = abandoned
-	case errors.Is(err, errUnreachable):
+	case errors.Is(err, dial.ErrUnreachable):
 		a.result, a.outcome.Unreachable = notRun, true
 	default:
 		a.result, a.outcome.Failed = answerLost, true
--- a/router/direct/verify.go
+++ b/router/direct/verify.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/router/dial"
 	"hickoryvane.example/router/follow"
 )
 
@@ -55,9 +56,9 @@
 	if !pending {
 		return // decided by an earlier check
 	}
-	k, err := dial(ctx, t.Address)
+	k, err := dial.Dial(ctx, t.Address)
 	if err == nil {
-		r.conns.put(k)
+		r.conns.Put(k)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
