Keep connections for as long as their targets allow, and prefer targets that have one

Ruled out: requests that only keep connections open, which are health checks; an equal share of max-conns for connections in use, which would leave slots unused. Change: a connection rests for Keep-Alive less 0.3 s (at most a minute; 0.9 s where none is stated). A request takes the connection that became idle last among those that it may use and leaves the others. max-conns less twice the slots is divided over the routers. A lost answer closes the idle connections to its address. The score of a target to which the request can use a connection is 3 ms better. TestConfigurationIsDecoded expects the new field MaxConns. TestConnectionRestsAsLongAsItsTargetAllows fails when Keep-Alive is ignored. The number of connections of a deployment was not measured.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -87,6 +87,8 @@
 	Slots int
 	// TokensPerEvent is the number of tokens in one event of a stream; zero for plain services.
 	TokensPerEvent int
+	// MaxConns is the number of connections that each target accepts from all callers together; zero means no limit.
+	MaxConns int
 }
 
 // Account is a client account.
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		risk := p.riskLevel(now, t, chance)
-		score := p.score(t, j)
+		score := p.score(t, j) - p.connectionBonus(now, t, j)
 		if best == nil || risk < bestRisk || risk == bestRisk && score < bestScore {
 			best, bestScore, bestRisk = t, score, risk
 			expected = t.expectedFirstEvent(j)
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -44,6 +44,8 @@
 	Canary bool
 	// Prefer lists canary targets that a canary job goes to first, if one of them is idle.
 	Prefer []ident.TargetID
+	// MaxIdle is the idle time up to which a connection to a target may be reused for the job; zero if none may.
+	MaxIdle time.Duration
 	// running is the number of targets at which the job runs.
 	running int
 	// orderTime is the arrival time plus the deferral of long jobs; see wait.go.
@@ -128,6 +130,8 @@
 	usable  []*target
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
+	// connections is nil if they are not known.
+	connections Connections
 }
 
 // New returns an empty pool for the router self in the given data centre and region.
--- a/router/dial/pool.go
+++ b/router/dial/pool.go
@@ -5,6 +5,8 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,9 +22,12 @@
 	// twice: a target may have dropped the connection without notice, and then it would be unknown whether
 	// the request ran.
 	MaxIdleUnsafe = 200 * time.Millisecond
-	// MaxIdleRepeatable is the same for requests that may be repeated; it is below the shortest idle timeout
-	// that targets use.
-	MaxIdleRepeatable = 900 * time.Millisecond
+	// defaultRest is the time for which a connection stays idle to a target that states none; it is below the shortest
+	// idle timeout that targets use.
+	defaultRest = 900 * time.Millisecond
+	// MaxRest is the longest time for which a connection stays idle, whatever its target allows. Requests that may be
+	// repeated use a connection however long it has been idle.
+	MaxRest = time.Minute
 	// ReadBufferSize is the size of the buffer for the answers on a connection, in bytes; response headers
 	// and most events fit into it.
 	ReadBufferSize = 8 << 10
@@ -38,27 +43,33 @@
 	R         *bufio.Reader
 	addr      string
 	idleSince time.Time
+	// rest is the time for which the connection may stay idle.
+	rest time.Duration
 	// Reused is true if the connection was used for another request before.
 	Reused bool
 }
 
 // Pool holds idle connections by address.
 type Pool struct {
-	mu   sync.Mutex
+	mu sync.Mutex
+	// idle lists the connections by address in the order in which they became idle.
 	idle map[string][]*Conn
+	// idleMax limits the idle connections to an address; there is no limit for those that it lacks.
+	idleMax map[string]int
 }
 
 // New returns an empty pool.
 func New() *Pool { return &Pool{idle: map[string][]*Conn{}} }
 
 // Get returns an open connection that was idle for less than maxIdle, or opens a new one; always if maxIdle is zero.
+// Connections that were idle for longer remain for other requests.
 func (c *Pool) Get(ctx context.Context, addr string, maxIdle time.Duration) (*Conn, error) {
-	for maxIdle > 0 {
-		k := c.takeIdle(addr)
+	for {
+		k := c.takeIdle(time.Now(), addr, maxIdle)
 		if k == nil {
 			break
 		}
-		if time.Since(k.idleSince) < maxIdle && k.alive() {
+		if k.alive() {
 			k.Reused = true
 			return k, nil
 		}
@@ -71,6 +82,29 @@
 	return k, nil
 }
 
+// Idle reports whether there is a connection that was idle for less than maxIdle.
+func (c *Pool) Idle(now time.Time, addr string, maxIdle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleIndex(now, addr, maxIdle) >= 0
+}
+
+// idleIndex returns the index of the connection that became idle last of those that were idle for less than maxIdle, or
+// -1; c.mu is held.
+func (c *Pool) idleIndex(now time.Time, addr string, maxIdle time.Duration) int {
+	l := c.idle[addr]
+	for i := len(l) - 1; i >= 0; i-- {
+		idle := now.Sub(l[i].idleSince)
+		if idle >= maxIdle {
+			return -1
+		}
+		if idle < l[i].rest {
+			return i
+		}
+	}
+	return -1
+}
+
 // Dial opens a connection.
 func Dial(ctx context.Context, addr string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
@@ -85,42 +119,72 @@
 	return k, nil
 }
 
-func (c *Pool) takeIdle(addr string) *Conn {
+func (c *Pool) takeIdle(now time.Time, addr string, maxIdle time.Duration) *Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.idle[addr]
-	if len(l) == 0 {
+	i := c.idleIndex(now, addr, maxIdle)
+	if i < 0 {
 		return nil
 	}
-	k := l[len(l)-1]
-	c.idle[addr] = l[:len(l)-1]
+	k := c.idle[addr][i]
+	c.idle[addr] = slices.Delete(c.idle[addr], i, i+1)
 	return k
 }
 
-// Put returns a connection to the pool; its last answer has been read completely.
-func (c *Pool) Put(k *Conn) {
-	k.idleSince = time.Now()
+// Put returns a connection to the pool; its last answer has been read completely, and h are the headers of it.
+func (c *Pool) Put(k *Conn, h http.Header) {
+	k.idleSince, k.rest = time.Now(), RestTime(h)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle[k.addr] = append(c.idle[k.addr], k)
+	c.trim(k.idleSince, k.addr)
+}
+
+// SetIdleMax sets the limits of the idle connections by address.
+func (c *Pool) SetIdleMax(limits map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleMax = limits
 }
 
-// CloseExpired closes connections that have been idle for too long.
+// Discard closes the idle connections to an address whose target may have terminated.
+func (c *Pool) Discard(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.idle[addr] {
+		_ = k.Close() // nothing is read from it any more
+	}
+	delete(c.idle, addr)
+}
+
+// CloseExpired closes the connections that have been idle for too long or exceed the limit of their address.
 func (c *Pool) CloseExpired(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, l := range c.idle {
-		kept := l[:0]
-		for _, k := range l {
-			if now.Sub(k.idleSince) < MaxIdleRepeatable {
-				kept = append(kept, k)
-				continue
-			}
-			_ = k.Close() // nothing is read from it any more
-		}
-		if c.idle[addr] = kept; len(kept) == 0 {
-			delete(c.idle, addr)
+	for addr := range c.idle {
+		c.trim(now, addr)
+	}
+}
+
+// trim closes the connections to an address that have been idle for too long, and the oldest ones beyond the limit;
+// c.mu is held.
+func (c *Pool) trim(now time.Time, addr string) {
+	l := c.idle[addr]
+	excess := 0
+	if n, ok := c.idleMax[addr]; ok {
+		excess = len(l) - n
+	}
+	kept := l[:0]
+	for i, k := range l {
+		if i >= excess && now.Sub(k.idleSince) < k.rest {
+			kept = append(kept, k)
+			continue
 		}
+		_ = k.Close() // nothing is read from it any more
+	}
+	clear(l[len(kept):])
+	if c.idle[addr] = kept; len(kept) == 0 {
+		delete(c.idle, addr)
 	}
 }
 
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -228,7 +228,7 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, MaxIdle: c.maxIdle()}
 }
 
 // expectedOutput returns the expected tokens of the answer. Callers' estimates are exact at the median; answers
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -73,6 +73,9 @@
 		go x.write(o)
 	}
 	if err = x.readHead(r.dialect, o); err != nil {
+		if ctx.Err() == nil {
+			r.conns.Discard(addr)
+		}
 		x.close()
 		return nil, err
 	}
@@ -143,7 +146,7 @@
 func (r *Router) release(x *exchange, complete bool) {
 	sent := x.hasWritten() && x.writeErr == nil // otherwise the target answered before it read the whole body
 	if complete && sent && x.framed() && !x.Close && x.conn.R.Buffered() == 0 && x.stopCancel() {
-		r.conns.Put(x.conn)
+		r.conns.Put(x.conn, x.Header)
 		return
 	}
 	x.close()
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -285,6 +285,7 @@
 	if !ok {
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
 		p.StopAt(r.stopAt)
+		p.UseConnections(targetConns{r})
 		r.pools[s] = p
 	}
 	return p
@@ -389,6 +390,7 @@
 			r.expireLostAnswers(now)
 			r.assignCells(now)
 			r.updateTargetCounts()
+			r.limitIdle(now)
 			r.recordTargets(now)
 		}
 		r.mu.Unlock()
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -104,16 +104,12 @@
 func (p *progress) resumable() bool { return p.events == 0 || p.lastID != "" }
 
 // maxIdle returns the idle time up to which a connection to addr may be reused for the request. What an address that
-// had the request before wrote on its connections can be about that earlier send, with the same id; and only an id
-// tells an earlier answer from that to this request.
+// had the request before wrote on its connections can be about that earlier send, with the same id.
 func (p *progress) maxIdle(c *call, addr string) time.Duration {
-	switch {
-	case c.ID == "" || slices.Contains(p.addresses, addr):
+	if slices.Contains(p.addresses, addr) {
 		return 0
-	case c.route.Repeatable():
-		return dial.MaxIdleRepeatable
 	}
-	return dial.MaxIdleUnsafe
+	return c.maxIdle()
 }
 
 // result returns the attempt that decides what the caller is told. A request that may have run earlier has not
--- a/router/direct/verify.go
+++ b/router/direct/verify.go
@@ -58,7 +58,7 @@
 	}
 	k, err := dial.Dial(ctx, t.Address)
 	if err == nil {
-		r.conns.Put(k)
+		r.conns.Put(k, nil)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
