Withdraw routers that are short of processor time or memory

Cause: routers of a data centre differ by a factor of eight in processor time, and the load balancer spreads callers evenly, so that small ones answer late in a peak that the others could carry. Change: core/admit decides from a sample a second and from the heartbeats of the routers of the data centre (new fields Centre and Short, event 208). A router that is short says so, withdraws 4 s later if at least half stay ready, and closes the connections of callers that rest 2.5 s after that (accept.Server.Release). Bandwidth is decided on but not measured: the settings state none. No deployment with unlike routers was measured.

--- a/core/accept/accept.go
+++ b/core/accept/accept.go
@@ -66,6 +66,8 @@
 	idleTime func() time.Duration
 	closed   func(remote net.Addr, c Cause, rested time.Duration)
 	stopping atomic.Bool
+	// releasing is true while connections are not kept for another request.
+	releasing atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -89,7 +91,7 @@
 	}
 	h := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
+		if s.stopping.Load() || s.releasing.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
@@ -162,6 +164,14 @@
 	}
 }
 
+// Release sets whether connections are kept for another request. Those that rest end when it is first set; they may be
+// told so by no answer.
+func (s *Server) Release(on bool) {
+	if s.releasing.Swap(on) != on {
+		s.ApplyIdleTime()
+	}
+}
+
 // track follows the states of connections; see http.Server.ConnState.
 func (s *Server) track(k net.Conn, state http.ConnState) {
 	c, ok := k.(*conn)
--- a/core/accept/accept_test.go
+++ b/core/accept/accept_test.go
@@ -276,3 +276,29 @@
 	g.Expect(err).To(Equal(io.EOF))
 	g.Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
 }
+
+// Guards against connections that stay with a server which no longer gets new ones, against a request that is dropped
+// with its connection, and against a server that goes on closing connections afterwards.
+func TestReleaseEndsRestingConnections(t *testing.T) {
+	g := NewWithT(t)
+	ln := listen(t)
+	s := serve(t, ln, answer)
+	resting, later := dial(g, ln), dial(g, ln)
+	defer func() { _ = resting.Close() }()
+	defer func() { _ = later.Close() }()
+	_, err := resting.ask()
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Release(true)
+	g.Expect(resting.r.ReadByte()).Error().To(MatchError(io.EOF))
+	res, err := later.ask()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Close).To(BeTrue(), "its caller is told")
+	s.Release(false)
+	kept := dial(g, ln)
+	defer func() { _ = kept.Close() }()
+	for range 2 {
+		res, err = kept.ask()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.Close).To(BeFalse())
+	}
+}
--- a/core/accept/conn.go
+++ b/core/accept/conn.go
@@ -106,6 +106,8 @@
 		return c.since.Add(lingerTime)
 	case c.state == fresh:
 		return time.Time{}
+	case c.server.releasing.Load():
+		return c.since.Add(lingerTime)
 	}
 	c.idleTime = max(c.idleTime, c.server.idleTime())
 	return c.since.Add(c.idleTime + idleGrace)
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -19,6 +19,7 @@
 	RingFull              ID = 205
 	PeerUnreachable       ID = 206
 	CellChanged           ID = 207
+	RouterShort           ID = 208
 	ConfigInForce         ID = 301
 	ConfigIgnored         ID = 302
 	StoreDown             ID = 303
@@ -84,6 +85,7 @@
 	{RingFull, log.WarnLevel, "ring is full"},
 	{PeerUnreachable, log.DebugLevel, "peer cannot be reached"},
 	{CellChanged, log.InfoLevel, "cell changed"},
+	{RouterShort, log.WarnLevel, "shortage of a resource changed"},
 	{ConfigInForce, log.InfoLevel, "configuration in force"},
 	{ConfigIgnored, log.DebugLevel, "older configuration ignored"},
 	{StoreDown, log.WarnLevel, "object API is not available"},
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -48,6 +48,9 @@
 	Leaving []HeartbeatLeaving
 	// Trials are the requests on trial that wait or run at the sender.
 	Trials []HeartbeatTrial
+	// Centre is the data centre of the sender; Short is true while it is short of a resource.
+	Centre ident.DataCentre
+	Short  bool
 }
 
 // HeartbeatTrial is a request on trial; see package poison.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hickoryvane.example/core/accept"
+	"hickoryvane.example/core/admit"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -136,6 +137,8 @@
 	targetsListed, stopping, closing atomic.Bool
 	// storeReachable is true while the registrations of targets can be read from the store.
 	storeReachable atomic.Bool
+	// withdrawn is true while this router reports not ready for a shortage.
+	withdrawn      atomic.Bool
 	activeRequests atomic.Int64
 	// requestsEnded ends when endRequests is called, at the end of a shutdown; running requests are answered then.
 	requestsEnded context.Context
@@ -221,6 +224,9 @@
 	pacer     follow.Pacer
 	follower  *follow.Follower
 	targetRev store.Rev
+	// admission decides whether this router is withdrawn, since withdrawnAt, for a shortage; see short.go.
+	admission   admit.Admission
+	withdrawnAt time.Time
 }
 
 // decision is the result of waiting for a target: a placement or a refusal.
@@ -260,6 +266,7 @@
 	for _, o := range opts {
 		o(r)
 	}
+	r.admission.Self = cfg.Name
 	r.follower = follow.New(st, l, r.pacer)
 	r.callers = accept.New(&http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
@@ -269,7 +276,7 @@
 
 // Ready reports whether the load balancer may send callers to this router.
 func (r *Router) Ready() bool {
-	return r.table.Load() != nil && r.targetsListed.Load() && r.joined.Load() && !r.stopping.Load()
+	return r.table.Load() != nil && r.targetsListed.Load() && r.joined.Load() && !r.stopping.Load() && !r.withdrawn.Load()
 }
 
 // logReady logs that the router is ready, the first time that it is.
@@ -359,6 +366,7 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	var lastSecond, lastScouting time.Time
+	last, delay := time.Now(), time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -366,6 +374,7 @@
 		case <-t.C:
 		}
 		now := time.Now()
+		delay, last = max(delay, now.Sub(last)-tickInterval), now
 		r.mu.Lock()
 		for _, p := range r.pools {
 			if p.Waiting() > 0 {
@@ -380,6 +389,7 @@
 		if now.Sub(lastScouting) >= follow.ScoutInterval {
 			lastScouting = now
 			r.followScouts(now)
+			r.withdraw(now)
 		}
 		everySecond := now.Sub(lastSecond) >= time.Second
 		if everySecond {
@@ -391,6 +401,8 @@
 			r.assignCells(now)
 			r.updateTargetCounts()
 			r.limitIdle(now)
+			r.observeResources(now, delay)
+			delay = 0
 			r.recordTargets(now)
 		}
 		r.mu.Unlock()
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/admit"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/quota"
@@ -65,6 +66,9 @@
 	phase     uint64
 	// position is what the router knows of the registrations of targets.
 	position scout.Position
+	// centre is the data centre of the router, empty until it was heard; short is true while it is short of a resource.
+	centre ident.DataCentre
+	short  bool
 }
 
 func newPeer(id ident.ProcessID) *peer { return &peer{phase: rankOf(id)} }
@@ -161,7 +165,7 @@
 
 // baseHeartbeat returns a heartbeat with the fields that are for all routers; r.mu is held.
 func (r *Router) baseHeartbeat(now time.Time, seq ident.Seq) *wire.Heartbeat {
-	m := &wire.Heartbeat{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Admin: r.cfg.Admin, StoreReachable: r.storeReachable.Load(), Ready: r.Ready(), Rollouts: r.rolloutReports(now), TargetRev: string(r.targetRev), TargetCount: len(r.targetObjects)}
+	m := &wire.Heartbeat{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Admin: r.cfg.Admin, StoreReachable: r.storeReachable.Load(), Ready: r.Ready(), Rollouts: r.rolloutReports(now), TargetRev: string(r.targetRev), TargetCount: len(r.targetObjects), Centre: r.cfg.Centre, Short: r.admission.Shortage() != admit.None}
 	if table := r.table.Load(); table != nil {
 		m.Generation = table.Generation
 	}
@@ -278,6 +282,7 @@
 	}
 	p.position = scout.Position{Rev: store.Rev(b.TargetRev), Count: b.TargetCount}
 	p.generation, p.admin, p.storeReachable = b.Generation, b.Admin, b.StoreReachable
+	p.centre, p.short = b.Centre, b.Short
 	if !b.Ready {
 		p.readySince = time.Time{}
 	} else if p.readySince.IsZero() {
