--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -51,6 +51,19 @@
 	// Centre is the data centre of the sender; Short is true while it is short of a resource.
 	Centre ident.DataCentre
 	Short  bool
+	// Changes are the latest changes of registrations of targets that the sender has read, all those after the revision
+	// ChangesSince. Only scouts send them; see package scout.
+	ChangesSince string
+	Changes      []HeartbeatChange
+}
+
+// HeartbeatChange is a change of the registration of a target.
+type HeartbeatChange struct {
+	_struct bool `codec:",toarray"`
+
+	Name, Rev string
+	Deleted   bool
+	Value     []byte
 }
 
 // HeartbeatTrial is a request on trial; see package poison.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -29,6 +29,7 @@
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
 	"hickoryvane.example/router/dial"
@@ -224,6 +225,7 @@
 	pacer     follow.Pacer
 	follower  *follow.Follower
 	targetRev store.Rev
+	feed      scout.Feed
 	// admission decides whether this router is withdrawn, since withdrawnAt, for a shortage; see short.go.
 	admission   admit.Admission
 	withdrawnAt time.Time
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -140,6 +140,7 @@
 		otherCell = r.encodeHeartbeat(m)
 	}
 	r.addLoads(now, m)
+	r.addChanges(now, m)
 	sameCell := r.encodeHeartbeat(m)
 	urgent := r.urgentHeartbeats > 0
 	r.urgentHeartbeats = max(r.urgentHeartbeats-1, 0)
@@ -262,6 +263,7 @@
 			continue
 		}
 		r.mergeHeartbeat(time.Now(), from, b)
+		r.mergeChanges(b)
 	}
 }
 
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -61,6 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.targetObjects)
+	r.feed.Reset()
 	for _, o := range l {
 		r.keepTargetObject(o)
 	}
--- a/router/direct/scouts.go
+++ b/router/direct/scouts.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
 	"hickoryvane.example/router/follow"
 )
 
@@ -37,3 +40,64 @@
 		r.targetRev = rev
 	}
 }
+
+// recordTargetChange applies a change that the own watch reported, unless scouts passed it on before.
+func (r *Router) recordTargetChange(c store.Change) {
+	r.mu.Lock()
+	covered := r.feed.Covered(c)
+	if !covered {
+		r.feed.Record(time.Now(), r.targetRev, c)
+	}
+	r.mu.Unlock()
+	if !covered {
+		r.applyTargetChange(c)
+	}
+}
+
+func (r *Router) applyTargetChange(c store.Change) {
+	r.updateTargetObject(c)
+	t, ok := fleet.Target{}, false
+	if !c.Deleted {
+		t, ok = r.decodeTarget(c.Object)
+	}
+	r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
+		if ok {
+			return f.Put(t)
+		}
+		return f.Remove(time.Now(), ident.TargetID(c.Object.Name))
+	})
+}
+
+// addChanges adds the latest changes of registrations to the heartbeats of a scout; r.mu is held.
+func (r *Router) addChanges(now time.Time, m *wire.Heartbeat) {
+	if r.follower.Mode() != scout.Scout {
+		return
+	}
+	since, l := r.feed.Recent(now)
+	m.ChangesSince = string(since)
+	for _, c := range l {
+		h := wire.HeartbeatChange{Name: c.Object.Name, Rev: string(c.Object.Rev), Deleted: c.Deleted}
+		if !c.Deleted {
+			h.Value = c.Object.Value
+		}
+		m.Changes = append(m.Changes, h)
+	}
+}
+
+// mergeChanges applies the changes of registrations that a scout passes on, if this router is a follower.
+func (r *Router) mergeChanges(b *wire.Heartbeat) {
+	if len(b.Changes) == 0 || b.Process == r.cfg.Name || !b.StoreReachable || r.follower.Mode() != scout.Follower {
+		return
+	}
+	l := make([]store.Change, 0, len(b.Changes))
+	for _, h := range b.Changes {
+		o := store.Object{Kind: r.catalogue.TargetKind(), Name: h.Name, Rev: store.Rev(h.Rev), Value: h.Value}
+		l = append(l, store.Change{Object: o, Deleted: h.Deleted})
+	}
+	r.mu.Lock()
+	l = r.feed.Fresh(r.targetRev, store.Rev(b.ChangesSince), l)
+	r.mu.Unlock()
+	for _, c := range l {
+		r.applyTargetChange(c)
+	}
+}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -104,19 +104,7 @@
 			r.storeReachable.Store(true)
 			r.logReady()
 		},
-		OnChange: func(c store.Change) {
-			r.updateTargetObject(c)
-			t, ok := fleet.Target{}, false
-			if !c.Deleted {
-				t, ok = r.decodeTarget(c.Object)
-			}
-			r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
-				if ok {
-					return f.Put(t)
-				}
-				return f.Remove(time.Now(), ident.TargetID(c.Object.Name))
-			})
-		},
+		OnChange: r.recordTargetChange,
 		OnUnreachable: func() {
 			r.storeReachable.Store(false)
 			r.mu.Lock()
--- a/router/follow/scout.go
+++ b/router/follow/scout.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// Mode returns the mode of the watches.
+func (f *Follower) Mode() scout.Mode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mode
+}
+
 // Listed logs the peers that claimed a later revision than the store had at the time of a list.
 func (f *Follower) Listed(asOf store.Rev, peers []scout.Peer) {
 	f.mu.Lock()
