--- a/core/scout/feed.go
+++ b/core/scout/feed.go
@@ -79,8 +79,10 @@
 }
 
 // Fresh returns those of the changes of another router that a router at a position has to apply: all later ones if it
-// knows everything before the first one, or else none.
-func (f *Feed) Fresh(own, since store.Rev, changes []store.Change) (out []store.Change) {
+// knows everything before the first one, or else none. Changes after the newest revision that a third router has seen are
+// left to the next heartbeats: a faulty router that claims revisions which the store does not have would otherwise make
+// others believe that they are ahead of all others.
+func (f *Feed) Fresh(own, since, confirmed store.Rev, changes []store.Change) (out []store.Change) {
 	if own == "" || since == "" || store.Before(own, since) || store.Restored(own, since) {
 		return nil
 	}
@@ -89,6 +91,9 @@
 		if store.Restored(since, c.Object.Rev) { // a list has to tell what the restore removed
 			return nil
 		}
+		if confirmed == "" || store.Before(confirmed, c.Object.Rev) {
+			break
+		}
 		if store.Before(newest, c.Object.Rev) {
 			out, newest = append(out, c), c.Object.Rev
 		}
--- a/core/scout/feed_test.go
+++ b/core/scout/feed_test.go
@@ -52,7 +52,7 @@
 				scouting.apply(c)
 			}
 			if since, l := passing.Recent(at(100 * i)); rnd.IntN(4) == 0 {
-				for _, c := range passed.Fresh(follower.rev, since, l) {
+				for _, c := range passed.Fresh(follower.rev, since, scouting.rev, l) {
 					follower.apply(c)
 				}
 			}
@@ -85,10 +85,11 @@
 	g.Expect(len(l)).To(BeNumerically("~", 9, 1))
 	g.Expect(l[len(l)-1].Object.Name).To(Equal("t99"))
 	g.Expect(since).To(Equal(store.RevOf(0, uint64(101-len(l)))))
-	g.Expect(f.Fresh("50", since, l)).To(BeEmpty(), "others are missing before them")
-	g.Expect(f.Fresh(since, since, l)).To(HaveLen(len(l)))
-	g.Expect(f.Fresh(since, since, l)).To(HaveLen(len(l)))
+	g.Expect(f.Fresh("50", since, "101", l)).To(BeEmpty(), "others are missing before them")
+	g.Expect(f.Fresh(since, since, "101", l)).To(HaveLen(len(l)))
+	g.Expect(f.Fresh(since, since, "100", l)).To(HaveLen(len(l)-1), "the last one was seen by no third router")
+	g.Expect(f.Fresh(since, since, "", l)).To(BeEmpty())
 	_, l = f.Recent(at(2000))
 	g.Expect(l).To(BeEmpty())
-	g.Expect(f.Fresh("1.5", "1.5", []store.Change{{Object: store.Object{Name: "a", Rev: "2.6"}}})).To(BeEmpty())
+	g.Expect(f.Fresh("1.5", "1.5", "2.9", []store.Change{{Object: store.Object{Name: "a", Rev: "2.6"}}})).To(BeEmpty())
 }
--- a/router/direct/scouts.go
+++ b/router/direct/scouts.go
@@ -95,7 +95,13 @@
 		l = append(l, store.Change{Object: o, Deleted: h.Deleted})
 	}
 	r.mu.Lock()
-	l = r.feed.Fresh(r.targetRev, store.Rev(b.ChangesSince), l)
+	confirmed := store.Rev("")
+	for _, p := range r.scoutPeers(time.Now()) {
+		if p.ID != b.Process && p.Reachable && (confirmed == "" || store.Before(confirmed, p.Position.Rev)) {
+			confirmed = p.Position.Rev
+		}
+	}
+	l = r.feed.Fresh(r.targetRev, store.Rev(b.ChangesSince), confirmed, l)
 	r.mu.Unlock()
 	for _, c := range l {
 		r.applyTargetChange(c)
--- a/router/direct/scouts_test.go
+++ b/router/direct/scouts_test.go
@@ -122,12 +122,13 @@
 	e.g.Expect(err).NotTo(HaveOccurred())
 	listed := newest.Rev
 	seq := ident.Seq(0)
+	claimed := listed
 	send := func(since store.Rev, changes ...wire.HeartbeatChange) {
 		seq++
 		for i := range 20 {
 			b, err := wire.Encode(&wire.Heartbeat{
 				Process: ident.ProcessID(fmt.Sprint("o", i)), Boot: 1, Seq: seq, Region: "a", Generation: 1, Ready: true,
-				StoreReachable: true, TargetRev: string(listed), TargetCount: 2, ChangesSince: string(since), Changes: changes,
+				StoreReachable: true, TargetRev: string(claimed), TargetCount: 2, ChangesSince: string(since), Changes: changes,
 			})
 			e.g.Expect(err).NotTo(HaveOccurred())
 			_, err = c.Write(b)
@@ -142,6 +143,9 @@
 	o, err := e.store.Get(ctx, "targets", x.id)
 	e.g.Expect(err).NotTo(HaveOccurred())
 	change := wire.HeartbeatChange{Name: o.Name, Rev: string(o.Rev), Value: o.Value}
+	send(listed, change) // no other router has seen it
+	claimed = o.Rev
+	send("")
 	send(o.Rev, change) // something is missing before it
 	time.Sleep(200 * time.Millisecond)
 	e.g.Expect(e.log.String()).NotTo(ContainSubstring("target is leaving"))
