--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		risk := p.riskLevel(now, t, chance)
-		score, held := p.score(t, j), min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
+		score, held := p.score(t, j)-p.connectionBonus(now, t, j), min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
 		gains.consider(t, risk, score)
 		score -= t.readTime(held)
 		if best == nil || risk < bestRisk || risk == bestRisk && score < bestScore {
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/admit"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/quota"
@@ -17,6 +18,7 @@
 	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/follow"
 )
 
 const (
@@ -64,6 +66,9 @@
 	phase     uint64
 	// position is what the router knows of the registrations of targets.
 	position scout.Position
+	// centre is the data centre of the router, empty until it was heard; short is true while it is short of a resource.
+	centre ident.DataCentre
+	short  bool
 }
 
 func newPeer(id ident.ProcessID) *peer { return &peer{phase: rankOf(id)} }
@@ -135,6 +140,7 @@
 		otherCell = r.encodeHeartbeat(m)
 	}
 	r.addLoads(now, m)
+	r.addChanges(now, m)
 	sameCell := r.encodeHeartbeat(m)
 	urgent := r.urgentHeartbeats > 0
 	r.urgentHeartbeats = max(r.urgentHeartbeats-1, 0)
@@ -160,7 +166,7 @@
 
 // baseHeartbeat returns a heartbeat with the fields that are for all routers; r.mu is held.
 func (r *Router) baseHeartbeat(now time.Time, seq ident.Seq) *wire.Heartbeat {
-	m := &wire.Heartbeat{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Admin: r.cfg.Admin, StoreReachable: r.storeReachable.Load(), Ready: r.Ready(), Rollouts: r.rolloutReports(now), TargetRev: string(r.targetRev), TargetCount: len(r.targetObjects)}
+	m := &wire.Heartbeat{Process: r.cfg.Name, Boot: r.boot, Seq: seq, Region: r.cfg.Region, Admin: r.cfg.Admin, StoreReachable: r.storeReachable.Load(), Ready: r.Ready(), Rollouts: r.rolloutReports(now), TargetRev: string(r.targetRev), TargetCount: len(r.targetObjects), Centre: r.cfg.Centre, Short: r.admission.Shortage() != admit.None}
 	if table := r.table.Load(); table != nil {
 		m.Generation = table.Generation
 	}
@@ -260,6 +266,7 @@
 			continue
 		}
 		r.mergeHeartbeat(time.Now(), from, b)
+		r.mergeChanges(b)
 	}
 }
 
@@ -280,6 +287,7 @@
 	}
 	p.position = scout.Position{Rev: store.Rev(b.TargetRev), Count: b.TargetCount}
 	p.generation, p.admin, p.storeReachable = b.Generation, b.Admin, b.StoreReachable
+	p.centre, p.short = b.Centre, b.Short
 	if !b.Ready {
 		p.readySince = time.Time{}
 	} else if p.readySince.IsZero() {
@@ -442,7 +450,7 @@
 	for again := false; ctx.Err() == nil; again = true {
 		if !registered {
 			if again {
-				pause(ctx, r.rewriteDelay())
+				follow.Pause(ctx, r.rewriteDelay())
 				r.log.Log(event.RecordWrittenAgain, "sort", RouterKind, "name", r.cfg.Name)
 			}
 			r.tryRegistration(ctx, v)
@@ -463,7 +471,7 @@
 			return
 		}
 		r.log.Log(event.StoreDown, "sort", RouterKind, "error", err)
-		pause(ctx, minStoreRetry)
+		follow.Pause(ctx, follow.MinRetry)
 	}
 }
 
--- a/router/direct/scouts.go
+++ b/router/direct/scouts.go
@@ -3,47 +3,25 @@
 import (
 	"time"
 
-	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/follow"
 )
 
-// WatchPacer is a store whose watch calls take longer or shorter by mode.
-type WatchPacer interface {
-	SetWatchMode(m scout.Mode)
-}
-
 // WithWatchPacer makes the router set the mode of the watches of its store.
-func WithWatchPacer(p WatchPacer) Option { return func(r *Router) { r.pacer = p } }
+func WithWatchPacer(p follow.Pacer) Option { return func(r *Router) { r.pacer = p } }
 
-// scoutInterval is the interval at which the scouts are chosen and their claims are checked, below the time after
-// which a lost scout has to be replaced.
-const scoutInterval = 250 * time.Millisecond
-
-// followScouts chooses the mode of the watches, and lists the registrations of targets again if a scout knows of
-// changes that the own watch did not report; r.mu is held.
+// followScouts passes what this router and its peers know of the registrations of targets to the follower; r.mu is held.
 func (r *Router) followScouts(now time.Time) {
-	if r.pacer == nil {
-		return
-	}
-	peers := r.scoutPeers(now)
-	if m := scout.ModeOf(rankOf(r.cfg.Name), r.storeReachable.Load(), peers); m != r.watchMode {
-		r.log.Log(event.WatchModeChanged, "mode", m, "before", r.watchMode, "near", len(peers))
-		r.watchMode = m
-		r.pacer.SetWatchMode(m)
-		if m != scout.Follower { // the calls in progress may last long
-			kind, _ := r.catalogue.ConfigObject()
-			r.restartWatch(kind)
-			r.restartWatch(r.catalogue.TargetKind())
-		}
-	}
-	if r.watchMode != scout.Follower {
-		return
-	}
-	if p, ok := r.lag.Check(now, r.targetPosition(), peers); ok {
-		r.log.Log(event.WatchBehind, "peer", p.ID, "rev", r.targetRev, "objects", len(r.targetObjects), "newer", p.Position.Rev, "there", p.Position.Count)
-		r.restartWatch(r.catalogue.TargetKind())
+	kind, _ := r.catalogue.ConfigObject()
+	own := follow.Own{
+		Rank: rankOf(r.cfg.Name), Reachable: r.storeReachable.Load(), Kind: r.catalogue.TargetKind(),
+		Position: scout.Position{Rev: r.targetRev, Count: len(r.targetObjects)},
 	}
+	r.follower.Scout(now, own, r.scoutPeers(now), kind)
 }
 
 // scoutPeers returns the routers of the own cell that were heard lately; r.mu is held.
@@ -56,11 +34,6 @@
 	return out
 }
 
-// targetPosition returns what this router knows of the registrations of targets; r.mu is held.
-func (r *Router) targetPosition() scout.Position {
-	return scout.Position{Rev: r.targetRev, Count: len(r.targetObjects)}
-}
-
 // recordTargetRev records the revision of a registration that was read from the store; r.mu is held.
 func (r *Router) recordTargetRev(rev store.Rev) {
 	if r.targetRev == "" || store.Before(r.targetRev, rev) {
@@ -68,10 +41,69 @@
 	}
 }
 
-// reportWrongClaims logs the routers that claimed a later revision than the store had at the time of a list; r.mu is
-// held.
-func (r *Router) reportWrongClaims(asOf store.Rev) {
-	for _, p := range r.lag.Listed(asOf, r.scoutPeers(time.Now())) {
-		r.log.Log(event.PeerRejected, "peer", p.ID, "rev", asOf, "claimed", p.Position.Rev)
+// recordTargetChange applies a change that the own watch reported, unless scouts passed it on before.
+func (r *Router) recordTargetChange(c store.Change) {
+	r.mu.Lock()
+	covered := r.feed.Covered(c)
+	if !covered {
+		r.feed.Record(time.Now(), r.targetRev, c)
+	}
+	r.mu.Unlock()
+	if !covered {
+		r.applyTargetChange(c)
+	}
+}
+
+func (r *Router) applyTargetChange(c store.Change) {
+	r.updateTargetObject(c)
+	t, ok := fleet.Target{}, false
+	if !c.Deleted {
+		t, ok = r.decodeTarget(c.Object)
+	}
+	r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
+		if ok {
+			return f.Put(t)
+		}
+		return f.Remove(time.Now(), ident.TargetID(c.Object.Name))
+	})
+}
+
+// addChanges adds the latest changes of registrations to the heartbeats of a scout; r.mu is held.
+func (r *Router) addChanges(now time.Time, m *wire.Heartbeat) {
+	if r.follower.Mode() != scout.Scout {
+		return
+	}
+	since, l := r.feed.Recent(now)
+	m.ChangesSince = string(since)
+	for _, c := range l {
+		h := wire.HeartbeatChange{Name: c.Object.Name, Rev: string(c.Object.Rev), Deleted: c.Deleted}
+		if !c.Deleted {
+			h.Value = c.Object.Value
+		}
+		m.Changes = append(m.Changes, h)
+	}
+}
+
+// mergeChanges applies the changes of registrations that a scout passes on, if this router is a follower.
+func (r *Router) mergeChanges(b *wire.Heartbeat) {
+	if len(b.Changes) == 0 || b.Process == r.cfg.Name || !b.StoreReachable || r.follower.Mode() != scout.Follower {
+		return
+	}
+	l := make([]store.Change, 0, len(b.Changes))
+	for _, h := range b.Changes {
+		o := store.Object{Kind: r.catalogue.TargetKind(), Name: h.Name, Rev: store.Rev(h.Rev), Value: h.Value}
+		l = append(l, store.Change{Object: o, Deleted: h.Deleted})
+	}
+	r.mu.Lock()
+	confirmed := store.Rev("")
+	for _, p := range r.scoutPeers(time.Now()) {
+		if p.ID != b.Process && p.Reachable && (confirmed == "" || store.Before(confirmed, p.Position.Rev)) {
+			confirmed = p.Position.Rev
+		}
+	}
+	l = r.feed.Fresh(r.targetRev, store.Rev(b.ChangesSince), confirmed, l)
+	r.mu.Unlock()
+	for _, c := range l {
+		r.applyTargetChange(c)
 	}
 }
--- a/router/direct/verify.go
+++ b/router/direct/verify.go
@@ -8,6 +8,8 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/router/dial"
+	"hickoryvane.example/router/follow"
 )
 
 // Whether a target that lost an answer has crashed.
@@ -46,7 +48,7 @@
 // verifyTarget opens a connection to a target. One that refuses it is down; one that accepts it has not crashed, and
 // the connection is kept for the next request.
 func (r *Router) verifyTarget(ctx context.Context, t fleet.Target) {
-	pause(ctx, verifyDelay)
+	follow.Pause(ctx, verifyDelay)
 	began := time.Now()
 	r.mu.Lock()
 	pending := len(r.lostAnswers[t.ID]) > 0
@@ -54,9 +56,9 @@
 	if !pending {
 		return // decided by an earlier check
 	}
-	k, err := dial(ctx, t.Address)
+	k, err := dial.Dial(ctx, t.Address)
 	if err == nil {
-		r.conns.put(k)
+		r.conns.Put(k, nil)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
