--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		risk := p.riskLevel(now, t, chance)
-		score, held := p.score(t, j), min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
+		score, held := p.score(t, j)-p.connectionBonus(now, t, j), min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
 		first := t.expectedFirstEvent(j) - t.readTime(held)
 		if mayBeOnTime {
 			onTime := p.onTimeChance(now, j, first, p.gapOf(t))
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -54,6 +54,13 @@
 	// targets. Most heartbeats have none.
 	Reads  []HeartbeatRead
 	Passed []HeartbeatPassed
+	// Centre is the data centre of the sender; Short is true while it is short of a resource.
+	Centre ident.DataCentre
+	Short  bool
+	// Changes are the latest changes of registrations of targets that the sender has read, all those after the revision
+	// ChangesSince. Only scouts send them; see package scout.
+	ChangesSince string
+	Changes      []HeartbeatChange
 }
 
 // StartKey stands for a start of a target with a version of the weights. A receiver ignores those that differ from what
@@ -83,6 +90,15 @@
 	Tokens ident.Tokens
 }
 
+// HeartbeatChange is a change of the registration of a target.
+type HeartbeatChange struct {
+	_struct bool `codec:",toarray"`
+
+	Name, Rev string
+	Deleted   bool
+	Value     []byte
+}
+
 // HeartbeatTrial is a request on trial; see package poison.
 type HeartbeatTrial struct {
 	_struct bool `codec:",toarray"`
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hickoryvane.example/core/accept"
+	"hickoryvane.example/core/admit"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/conf"
@@ -33,6 +34,8 @@
 	"hickoryvane.example/core/scout"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
+	"hickoryvane.example/router/dial"
+	"hickoryvane.example/router/follow"
 )
 
 // Catalogue reads the objects that the platform keeps in its store.
@@ -127,7 +130,7 @@
 	meter       *meter.Meter
 	regions     map[ident.DataCentre]ident.Region
 	callers     *accept.Server
-	conns       *connPool
+	conns       *dial.Pool
 	memory      *memoryBudget
 	table       atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
@@ -137,6 +140,8 @@
 	targetsListed, stopping, closing atomic.Bool
 	// storeReachable is true while the registrations of targets can be read from the store.
 	storeReachable atomic.Bool
+	// withdrawn is true while this router reports not ready for a shortage.
+	withdrawn      atomic.Bool
 	activeRequests atomic.Int64
 	// requestsEnded ends when endRequests is called, at the end of a shutdown; running requests are answered then.
 	requestsEnded context.Context
@@ -219,13 +224,15 @@
 	urgentHeartbeats int
 	// busyUntil is the time until which heartbeats are more frequent because requests wait.
 	busyUntil time.Time
-	// pacer is nil if the store has no modes. watchCancels end the watches by kind; targetRev is the newest revision
-	// seen of a registration of a target; see scouts.go.
-	pacer        WatchPacer
-	watchMode    scout.Mode
-	watchCancels map[string]context.CancelCauseFunc
-	targetRev    store.Rev
-	lag          scout.Lag
+	// pacer is nil if the store has no modes. targetRev is the newest revision seen of a registration of a target; see
+	// scouts.go.
+	pacer     follow.Pacer
+	follower  *follow.Follower
+	targetRev store.Rev
+	feed      scout.Feed
+	// admission decides whether this router is withdrawn, since withdrawnAt, for a shortage; see short.go.
+	admission   admit.Admission
+	withdrawnAt time.Time
 }
 
 // decision is the result of waiting for a target: a placement or a refusal.
@@ -248,14 +255,14 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), memory: newMemoryBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), memory: newMemoryBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), comebacks: comeback.New(), partNames: map[ident.Fingerprint]ident.PromptPart{},
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
-		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
+		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	r.requestsEnded, r.endRequests = context.WithCancel(context.Background())
@@ -265,6 +272,8 @@
 	for _, o := range opts {
 		o(r)
 	}
+	r.admission.Self = cfg.Name
+	r.follower = follow.New(st, l, r.pacer)
 	r.callers = accept.New(&http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
 	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed))
@@ -273,7 +282,7 @@
 
 // Ready reports whether the load balancer may send callers to this router.
 func (r *Router) Ready() bool {
-	return r.table.Load() != nil && r.targetsListed.Load() && r.joined.Load() && !r.stopping.Load()
+	return r.table.Load() != nil && r.targetsListed.Load() && r.joined.Load() && !r.stopping.Load() && !r.withdrawn.Load()
 }
 
 // logReady logs that the router is ready, the first time that it is.
@@ -294,6 +303,7 @@
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region, opts...)
 		p.StopAt(r.stopAt)
 		p.SetRouters(r.nearRouters(time.Now()))
+		p.UseConnections(targetConns{r})
 		r.pools[s] = p
 	}
 	return p
@@ -367,6 +377,7 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	var lastSecond, lastScouting time.Time
+	last, delay := time.Now(), time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -374,6 +385,7 @@
 		case <-t.C:
 		}
 		now := time.Now()
+		delay, last = max(delay, now.Sub(last)-tickInterval), now
 		r.mu.Lock()
 		for _, p := range r.pools {
 			if p.Waiting() > 0 {
@@ -385,9 +397,10 @@
 		r.judgeRollouts(now)
 		r.reportSilences(now)
 		r.updateBlocks(now)
-		if now.Sub(lastScouting) >= scoutInterval {
+		if now.Sub(lastScouting) >= follow.ScoutInterval {
 			lastScouting = now
 			r.followScouts(now)
+			r.withdraw(now)
 		}
 		everySecond := now.Sub(lastSecond) >= time.Second
 		if everySecond {
@@ -398,12 +411,15 @@
 			r.expireLostAnswers(now)
 			r.assignCells(now)
 			r.updateTargetCounts()
+			r.limitIdle(now)
+			r.observeResources(now, delay)
+			delay = 0
 			r.recordTargets(now)
 		}
 		r.mu.Unlock()
 		r.logFleetEvents(events)
 		if everySecond {
-			r.conns.closeExpired(now)
+			r.conns.CloseExpired(now)
 			if r.asyncWriter != nil {
 				if n := r.asyncWriter.Dropped(); n > 0 {
 					r.log.Log(event.LinesDropped, "lines", n)
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -12,6 +12,7 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/store"
+	"hickoryvane.example/router/follow"
 )
 
 const (
@@ -60,10 +61,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.targetObjects)
+	r.feed.Reset()
 	for _, o := range l {
 		r.keepTargetObject(o)
 	}
-	r.reportWrongClaims(asOf)
+	r.follower.Listed(asOf, r.scoutPeers(time.Now()))
 }
 
 // updateTargetObject applies a change of one registration to those kept for snapshots.
@@ -118,7 +120,7 @@
 	r.join(ctx, client)
 	var behindSince time.Time
 	for ctx.Err() == nil {
-		pause(ctx, relayInterval)
+		follow.Pause(ctx, relayInterval)
 		now := time.Now()
 		admin, newer := r.snapshotSource(now)
 		if !newer {
@@ -142,7 +144,7 @@
 	jctx, cancel := context.WithTimeout(ctx, joinTime)
 	defer cancel()
 	for jctx.Err() == nil {
-		pause(jctx, joinInterval)
+		follow.Pause(jctx, joinInterval)
 		now := time.Now()
 		if admin, newer := r.snapshotSource(now); newer {
 			if err := r.fetchSnapshot(jctx, client, admin); err != nil {
