Home regions: requests stay in the regions of their route and account

Ruled out: a check after the placement. A retry, the rest of a stream, a second attempt and a canary each choose a target on their own, so the job carries its home regions and every choice in core/sched asks for them.

Change: core/avail has Homes, the regions that the lists of route and account both allow. core/sched asks it for first placements, retries, canaries and second attempts, for the wait of a job without a target, and for the fastest target that a long answer waits for. A list that names no region with a data centre is logged (320) and changes nothing.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -30,6 +30,7 @@
 	WatchBehind           ID = 309
 	StoreRestored         ID = 310
 	RecordWrittenAgain    ID = 311
+	HomesInvalid          ID = 320
 	RequestRefused        ID = 401
 	AnswerTruncated       ID = 402
 	FingerprintBlocked    ID = 403
@@ -95,6 +96,7 @@
 	{WatchBehind, log.WarnLevel, "watch is behind that of a peer, list read again"},
 	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
 	{RecordWrittenAgain, log.InfoLevel, "record missing in the object API is written again"},
+	{HomesInvalid, log.WarnLevel, "home regions without a data centre ignored"},
 	{RequestRefused, log.DebugLevel, "request refused"},
 	{AnswerTruncated, log.WarnLevel, "answer cut"},
 	{FingerprintBlocked, log.WarnLevel, "request fingerprint blocked"},
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -56,6 +56,8 @@
 	Public bool
 	// Resumable is true if a stream may continue at another target after the last event received.
 	Resumable bool
+	// HomeRegions are the regions in which requests may be served; empty means anywhere.
+	HomeRegions []ident.Region
 	// Shares is not empty.
 	Shares []Share
 }
@@ -101,6 +103,8 @@
 	Burst ident.Tokens
 	// DefaultTokens is the number of tokens charged for a request that states none.
 	DefaultTokens ident.Tokens
+	// HomeRegions are the regions in which requests of the account may be served; empty means anywhere.
+	HomeRegions []ident.Region
 }
 
 // Limits bounds the requests of callers.
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -85,7 +85,7 @@
 	if !j.generates() || p.shortestEventGap <= 0 {
 		return 0
 	}
-	best := p.finishChance(now, j, p.shortestLatency, p.shortestEventGap)
+	best := p.finishChance(now, j, p.shortestLatency, p.shortestGap(j))
 	switch {
 	case j.AnswerStarted || !now.Before(j.waitLimit()):
 		return min(hopelessChance, best/2)
@@ -95,6 +95,19 @@
 	return best - chanceTolerance
 }
 
+// shortestGap returns the time between events of the fastest target that may serve the job.
+func (p *Pool) shortestGap(j *Job) (shortest time.Duration) {
+	if !j.Homes.Restricted() {
+		return p.shortestEventGap
+	}
+	for _, t := range p.sorted {
+		if gap := p.gapOf(t); j.Homes.Allow(t.Region) && !t.draining && !t.missing && (shortest == 0 || gap < shortest) {
+			shortest = gap
+		}
+	}
+	return shortest
+}
+
 // recordLength learns from the length of a complete answer, in events.
 func (p *Pool) recordLength(j *Job, events int) {
 	if events > 0 && j.generates() {
--- a/core/sched/pause.go
+++ b/core/sched/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/ident"
 )
 
@@ -76,12 +77,12 @@
 	}
 }
 
-// awaitsPause reports whether all targets want no jobs now, when the first of them resumes, and how many jobs may wait
-// for that; none is waited for if the service has no target.
-func (p *Pool) awaitsPause(now time.Time) (back time.Time, room int, ok bool) {
+// awaitsPause reports whether all targets that homes allow want no jobs now, when the first of them resumes, and how many
+// jobs may wait for that; none is waited for if there is no such target.
+func (p *Pool) awaitsPause(now time.Time, homes avail.Homes) (back time.Time, room int, ok bool) {
 	for _, t := range p.sorted {
 		switch {
-		case t.CanaryOnly || t.draining:
+		case t.CanaryOnly || t.draining || !homes.Allow(t.Region):
 			continue
 		case !now.Before(t.pause.until):
 			return back, 0, false
@@ -100,7 +101,7 @@
 // refuseUntargeted refuses a job that no target will take in time, because all of them asked for time, or because there
 // is none. waits is true if the job waits for the first one that resumes.
 func (p *Pool) refuseUntargeted(now time.Time, j *Job, ahead int) (r Refusal, refused, waits bool) {
-	back, room, ok := p.awaitsPause(now)
+	back, room, ok := p.awaitsPause(now, j.Homes)
 	switch {
 	case !ok:
 		return r, false, false
@@ -112,9 +113,9 @@
 	return Refusal{Job: j, JobsAhead: ahead, ExpectedWait: wait, RetryAfter: max(wait, shortestRetryAfter), Untargeted: true}, true, false
 }
 
-// RetryAfterPauses returns the time after which the first target takes jobs again; zero if one does now.
-func (p *Pool) RetryAfterPauses(now time.Time) time.Duration {
-	if back, _, ok := p.awaitsPause(now); ok {
+// RetryAfterPauses returns the time after which the first target that homes allow takes jobs again; zero if one does now.
+func (p *Pool) RetryAfterPauses(now time.Time, homes avail.Homes) time.Duration {
+	if back, _, ok := p.awaitsPause(now, homes); ok {
 		return back.Sub(now)
 	}
 	return 0
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,7 +48,7 @@
 	mean := p.meanJobs()
 	var below, above, preferred *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
+		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
@@ -106,7 +106,7 @@
 	}
 	kind := p.answerKind(j)
 	for _, t := range p.usable {
-		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
+		if !j.Homes.Allow(t.Region) || avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		chance := p.chanceAt(now, t, j)
@@ -127,7 +127,7 @@
 // target rather than return to one that failed it, but not for one that asked for time.
 func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.pause.until) && !slices.Contains(j.Avoid, t.ID) {
+		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.pause.until) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/ident"
 )
 
@@ -37,6 +38,8 @@
 	Stride         int
 	// Stream is true if the answer is a stream of events.
 	Stream bool
+	// Homes are the regions whose targets may serve the job.
+	Homes avail.Homes
 	// Avoid lists targets that failed the request.
 	Avoid []ident.TargetID
 	// Canary is true for a job that goes to a canary target. Placing the job clears it if no canary target had a
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
@@ -228,7 +229,15 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, Homes: c.homes()}
+}
+
+// homes returns the regions in which the request may be served.
+func (c *call) homes() avail.Homes {
+	if c.account == nil {
+		return avail.HomesOf(c.route.HomeRegions, nil)
+	}
+	return avail.HomesOf(c.route.HomeRegions, c.account.HomeRegions)
 }
 
 // expectedOutput returns the expected tokens of the answer. Callers' estimates are exact at the median; answers
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -227,6 +227,11 @@
 	e.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// registerIn registers a target of a data centre.
+func (e *env) registerIn(x *scriptedTarget, c ident.DataCentre) {
+	e.putObject("targets", x.id, fleet.Target{ID: ident.TargetID(x.id), Service: "s", Address: x.addr, Centre: c, Slots: 4, Boot: 1})
+}
+
 func (e *env) registerTarget(x *scriptedTarget, leaving bool) {
 	e.putObject("targets", x.id, fleet.Target{
 		ID: ident.TargetID(x.id), Service: "s", Address: x.addr, Centre: "a1", Slots: 4, Leaving: leaving, Boot: 1,
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -447,7 +447,7 @@
 	case a.result == targetFailed:
 		r.writeAnswer(w, c, a.answer)
 	case a.result == notRun:
-		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), max(r.jitter(allRefusedRetryAfter), r.untilTargetResumes(c.service))))
+		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), max(r.jitter(allRefusedRetryAfter), r.untilTargetResumes(c))))
 	default:
 		f := &fault.Error{Run: fault.Unknown, Reason: fault.Target, Detail: "the target's answer was lost"}
 		switch {
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -48,11 +48,11 @@
 	}
 }
 
-// untilTargetResumes returns the time after which a target of a service takes requests again; zero if one does now.
-func (r *Router) untilTargetResumes(s ident.Service) time.Duration {
+// untilTargetResumes returns the time after which a target takes the request again; zero if one does now.
+func (r *Router) untilTargetResumes(c *call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pool(s).RetryAfterPauses(time.Now())
+	return r.pool(c.service).RetryAfterPauses(time.Now(), c.job.Homes)
 }
 
 // releaseIfClosed releases a placement if its target takes no more requests since, and reports whether it did.
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -160,6 +160,9 @@
 	if old != nil && old.Generation >= table.Generation {
 		return
 	}
+	for _, f := range table.CheckHomes(r.hasRegion, old) {
+		r.log.Log(event.HomesInvalid, "key", f.Key, "name", f.Name, "regions", f.Unknown, "ignored", f.Ignored, "generation", table.Generation)
+	}
 	var accounts []ident.AccountID
 	var services []ident.Service
 	r.applyLimits(now, table)
@@ -179,6 +182,16 @@
 	r.applySlots(table)
 }
 
+// hasRegion reports whether a region has a data centre.
+func (r *Router) hasRegion(region ident.Region) bool {
+	for _, known := range r.regions {
+		if known == region {
+			return true
+		}
+	}
+	return false
+}
+
 // applySlots applies the configured slots of services to their targets; r.mu is held.
 func (r *Router) applySlots(table *route.Table) {
 	for _, t := range r.targets {
