Evacuations: a data centre gets no new requests while its object exists

Cause: an operator could not empty a data centre; its targets got requests until each of them left.

Ruled out: draining the targets, which would lose what was learnt of them and end with their next registration; and trusting the store alone, which forgets an evacuation when it is restored and cannot be read by a router that starts during an outage.

Change: core/avail has Evacuations, one register per data centre in which the newer revision wins. Routers read a fifth kind of objects and tell each other what they know in heartbeats.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -31,6 +31,9 @@
 	StoreRestored         ID = 310
 	RecordWrittenAgain    ID = 311
 	HomesInvalid          ID = 320
+	EvacuationBegan       ID = 321
+	EvacuationEnded       ID = 322
+	EvacuationInvalid     ID = 323
 	RequestRefused        ID = 401
 	AnswerTruncated       ID = 402
 	FingerprintBlocked    ID = 403
@@ -97,6 +100,9 @@
 	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
 	{RecordWrittenAgain, log.InfoLevel, "record missing in the object API is written again"},
 	{HomesInvalid, log.WarnLevel, "home regions without a data centre ignored"},
+	{EvacuationBegan, log.InfoLevel, "data centre is evacuated"},
+	{EvacuationEnded, log.InfoLevel, "evacuation of a data centre ended"},
+	{EvacuationInvalid, log.WarnLevel, "evacuation of an unknown data centre ignored"},
 	{RequestRefused, log.DebugLevel, "request refused"},
 	{AnswerTruncated, log.WarnLevel, "answer cut"},
 	{FingerprintBlocked, log.WarnLevel, "request fingerprint blocked"},
--- a/core/sched/pause.go
+++ b/core/sched/pause.go
@@ -82,7 +82,7 @@
 func (p *Pool) awaitsPause(now time.Time, homes avail.Homes) (back time.Time, room int, ok bool) {
 	for _, t := range p.sorted {
 		switch {
-		case t.CanaryOnly || t.draining || !homes.Allow(t.Region):
+		case t.CanaryOnly || !p.open(t) || !homes.Allow(t.Region):
 			continue
 		case !now.Before(t.pause.until):
 			return back, 0, false
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,7 +48,7 @@
 	mean := p.meanJobs()
 	var below, above, preferred *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
+		if !t.CanaryOnly || !p.open(t) || t.missing || t.resting(now) || !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
@@ -76,7 +76,7 @@
 func (p *Pool) meanJobs() float64 {
 	jobs, n := 0, 0
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining {
+		if !t.CanaryOnly && p.open(t) {
 			jobs += t.jobs()
 			n++
 		}
@@ -89,7 +89,7 @@
 func (p *Pool) collectUsable(now time.Time) {
 	p.usable = p.usable[:0]
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && p.mayPlace(now, t) {
+		if !t.CanaryOnly && p.open(t) && p.mayPlace(now, t) {
 			p.usable = append(p.usable, t)
 		}
 	}
@@ -127,7 +127,7 @@
 // target rather than return to one that failed it, but not for one that asked for time.
 func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.pause.until) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
+		if !t.CanaryOnly && p.open(t) && !t.missing && !now.Before(t.pause.until) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -129,6 +129,8 @@
 	// Schedule began.
 	running int
 	usable  []*target
+	// evacuated are the data centres whose targets get no jobs.
+	evacuated []ident.DataCentre
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
 }
@@ -180,10 +182,19 @@
 	}
 }
 
+// SetEvacuated sets the data centres whose targets get no new jobs; jobs that run there end as usual.
+func (p *Pool) SetEvacuated(centres []ident.DataCentre) {
+	p.evacuated = slices.Clone(centres)
+	p.updateEventGap()
+}
+
+// open reports whether a target may get jobs at all: it does not leave, and its data centre is not evacuated.
+func (p *Pool) open(t *target) bool { return !t.draining && !slices.Contains(p.evacuated, t.Centre) }
+
 // Accepts reports whether a target still takes a job that was placed on it.
 func (p *Pool) Accepts(now time.Time, id ident.TargetID) bool {
 	t, ok := p.targets[id]
-	return ok && !t.draining && !now.Before(t.pause.until)
+	return ok && p.open(t) && !now.Before(t.pause.until)
 }
 
 // InUse returns the number of targets that jobs are placed on and that were not found down since their last answer, nor are silent.
--- a/core/sched/ratesplit.go
+++ b/core/sched/ratesplit.go
@@ -25,7 +25,7 @@
 	rated, slots, free := false, 0, 0
 	for _, t := range p.sorted {
 		switch {
-		case t.CanaryOnly || t.draining || t.missing:
+		case t.CanaryOnly || !p.open(t) || t.missing:
 		case t.rated():
 			rated = true
 		default:
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -209,7 +209,7 @@
 	var sum, shortest time.Duration
 	n := 0
 	for _, t := range p.sorted {
-		if t.eventGap <= 0 || t.draining || t.missing {
+		if t.eventGap <= 0 || !p.open(t) || t.missing {
 			continue
 		}
 		sum += t.eventGap
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -48,6 +48,20 @@
 	Leaving []HeartbeatLeaving
 	// Trials are the requests on trial that wait or run at the sender.
 	Trials []HeartbeatTrial
+	// Evacuations are those that the sender knows of, also those that have ended.
+	Evacuations []HeartbeatEvacuation
+}
+
+// HeartbeatEvacuation is the evacuation of a data centre; see package avail.
+type HeartbeatEvacuation struct {
+	_struct bool `codec:",toarray"`
+
+	Centre ident.DataCentre
+	// Rev is the revision of the object, or one at which it did not exist any more if Lifted is true.
+	Rev    string
+	Lifted bool
+	// HoldMillis is the time after which the evacuation ends because a restored store lacks it; zero if the store has it.
+	HoldMillis int64
 }
 
 // HeartbeatTrial is a request on trial; see package poison.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hickoryvane.example/core/accept"
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -47,6 +48,10 @@
 	RolloutKind() (kind string)
 	// DecodeRollout decodes a rollout request and its recorded state, which is empty if none is recorded.
 	DecodeRollout(o store.Object) (moves.Request, moves.State, error)
+	// EvacuationKind returns the kind under which operators request evacuations of data centres.
+	EvacuationKind() (kind string)
+	// DecodeEvacuation returns the data centre of an evacuation.
+	DecodeEvacuation(o store.Object) (ident.DataCentre, error)
 	// EncodeState encodes the state of a rollout for the status of its object.
 	EncodeState(req moves.Request, s moves.State) []byte
 }
@@ -198,6 +203,12 @@
 	// them again.
 	rolloutsListed chan struct{}
 	relist         chan struct{}
+	// evacuations is what is known of evacuations, evacuated the data centres of those in force. evacuationsListed is
+	// closed once they were read from the store.
+	evacuations       *avail.Evacuations
+	evacuated         []ident.DataCentre
+	evacuationsListed chan struct{}
+	evacuationsOnce   sync.Once
 	// stateWrites are objects whose status is to be written.
 	stateWrites chan store.Object
 	// ownAddress is the address under which the store has this router registered; registered gets whether that is
@@ -251,7 +262,7 @@
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), partNames: map[ident.Fingerprint]ident.PromptPart{},
 		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
-		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
+		evacuations: avail.NewEvacuations(), evacuationsListed: make(chan struct{}), rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
 	r.requestsEnded, r.endRequests = context.WithCancel(context.Background())
@@ -285,6 +296,7 @@
 	if !ok {
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
 		p.StopAt(r.stopAt)
+		p.SetEvacuated(r.evacuated)
 		r.pools[s] = p
 	}
 	return p
@@ -387,6 +399,7 @@
 				p.ExpireReports(now)
 			}
 			r.expireLostAnswers(now)
+			r.applyEvacuations(now, "hold")
 			r.assignCells(now)
 			r.updateTargetCounts()
 			r.recordTargets(now)
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -110,6 +110,12 @@
 	return req, s, err
 }
 
+func (catalogue) EvacuationKind() string { return "evacuations" }
+
+func (catalogue) DecodeEvacuation(o store.Object) (ident.DataCentre, error) {
+	return ident.DataCentre(o.Name), nil
+}
+
 func (catalogue) EncodeState(req moves.Request, s moves.State) []byte {
 	return []byte(string(req.To) + ": " + string(s))
 }
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -166,6 +166,7 @@
 	}
 	r.addCrashes(now, m)
 	r.addAnnouncements(now, m)
+	r.addEvacuations(now, m)
 	return m
 }
 
@@ -289,6 +290,7 @@
 	p.boot, p.seq, p.lastSeen = b.Boot, b.Seq, now
 	r.mergeCrashes(now, b)
 	r.mergeAnnouncements(now, b)
+	r.mergeEvacuations(now, b)
 	r.mergeRollouts(now, b)
 	if p.otherCell {
 		return
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -105,7 +105,7 @@
 
 // startWorkers starts the goroutines that follow the store and the other routers.
 func (r *Router) startWorkers(ctx context.Context, g *group.Group) {
-	for _, f := range []kindHandler{r.configHandler(), r.targetHandler(), r.routerHandler(), r.rolloutHandler()} {
+	for _, f := range []kindHandler{r.configHandler(), r.targetHandler(), r.routerHandler(), r.rolloutHandler(), r.evacuationHandler()} {
 		g.Go(ctx, "follow "+f.kind, func(ctx context.Context) error { return r.followKind(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.runHeartbeats)
--- a/router/direct/scouts.go
+++ b/router/direct/scouts.go
@@ -35,6 +35,7 @@
 			kind, _ := r.catalogue.ConfigObject()
 			r.restartWatch(kind)
 			r.restartWatch(r.catalogue.TargetKind())
+			r.restartWatch(r.catalogue.EvacuationKind())
 		}
 	}
 	if r.watchMode != scout.Follower {
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -217,6 +217,7 @@
 		kind: r.catalogue.TargetKind(),
 		onList: func(l []store.Object, asOf store.Rev) {
 			r.awaitRolloutList()
+			r.awaitEvacuationList()
 			list := r.decodeTargets(l)
 			r.replaceTargetObjects(l, asOf)
 			r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
