Cold targets: few requests from all routers together after a start

Cause: a target that starts, or that comes back with its whole data centre, is empty and the first choice of all routers; far above its rate it crashes.

Ruled out: the bucket with late counters of core/sched/rate.go. Its bound holds over some seconds only, as the routers that have not heard of each other's requests all take from the same level; it cannot hold in every second while a link is down. Clocks are not shared, so routers cannot take turns either.

Change: a cold target gets requests from at most 0.8 of the slack's routers (10 at 15 a second), chosen by a hash that is the same at all of them, each with an equal share of 0.9 of the rate from a bucket of one request. All registered routers count, also silent ones; a router that has not listed them sends a cold target nothing. A target is cold after a registration that is new, of another process, back, or states a longer time; after an answer with Cold-Ms; after the evacuation of its data centre; and after it answers again once it was found down or lost answers, unless an answer to an earlier request shows that it did not restart. Heartbeats carry what a router has seen itself.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -73,6 +73,10 @@
 	// and its deadline: ExposureRatio times the requests for the service plus ExtraExposedRequests.
 	ExposureRatio        float64 `json:"expose" default:"0.1" limit:"0..1"`
 	ExtraExposedRequests float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
+	// ColdRatio and ExtraColdRequests limit the requests that a cold target gets in any second: ColdRatio times the rate of
+	// its service plus ExtraColdRequests.
+	ColdRatio         float64 `json:"overage" default:"1.5" limit:"1..100"`
+	ExtraColdRequests float64 `json:"slack" unit:"requests" default:"5" limit:"0..1000000"`
 }
 
 // Seconds converts a number of seconds to a duration.
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -62,6 +62,7 @@
 	ChangeUnreadable      ID = 511
 	TargetAsksForTime     ID = 512
 	TargetTimeIgnored     ID = 513
+	TargetCold            ID = 520
 	RolloutShareChanged   ID = 601
 	VersionJudgedBad      ID = 602
 	RolloutConcluded      ID = 603
@@ -131,6 +132,7 @@
 	{ChangeUnreadable, log.WarnLevel, "change of an object cannot be read"},
 	{TargetAsksForTime, log.InfoLevel, "target asks for time"},
 	{TargetTimeIgnored, log.WarnLevel, "time that a target asks for cannot be used"},
+	{TargetCold, log.InfoLevel, "target is cold"},
 	{RolloutShareChanged, log.InfoLevel, "move changed its share"},
 	{VersionJudgedBad, log.WarnLevel, "version judged bad"},
 	{RolloutConcluded, log.InfoLevel, "move ended"},
--- a/core/fleet/announce.go
+++ b/core/fleet/announce.go
@@ -51,9 +51,9 @@
 	if !e.missingSince.IsZero() {
 		f.missing--
 		f.forget(now, e)
-		return []Event{{e.Target, Deregistered}}
+		return []Event{{Target: e.Target, Change: Deregistered}}
 	}
-	return []Event{{e.Target, Leaving}}
+	return []Event{{Target: e.Target, Change: Leaving}}
 }
 
 // Announcements returns the newest announcements of targets whose registrations do not say that they leave.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -40,7 +40,7 @@
 	// reported.
 	Rev store.Rev
 	// ColdRemaining is the time for which the target is still slow after its start, as stated when it
-	// registered.
+	// registered, or last became cold again.
 	ColdRemaining time.Duration
 }
 
@@ -69,6 +69,9 @@
 type Event struct {
 	Target Target
 	Change Change
+	// Cold is true for an Up target that may be cold from now on: it is registered anew, again or by another process, or
+	// its registration states a longer time than before.
+	Cold bool
 }
 
 // Fleet is one router's view of the targets. It is not safe for concurrent use.
@@ -106,6 +109,8 @@
 	missingSince time.Time
 	// registeredReady is true if the registration itself does not say that the target leaves.
 	registeredReady bool
+	// coldStated is the time for which the last registration states that the target is cold.
+	coldStated time.Duration
 }
 
 // Option sets one property of a Fleet.
@@ -157,26 +162,28 @@
 	e, ok := f.targets[t.ID]
 	if !ok {
 		delete(f.removed, t.ID)
-		f.targets[t.ID] = &entry{Target: t, registeredReady: ready}
+		f.targets[t.ID] = &entry{Target: t, registeredReady: ready, coldStated: t.ColdRemaining}
 		if t.Leaving {
-			return []Event{{t, Leaving}}
+			return []Event{{Target: t, Change: Leaving}}
 		}
-		return []Event{{t, Up}}
+		return []Event{{Target: t, Change: Up, Cold: true}}
 	}
 	old, reappeared := e.Target, !e.missingSince.IsZero()
-	if t.Boot == old.Boot {
-		t.ColdRemaining = old.ColdRemaining // keep the value of the first registration: it only counts down
+	stated := t.ColdRemaining
+	again := stated > e.coldStated
+	if t.Boot == old.Boot && !again {
+		t.ColdRemaining = old.ColdRemaining // keep the first value: it counts down, which is no change
 	}
 	if reappeared {
 		f.missing--
 	}
-	e.Target, e.missingSince, e.registeredReady = t, time.Time{}, ready
+	e.Target, e.missingSince, e.registeredReady, e.coldStated = t, time.Time{}, ready, stated
 	old.Rev = t.Rev
 	switch {
 	case t.Leaving && !old.Leaving:
-		return []Event{{t, Leaving}}
-	case (reappeared || t != old) && !t.Leaving:
-		return []Event{{t, Up}}
+		return []Event{{Target: t, Change: Leaving}}
+	case (reappeared || again || t != old) && !t.Leaving:
+		return []Event{{Target: t, Change: Up, Cold: reappeared || again || t.Boot != old.Boot}}
 	}
 	return nil
 }
@@ -192,12 +199,12 @@
 		if e.missingSince.IsZero() {
 			e.missingSince = now
 			f.missing++
-			return []Event{{e.Target, Missing}}
+			return []Event{{Target: e.Target, Change: Missing}}
 		}
 		return nil
 	}
 	f.forget(now, e)
-	return []Event{{e.Target, Deregistered}}
+	return []Event{{Target: e.Target, Change: Deregistered}}
 }
 
 // outdated reports whether a registration is older than what is known of its target. A process that announced its
@@ -246,7 +253,7 @@
 		if e := f.targets[id]; !e.missingSince.IsZero() && now.Sub(e.missingSince) >= f.removalHold {
 			f.forget(now, e)
 			f.missing--
-			out = append(out, Event{e.Target, Deregistered})
+			out = append(out, Event{Target: e.Target, Change: Deregistered})
 		}
 	}
 	return out
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -89,6 +89,10 @@
 	Slots int
 	// TokensPerEvent is the number of tokens in one event of a stream; zero for plain services.
 	TokensPerEvent int
+	// ColdTime is the time for which a target is cold after its start, ColdRate the number of requests a second that it
+	// gets from all routers meanwhile; zero if the service states none.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Account is a client account.
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -38,6 +38,8 @@
 	Loads []Load
 	// Rates are those of targets that state one. A report may omit those that have not changed lately.
 	Rates []Rate
+	// Cold are the targets that the router knows to be cold.
+	Cold []Cold
 }
 
 // report is the last report received from another router.
@@ -52,7 +54,7 @@
 // Report returns the state of this router.
 func (p *Pool) Report(now time.Time) Report {
 	p.updateDemand(now)
-	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Rates: p.rates(now)}
+	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Rates: p.rates(now), Cold: p.coldReports(now)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
 			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt}
@@ -107,6 +109,7 @@
 		}
 	}
 	p.mergeRates(now, r.Router, r.Rates)
+	p.mergeCold(now, r.Cold)
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
 	p.ExpireReports(now)
 }
@@ -139,6 +142,7 @@
 			p.waitingRouters++
 		}
 	}
+	p.expireCold(now)
 	p.updateDemand(now)
 	p.divideSlots(now)
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -127,7 +127,7 @@
 // target rather than return to one that failed it, but not for one that asked for time.
 func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && p.open(t) && !t.missing && !now.Before(t.pause.until) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
+		if !t.CanaryOnly && p.open(t) && !t.missing && !p.closedByCold(now, t) && !now.Before(t.pause.until) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -131,6 +131,13 @@
 	usable  []*target
 	// evacuated are the data centres whose targets get no jobs.
 	evacuated []ident.DataCentre
+	// cold holds the targets that are cold, also those not in the pool; see cold.go. routers are the other routers that
+	// may send to them, counted by routersVersion; routersComplete is true once all are known.
+	cold            map[ident.TargetID]*coldState
+	coldLimits      ColdLimits
+	routers         []ident.ProcessID
+	routersVersion  uint64
+	routersComplete bool
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
 }
@@ -138,7 +145,7 @@
 // New returns an empty pool for the router self in the given data centre and region.
 func New(self ident.ProcessID, c ident.DataCentre, r ident.Region) *Pool {
 	return &Pool{
-		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
+		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{}, cold: map[ident.TargetID]*coldState{},
 	}
 }
 
@@ -182,8 +189,14 @@
 	}
 }
 
-// SetEvacuated sets the data centres whose targets get no new jobs; jobs that run there end as usual.
-func (p *Pool) SetEvacuated(centres []ident.DataCentre) {
+// SetEvacuated sets the data centres whose targets get no new jobs; jobs that run there end as usual. Targets of a data
+// centre that is not evacuated any more are cold.
+func (p *Pool) SetEvacuated(now time.Time, centres []ident.DataCentre) {
+	for _, t := range p.sorted {
+		if slices.Contains(p.evacuated, t.Centre) && !slices.Contains(centres, t.Centre) {
+			p.MarkCold(now, t.ID, p.coldLimits.Time, avail.FromEvacuation)
+		}
+	}
 	p.evacuated = slices.Clone(centres)
 	p.updateEventGap()
 }
@@ -238,6 +251,9 @@
 // FirstEvent records the first event of the job's answer.
 func (p *Pool) FirstEvent(now time.Time, id ident.TargetID, j *Job) {
 	if t, ok := p.targets[id]; ok {
+		if i := t.runIndex(j); i >= 0 {
+			p.recordAnswer(now, t, t.runs[i].sent)
+		}
 		t.firstEvent(now, j)
 	}
 }
@@ -246,8 +262,10 @@
 type Outcome struct {
 	// Failed is true when the target failed; not when it refused the job or the client disconnected.
 	Failed bool
-	// Unreachable is true when no connection could be opened.
-	Unreachable bool
+	// Unreachable is true when no connection could be opened, Refused when the target's host refused it.
+	Unreachable, Refused bool
+	// Lost is true when the connection ended before the answer.
+	Lost bool
 	// Replaced is true when another target has taken over the address.
 	Replaced bool
 	// Full is true when the target refused the job, which then has not run.
@@ -270,6 +288,12 @@
 	if i >= 0 && o.Complete {
 		p.recordDuration(j, now.Sub(t.runs[i].sent))
 	}
+	switch {
+	case o.Unreachable || o.Lost:
+		p.suspectRestart(now, t, o.Refused, avail.FromConnection)
+	case i >= 0 && o.Full:
+		p.recordAnswer(now, t, t.runs[i].sent)
+	}
 	if t.done(now, j, o) {
 		p.running--
 		p.recordLength(j, o.Events)
@@ -297,6 +321,7 @@
 func (p *Pool) MarkDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok && !now.Before(t.backoffUntil) {
 		t.foundDown(now)
+		p.suspectRestart(now, t, true, avail.FromConnection)
 	}
 }
 
@@ -308,6 +333,7 @@
 	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent}
 	p.countBorrowed(now, t)
 	p.countRate(now, t)
+	p.countCold(now, t)
 	t.countPaced(now)
 	t.start(now, j)
 	p.running++
--- a/core/sched/rate.go
+++ b/core/sched/rate.go
@@ -102,8 +102,12 @@
 // full reports whether the bucket was full when it was last filled.
 func (r *rate) full(share float64) bool { return r.level >= r.size(share) }
 
-// withinRate reports whether the rate that the target states allows this router one more request now.
+// withinRate reports whether the rate that the target states, or that of a cold one, allows this router one more request
+// now.
 func (p *Pool) withinRate(now time.Time, t *target) bool {
+	if !p.withinCold(now, t) {
+		return false
+	}
 	r := t.rate
 	if r == nil || r.perSecond == 0 {
 		return true
@@ -124,6 +128,10 @@
 
 // rateRoom returns the number of requests that the stated rate allows all routers now, at most n.
 func (p *Pool) rateRoom(now time.Time, t *target, n int) int {
+	if c := p.limitedState(now, t.ID); c != nil {
+		p.fillCold(now, t, c)
+		n = min(n, int(c.level))
+	}
 	if t.rate == nil || t.rate.perSecond == 0 {
 		return n
 	}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -81,6 +81,8 @@
 	// did and no answer has come since.
 	downAt         time.Time
 	foundDownByAny bool
+	// aliveFrom and aliveTo are the times at which the last request that was answered was sent and answered.
+	aliveFrom, aliveTo time.Time
 	// pause is the time for which the target wants no jobs; see pause.go. placements counts the recent placements of
 	// this router.
 	pause      pause
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -50,6 +50,20 @@
 	Trials []HeartbeatTrial
 	// Evacuations are those that the sender knows of, also those that have ended.
 	Evacuations []HeartbeatEvacuation
+	// Cold are the targets that the sender itself knows to be cold, or to have restarted perhaps.
+	Cold []HeartbeatCold
+}
+
+// HeartbeatCold is a target that is cold or may be.
+type HeartbeatCold struct {
+	_struct bool `codec:",toarray"`
+
+	Target TargetKey
+	// LeftMillis is the time until the target is warm; zero if it is not known to be cold.
+	LeftMillis int64
+	// RestartAgeMillis is the time since a supposed restart, RestartLeftMillis the time until that counts no more; zero if
+	// there was none.
+	RestartAgeMillis, RestartLeftMillis int64
 }
 
 // HeartbeatEvacuation is the evacuation of a data centre; see package avail.
--- a/router/direct/cells.go
+++ b/router/direct/cells.go
@@ -38,6 +38,7 @@
 		}
 	}
 	defer r.startLimits(now)
+	r.updateSenders()
 	if own == r.cell {
 		return
 	}
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -42,6 +42,9 @@
 // errUnreachable means that no connection could be opened; nothing was sent.
 var errUnreachable = errors.New("target cannot be reached")
 
+// errRefused means that the host of the target refused a connection; it is an errUnreachable.
+var errRefused = errors.WithMessage(errUnreachable, "refused")
+
 // conn is one connection to a target. One request uses it at a time.
 type conn struct {
 	limitedConn
@@ -74,6 +77,9 @@
 	}
 	k, err := dial(ctx, addr)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.WithMessage(errRefused, err.Error())
+		}
 		return nil, errors.Wrap(errUnreachable, err.Error())
 	}
 	return k, nil
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -103,6 +103,8 @@
 	// HasRate is true when the target states how many requests it takes from all routers together, Rate a second.
 	HasRate bool
 	Rate    float64
+	// Cold is the time for which the target states that it is cold; zero if it states none.
+	Cold time.Duration
 	// Leaving is true when the target states that it leaves; it wants no more requests.
 	Leaving bool
 	// Pause is the time for which the target wants no requests from this router; zero if it asks for none. OddPause is
@@ -295,9 +297,10 @@
 	p, ok := r.pools[s]
 	if !ok {
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region)
-		p.StopAt(r.stopAt)
-		p.SetEvacuated(r.evacuated)
 		r.pools[s] = p
+		p.StopAt(r.stopAt)
+		p.SetEvacuated(time.Now(), r.evacuated)
+		r.updateColdLimits(s, p)
 	}
 	return p
 }
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -66,6 +66,9 @@
 	if n, err := strconv.ParseFloat(h.Get("X-Pause"), 64); err == nil && status == 503 {
 		a.Pause = time.Duration(n * float64(time.Second))
 	}
+	if n, err := strconv.Atoi(h.Get("X-Cold")); err == nil {
+		a.Cold = time.Duration(n) * time.Millisecond
+	}
 	if n, err := strconv.ParseFloat(h.Get("X-Rate"), 64); err == nil {
 		a.HasRate, a.Rate = true, n
 	}
@@ -188,7 +191,7 @@
 	e.cfg = conf.Direct{
 		Name: "r1", Region: "a", Centre: "a1", Centres: []conf.Centre{{Name: "a1", Region: "a"}},
 		Listen: freeAddr(g), Ready: freeAddr(g), Admin: freeAddr(g), Heartbeat: freeAddr(g),
-		GraceSeconds: 1.2, DrainMillis: 2500, RetryRatio: 0.5, ExtraRetries: 20, RetryPeriodSeconds: 10, RecoveryMillis: 3000, ExposureRatio: 0.1, ExtraExposedRequests: 50,
+		GraceSeconds: 1.2, DrainMillis: 2500, RetryRatio: 0.5, ExtraRetries: 20, RetryPeriodSeconds: 10, RecoveryMillis: 3000, ExposureRatio: 0.1, ExtraExposedRequests: 50, ColdRatio: 1.5, ExtraColdRequests: 5,
 	}
 	e.putObject("config", "main", config{Generation: 1, Routes: routes()})
 	return e
@@ -289,6 +292,7 @@
 	seen     []*http.Request
 	bodies   []string
 	conns    int
+	open     []net.Conn
 }
 
 // startTarget starts a target that calls script for each request, with the number of requests so far; it closes
@@ -312,6 +316,7 @@
 			}
 			x.mu.Lock()
 			x.conns++
+			x.open = append(x.open, c)
 			x.mu.Unlock()
 			go x.serveConn(c, script)
 		}
@@ -319,6 +324,15 @@
 	return x
 }
 
+// closeConns closes all connections, as the end of a process does.
+func (x *scriptedTarget) closeConns() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.open {
+		_ = c.Close()
+	}
+}
+
 func (x *scriptedTarget) serveConn(c net.Conn, script func(int, *http.Request, net.Conn) bool) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
--- a/router/direct/evacuations.go
+++ b/router/direct/evacuations.go
@@ -93,7 +93,7 @@
 		}
 	}
 	for _, p := range r.pools {
-		p.SetEvacuated(centres)
+		p.SetEvacuated(now, centres)
 		r.schedule(now, p)
 	}
 }
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -184,6 +184,7 @@
 			d.Loads = append(d.Loads, load)
 		}
 		m.Demands = append(m.Demands, d)
+		addCold(m, rep.Cold)
 		r.addRates(now, m, rep.Rates, turn%levelsEvery == 0)
 		for _, t := range p.RecentlyDown(now) {
 			m.DownTargets = append(m.DownTargets, wire.HeartbeatDown{Service: s, Target: t})
@@ -301,10 +302,10 @@
 			pool.PeerFoundDown(now, d.Target)
 		}
 	}
-	rates := r.ratesOf(now, b)
+	rates, cold := r.ratesOf(now, b), r.coldOf(b)
 	for s, pool := range r.pools {
 		rep := reports[s]
-		rep.Router, rep.Region, rep.Rates = b.Process, b.Region, rates[s]
+		rep.Router, rep.Region, rep.Rates, rep.Cold = b.Process, b.Region, rates[s], cold[s]
 		pool.SetReportInterval(r.reportInterval(now))
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -307,9 +307,9 @@
 	case ctx.Err() != nil:
 		a.result = abandoned
 	case errors.Is(err, errUnreachable):
-		a.result, a.outcome.Unreachable = notRun, true
+		a.result, a.outcome.Unreachable, a.outcome.Refused = notRun, true, errors.Is(err, errRefused)
 	default:
-		a.result, a.outcome.Failed = answerLost, true
+		a.result, a.outcome.Failed, a.outcome.Lost = answerLost, true, isConnectionEnd(err)
 	}
 }
 
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -16,6 +16,7 @@
 		return // another target has the address
 	}
 	r.recordPause(c, t, a)
+	r.recordCold(t, a)
 	if !a.Leaving {
 		return
 	}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -179,6 +179,9 @@
 	r.configObject = o
 	r.logReady()
 	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout())
+	for s, p := range r.pools {
+		r.updateColdLimits(s, p)
+	}
 	r.applySlots(table)
 }
 
@@ -304,6 +307,7 @@
 			r.targets[t.ID] = t
 			r.addTargetKey(t.ID)
 			r.observeVersion(t)
+			r.markCold(now, e, pool)
 			if !r.usable(t) {
 				continue
 			}
