One place determines the state of a target

Cause: the flags that keep jobs from a target were tested in ten places of core/sched, each with its own subset, and metrics counted two of them.

Change: core/avail.Facts derives the state of a target, its source and what ends it. core/sched asks it for every placement, wait and refusal. hickoryvane_targets counts targets by service and by all states, and GET /status on the admin address lists them.

Ruled out: one state per target for all questions. A target that was found down is tried again after its back-off time, and one that asked for time still counts for the wait, so the type has a query for each.

Result: go test ./core/sched ./core/avail ./core/meter ./core/conf: ok; router/direct, tests of states, cold targets, evacuations, pauses and leaving targets: ok.

--- a/core/meter/instrument.go
+++ b/core/meter/instrument.go
@@ -57,6 +57,6 @@
 			return errors.WithMessage(err, c.name)
 		}
 	}
-	m.targets, err = in.Int64Gauge("hickoryvane.targets", metric.WithUnit("{target}"), metric.WithDescription("targets that leave or asked for time"))
+	m.targets, err = in.Int64Gauge("hickoryvane.targets", metric.WithUnit("{target}"), metric.WithDescription("targets by state"))
 	return errors.WithMessage(err, "hickoryvane.targets")
 }
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -147,7 +147,7 @@
 	m.resent.Add(context.Background(), 1, m.resends.get(resendLabels{m.names.service(s), after}).add...)
 }
 
-// RecordTargets records how many targets of a service are in a state in which they get no requests.
+// RecordTargets records how many targets of a service are in a state.
 func (m *Meter) RecordTargets(s ident.Service, state string, n int) {
 	m.targets.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", string(m.names.service(s))), attribute.String("state", state)))
 }
--- a/core/sched/ending.go
+++ b/core/sched/ending.go
@@ -59,7 +59,7 @@
 		return p.fitsBeforeStop(now, p.longestCall(now, j))
 	}
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && p.open(t) && j.Homes.Allow(t.Region) && p.fitsBeforeStop(now, p.longestStream(t, j)) {
+		if f := p.facts(t); !f.Canary && f.Open() && j.Homes.Allow(t.Region) && p.fitsBeforeStop(now, p.longestStream(t, j)) {
 			return true
 		}
 	}
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -101,7 +101,7 @@
 		return p.shortestEventGap
 	}
 	for _, t := range p.sorted {
-		if gap := p.gapOf(t); j.Homes.Allow(t.Region) && p.open(t) && !t.missing && (shortest == 0 || gap < shortest) {
+		if f, gap := p.facts(t), p.gapOf(t); j.Homes.Allow(t.Region) && f.Open() && !f.Missing && (shortest == 0 || gap < shortest) {
 			shortest = gap
 		}
 	}
--- a/core/sched/pause.go
+++ b/core/sched/pause.go
@@ -57,18 +57,13 @@
 // Paused returns the number of targets that want no jobs at present.
 func (p *Pool) Paused(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if !t.draining && now.Before(t.pause.until) {
+		if p.status(now, t).State == avail.Paused {
 			n++
 		}
 	}
 	return n
 }
 
-// resting reports whether a target gets no jobs now, because it failed, asked for time or resumes at its pace.
-func (t *target) resting(now time.Time) bool {
-	return now.Before(t.backoffUntil) || now.Before(t.pause.until) || now.Before(t.pause.pacedUntil) && now.Before(t.pause.next)
-}
-
 // countPaced records a placement for the pace of the target.
 func (t *target) countPaced(now time.Time) {
 	t.placements.add(now)
@@ -81,10 +76,11 @@
 // jobs may wait for that; none is waited for if there is no such target.
 func (p *Pool) awaitsPause(now time.Time, homes avail.Homes) (back time.Time, room int, ok bool) {
 	for _, t := range p.sorted {
+		f := p.facts(t)
 		switch {
-		case t.CanaryOnly || !p.open(t) || !homes.Allow(t.Region):
+		case f.Canary || !f.Open() || !homes.Allow(t.Region):
 			continue
-		case !now.Before(t.pause.until):
+		case f.Accepts(now):
 			return back, 0, false
 		}
 		if back.IsZero() || t.pause.until.Before(back) {
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,7 +48,7 @@
 	mean := p.meanJobs()
 	var below, above, preferred *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || !p.open(t) || t.missing || t.resting(now) || !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
+		if f := p.facts(t); !f.Canary || f.Missing || !f.Takes(now) || !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
@@ -76,7 +76,7 @@
 func (p *Pool) meanJobs() float64 {
 	jobs, n := 0, 0
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && p.open(t) {
+		if f := p.facts(t); !f.Canary && f.Open() {
 			jobs += t.jobs()
 			n++
 		}
@@ -89,7 +89,7 @@
 func (p *Pool) collectUsable(now time.Time) {
 	p.usable = p.usable[:0]
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && p.open(t) && p.mayPlace(now, t) {
+		if f := p.facts(t); !f.Canary && p.mayPlace(now, t) {
 			p.usable = append(p.usable, t)
 		}
 	}
@@ -127,7 +127,7 @@
 // target rather than return to one that failed it, but not for one that asked for time.
 func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && p.open(t) && !t.missing && !p.closedByCold(now, t) && !now.Before(t.pause.until) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
+		if f := p.facts(t); !f.Canary && !f.Missing && f.Accepts(now) && !p.closedByCold(now, t) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
@@ -150,8 +150,9 @@
 
 // riskLevel returns the worst risk of placing the job on the target.
 func (p *Pool) riskLevel(now time.Time, t *target, chance float64) int {
+	f := p.facts(t)
 	switch {
-	case t.missing:
+	case f.Missing:
 		return riskMissing
 	case t.silent(now):
 		return riskSilent
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -201,19 +201,20 @@
 	p.updateEventGap()
 }
 
-// open reports whether a target may get jobs at all: it does not leave, and its data centre is not evacuated.
-func (p *Pool) open(t *target) bool { return !t.draining && !slices.Contains(p.evacuated, t.Centre) }
-
 // Accepts reports whether a target still takes a job that was placed on it.
 func (p *Pool) Accepts(now time.Time, id ident.TargetID) bool {
 	t, ok := p.targets[id]
-	return ok && p.open(t) && !now.Before(t.pause.until)
+	if !ok {
+		return false
+	}
+	f := p.facts(t)
+	return f.Accepts(now)
 }
 
 // InUse returns the number of targets that jobs are placed on and that were not found down since their last answer, nor are silent.
 func (p *Pool) InUse(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if p.Accepts(now, t.ID) && !t.missing && !t.CanaryOnly && !t.foundDownByAny && !t.silent(now) {
+		if p.status(now, t).InUse() {
 			n++
 		}
 	}
--- a/core/sched/ratesplit.go
+++ b/core/sched/ratesplit.go
@@ -25,12 +25,12 @@
 	rated, slots, free := false, 0, 0
 	for _, t := range p.sorted {
 		switch {
-		case t.CanaryOnly || !p.open(t) || t.missing:
+		case !p.serves(t):
 		case t.rated():
 			rated = true
 		default:
 			slots += t.Slots
-			if !t.resting(now) {
+			if p.takes(now, t) {
 				free += max(t.freeSlots(), 0)
 			}
 		}
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -154,7 +154,7 @@
 func (p *Pool) mayPlace(now time.Time, t *target) bool {
 	free := t.freeSlots()
 	switch {
-	case free <= 0 || t.resting(now) || !p.withinRate(now, t):
+	case free <= 0 || !p.takes(now, t) || !p.withinRate(now, t):
 		return false
 	case len(p.peers) == 0, len(t.runs) < t.allotted:
 		return true
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -45,7 +45,7 @@
 // countSpareSlots returns the number of free slots that remain if all waiting jobs of all routers get one.
 func (p *Pool) countSpareSlots(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && p.open(t) && !t.missing && !t.resting(now) {
+		if p.serves(t) && p.takes(now, t) {
 			n += p.rateRoom(now, t, max(t.freeSlots(), 0))
 		}
 	}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -211,7 +211,7 @@
 	var sum, shortest time.Duration
 	n := 0
 	for _, t := range p.sorted {
-		if t.eventGap <= 0 || !p.open(t) || t.missing {
+		if f := p.facts(t); t.eventGap <= 0 || !f.Open() || f.Missing {
 			continue
 		}
 		sum += t.eventGap
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -93,6 +93,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", r.meter.Handler())
 	mux.HandleFunc("GET "+snapshotPath, r.serveSnapshot)
+	mux.HandleFunc("GET "+statusPath, r.serveStatus)
 	for addr, h := range map[string]http.Handler{r.cfg.Ready: probe, r.cfg.Admin: mux} {
 		ln, err := admin.Listen(addr)
 		if err != nil {
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -5,7 +5,6 @@
 
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
-	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/wire"
 )
 
@@ -91,17 +90,3 @@
 		r.logFleetEvents(events, "source", "peer", "peer", b.Process)
 	}
 }
-
-// recordTargets records for the metrics which targets get no requests because of what they stated; r.mu is held.
-func (r *Router) recordTargets(now time.Time) {
-	leaving := map[ident.Service]int{}
-	for _, t := range r.targets {
-		if t.Leaving {
-			leaving[t.Service]++
-		}
-	}
-	for s, p := range r.pools {
-		r.meter.RecordTargets(s, "leaving", leaving[s])
-		r.meter.RecordTargets(s, "paused", p.Paused(now))
-	}
-}
