Move the reader of event streams to core/stream

The reader and the checks of the rest of a stream need no router.

Change: eventreader.go and streamrest.go of router/direct move to core/stream with their fuzz test; names are exported. Behaviour is unchanged.

--- a/router/direct/fuzz_test.go
+++ b/core/stream/fuzz_test.go
@@ -1,4 +1,4 @@
-package direct_test
+package stream_test
 
 import (
 	"bytes"
@@ -7,12 +7,12 @@
 	"testing"
 	"testing/iotest"
 
-	"hickoryvane.example/router/direct"
+	"hickoryvane.example/core/stream"
 )
 
 // Guards against bytes of a stream that are lost, added, or reported as an event although they are padding or
 // unfinished, however they are cut into reads.
-func FuzzEventReader(f *testing.F) {
+func FuzzReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), false)
 	f.Add([]byte(": comment\n\n\n\r\n\ndata: x\r\n\r\nda"), true)
 	f.Add([]byte("id:\n\ndata\n\n\x00\xff\n\n"), true)
@@ -21,7 +21,7 @@
 		if byteByByte {
 			r = iotest.OneByteReader(r)
 		}
-		e := direct.NewEventReader(r)
+		e := stream.NewReader(r)
 		var out []byte
 		for n := 0; ; n++ {
 			block, isEvent, err := e.Next()
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -17,6 +17,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
+	"hickoryvane.example/core/stream"
 )
 
 const (
@@ -86,7 +87,7 @@
 type progress struct {
 	started bool
 	// format is that of the first target's answer; it is set once started is true.
-	format answerFormat
+	format stream.Format
 	// lastID is the id of the last event that was forwarded.
 	lastID string
 	events int
@@ -282,7 +283,7 @@
 		a.err = errors.Errorf("status %d, not run", x.StatusCode)
 		n, err := io.Copy(io.Discard, io.LimitReader(x.Body, refusalBodyMax))
 		complete = err == nil && n < refusalBodyMax
-	case prog.started && x.format() != prog.format:
+	case prog.started && stream.FormatOf(x.StatusCode, x.Header) != prog.format:
 		a.result, a.outcome.Failed = answerLost, true
 		a.err = errors.Errorf("status %d with content type %.100q is not the rest of the stream", x.StatusCode, x.Header.Get("Content-Type"))
 	case c.route.Kind == route.Stream && x.StatusCode/100 == 2:
@@ -351,17 +352,17 @@
 // streamAnswer forwards events as they arrive.
 func (r *Router) streamAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, x *exchange, prog *progress, stall *stallWatch) (complete bool) {
 	rc := http.NewResponseController(w)
-	e := newEventReader(x.Body)
+	e := stream.NewReader(x.Body)
 	rest, after := prog.started, prog.lastID
 	var firstAt, lastAt time.Time
 	for {
-		b, isEvent, err := e.next()
+		b, isEvent, err := e.Next()
 		switch {
-		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.count == 0):
+		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.Count == 0):
 			// Without framing, and for the rest of a stream, only the end of an event can be the end of the stream.
 			err = io.ErrUnexpectedEOF
-		case err == nil && isEvent && rest && !follows(e.lastID, after):
-			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.lastID, after)
+		case err == nil && isEvent && rest && !stream.Follows(e.LastID, after):
+			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.LastID, after)
 		}
 		if err != nil && err != io.EOF {
 			a.setError(ctx, err)
@@ -378,22 +379,22 @@
 			if !a.passed && lastAt.Sub(firstAt) >= passTime {
 				r.recordPass(c, a)
 			}
-			if e.count == earlyGapEvents {
+			if e.Count == earlyGapEvents {
 				r.recordEventGap(c.service, a.target.ID, lastAt.Sub(firstAt)/(earlyGapEvents-1))
 			}
 		}
 		if !prog.started {
-			prog.started, prog.format = true, x.format()
+			prog.started, prog.format = true, stream.FormatOf(x.StatusCode, x.Header)
 			r.writeHead(w, c, x.StatusCode, x.Header)
 		}
 		_, werr := w.Write(b)
 		if err == nil && isEvent {
 			prog.events++
-			if prog.lastID = e.lastID; !prog.resumable() {
+			if prog.lastID = e.LastID; !prog.resumable() {
 				stall.stop()
 			}
 		}
-		if werr == nil && !e.hasBuffered() {
+		if werr == nil && !e.HasBuffered() {
 			werr = rc.Flush()
 		}
 		if werr != nil {
@@ -408,12 +409,12 @@
 			break
 		}
 	}
-	a.events = e.count
-	if e.count > 1 {
-		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.count-1)
+	a.events = e.Count
+	if e.Count > 1 {
+		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.Count-1)
 	}
 	if complete && prog.runs == 0 {
-		a.outcome.Events = e.count
+		a.outcome.Events = e.Count
 	}
 	return complete
 }
