--- a/router/direct/cold_test.go
+++ b/router/direct/cold_test.go
@@ -89,7 +89,7 @@
 func TestColdTargetGetsFewRequests(t *testing.T) {
 	var l arrivalLog
 	var cold sync.Once
-	script := func(n int, r *http.Request, c net.Conn) bool {
+	script := func(_ int, r *http.Request, c net.Conn) bool {
 		l.add()
 		header := []string{}
 		cold.Do(func() { header = []string{"X-Cold", "4000"} })
