--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -75,7 +75,7 @@
 	ExtraExposedRequests float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
 	// ColdRatio and ExtraColdRequests limit the requests that a cold target gets in any second: ColdRatio times the rate of
 	// its service plus ExtraColdRequests.
-	ColdRatio         float64 `json:"overage" default:"1.5" limit:"1..100"`
+	ColdRatio         float64 `json:"overage" default:"1.5" limit:"0..100"`
 	ExtraColdRequests float64 `json:"slack" unit:"requests" default:"5" limit:"0..1000000"`
 }
 
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -193,7 +193,7 @@
 	if c.rank >= n {
 		return 0
 	}
-	return coldRateShare * p.coldLimits.Rate * t.rateShare() / float64(n)
+	return coldRateShare * min(p.coldLimits.Overage, 1) * p.coldLimits.Rate * t.rateShare() / float64(n)
 }
 
 // senderHash orders the routers that may send to a target, alike at all of them.
