Cold targets end their warm-up with the first answer at any router

Cause: routers that found a target down went on telling so for 7 s, so the others kept it cold although one of them had its answer; 188 and 122 requests in 1.5 s at four warm targets where more than 240 are expected.

Ruled out: a shorter suspicion alone. A router that has not tried the target since must not take it for warm while it starts.

Change: heartbeats tell whether the target has answered since, and to a request of which age. The suspicion of other routers then ends with the time that follows that answer. The first list of targets waits for the evacuations only once.

--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -57,9 +57,9 @@
 	// until is the end of the time for which the target is known to be cold, ownUntil the same without what other routers
 	// report. Routers report only the latter, so that they do not extend it for each other.
 	until, ownUntil time.Time
-	// restartAt is the time of a supposed restart, answered is true once a request that was sent later was answered, and
-	// suspectUntil the end of the suspicion; ownSuspectUntil is its part that other routers are told of.
-	restartAt                     time.Time
+	// restartAt is the time of a supposed restart, and suspectUntil the end of the suspicion; ownSuspectUntil is its part
+	// that other routers are told of. answered is true once a request that was sent later, at answeredAt, was answered.
+	restartAt, answeredAt         time.Time
 	answered                      bool
 	suspectUntil, ownSuspectUntil time.Time
 	// level is the content of this router's bucket, in requests; rank is its position among the routers that send to the
@@ -78,6 +78,9 @@
 	// RestartAge is the time since a supposed restart, RestartLeft the time until the suspicion ends; zero if there is
 	// none.
 	RestartAge, RestartLeft time.Duration
+	// Answered is true if the target has answered since a request that was sent AnsweredAge ago.
+	Answered    bool
+	AnsweredAge time.Duration
 }
 
 // SetColdLimits sets the limits of cold targets. A service without a rate has none, and none of its targets counts as
@@ -164,7 +167,7 @@
 	case t.aliveAt(c.restartAt):
 		c.suspectUntil, c.ownSuspectUntil = time.Time{}, time.Time{}
 	case !c.answered && sent.After(c.restartAt):
-		c.answered = true
+		c.answered, c.answeredAt = true, sent
 		c.suspectUntil = now.Add(p.coldLimits.Time)
 		c.ownSuspectUntil = c.suspectUntil
 	}
@@ -244,6 +247,9 @@
 		m := Cold{Target: id, Left: max(c.ownUntil.Sub(now), 0)}
 		if left := c.ownSuspectUntil.Sub(now); left > 0 {
 			m.RestartAge, m.RestartLeft = now.Sub(c.restartAt), left
+			if m.Answered = c.answered; m.Answered {
+				m.AnsweredAge = now.Sub(c.answeredAt)
+			}
 		}
 		if m.Left > 0 || m.RestartLeft > 0 {
 			out = append(out, m)
@@ -269,15 +275,32 @@
 		}
 		if at := now.Add(-m.RestartAge); m.RestartLeft > 0 && !t.aliveAt(at) {
 			c := p.coldOf(now, m.Target)
-			if !now.Before(c.suspectUntil) {
-				c.restartAt, c.answered = at, false
-			}
-			c.suspectUntil = later(c.suspectUntil, now.Add(m.RestartLeft))
+			c.mergeSuspicion(now, at, m)
 			c.source = sourceOr(c.source)
 		}
 	}
 }
 
+// mergeSuspicion applies that another router supposes a restart at a time. Once any router has an answer, the target is
+// warm after the time that follows that answer, also where nothing was sent to it since.
+func (c *coldState) mergeSuspicion(now, at time.Time, m Cold) {
+	left, active := now.Add(m.RestartLeft), now.Before(c.suspectUntil)
+	switch answeredAt := now.Add(-m.AnsweredAge); {
+	case !active:
+		c.restartAt, c.answered, c.answeredAt, c.suspectUntil = at, m.Answered, answeredAt, left
+	case m.Answered && !c.answered && c.restartAt.Before(answeredAt):
+		c.answered, c.answeredAt, c.suspectUntil = true, answeredAt, left
+		if left.Before(c.ownSuspectUntil) {
+			c.ownSuspectUntil = left
+		}
+	case !m.Answered && c.answered && at.Before(c.answeredAt):
+	case !m.Answered && c.answered:
+		c.restartAt, c.answered, c.suspectUntil = at, false, left
+	default:
+		c.suspectUntil = later(c.suspectUntil, left)
+	}
+}
+
 // sourceOr returns the source of a state that another router reports, too.
 func sourceOr(s avail.Source) avail.Source {
 	if s == "" {
--- a/core/sched/cold_test.go
+++ b/core/sched/cold_test.go
@@ -156,7 +156,7 @@
 			g := NewWithT(t)
 			arrivals, wait := r.run()
 			g.Expect(arrivals).To(HaveLen(coldSetSize), "all are used")
-			back, cold, late := coldDown+r.away, 0, 0
+			back, cold, warm, late := coldDown+r.away, 0, 0, 0
 			for id, l := range arrivals {
 				for i, begin := range l {
 					n := 0
@@ -168,15 +168,19 @@
 					if begin+1000 <= back+3000 {
 						g.Expect(float64(n)).To(BeNumerically("<=", 1.5*15+5), "%s from %d ms", id, begin)
 					}
-					if begin < back+3000 {
+					switch {
+					case begin < back+3000:
 						cold++
-					} else if begin >= 12_000 {
+					case begin >= back+5000 && begin < back+6500:
+						warm++
+					case begin >= 12_000:
 						late++
 					}
 				}
 				g.Expect(len(l)).To(BeNumerically(">", 200), "%s is used once it is warm", id)
 			}
 			g.Expect(late).To(BeNumerically(">", coldSetSize*80), "they are warm in the end")
+			g.Expect(warm).To(BeNumerically(">", coldSetSize*60), "routers do not keep them cold for each other")
 			if !r.silent {
 				g.Expect(cold).To(BeNumerically(">", coldSetSize*15), "cold targets get some of what they take")
 			}
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -64,6 +64,9 @@
 	// RestartAgeMillis is the time since a supposed restart, RestartLeftMillis the time until that counts no more; zero if
 	// there was none.
 	RestartAgeMillis, RestartLeftMillis int64
+	// Answered is true if the target has answered since a request that was sent AnsweredAgeMillis ago.
+	Answered          bool
+	AnsweredAgeMillis int64
 }
 
 // HeartbeatEvacuation is the evacuation of a data centre; see package avail.
--- a/router/direct/cold.go
+++ b/router/direct/cold.go
@@ -74,7 +74,7 @@
 // addCold adds the cold targets of a service to a heartbeat.
 func addCold(m *wire.Heartbeat, cold []sched.Cold) {
 	for _, c := range cold {
-		m.Cold = append(m.Cold, wire.HeartbeatCold{Target: wire.KeyOf(c.Target), LeftMillis: c.Left.Milliseconds(), RestartAgeMillis: c.RestartAge.Milliseconds(), RestartLeftMillis: c.RestartLeft.Milliseconds()})
+		m.Cold = append(m.Cold, wire.HeartbeatCold{Target: wire.KeyOf(c.Target), LeftMillis: c.Left.Milliseconds(), RestartAgeMillis: c.RestartAge.Milliseconds(), RestartLeftMillis: c.RestartLeft.Milliseconds(), Answered: c.Answered, AnsweredAgeMillis: c.AnsweredAge.Milliseconds()})
 	}
 }
 
@@ -86,6 +86,7 @@
 			out[t.Service] = append(out[t.Service], sched.Cold{
 				Target: t.ID, Left: time.Duration(c.LeftMillis) * time.Millisecond,
 				RestartAge: time.Duration(c.RestartAgeMillis) * time.Millisecond, RestartLeft: time.Duration(c.RestartLeftMillis) * time.Millisecond,
+				Answered: c.Answered, AnsweredAge: time.Duration(c.AnsweredAgeMillis) * time.Millisecond,
 			})
 		}
 	}
--- a/router/direct/evacuations.go
+++ b/router/direct/evacuations.go
@@ -63,6 +63,7 @@
 	select {
 	case <-r.evacuationsListed:
 	case <-t.C:
+		r.evacuationsOnce.Do(func() { close(r.evacuationsListed) }) // later lists do not wait again
 	}
 }
 
