Cold targets: a fault of a path or a connection is not a restart

Cause: a target that one router could not reach, or whose answer was lost on a connection that broke, was cold for all routers for 3 s after its next answer, although its process had gone on.

Change: a router that gets no connection in time keeps that to itself. A target that accepts a connection within 50 ms of a lost answer counts as the same process. Refused connections are told to the others as before.

--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -34,6 +34,9 @@
 	// aliveMargin is the time after a supposed restart from which an answer shows that there was none. Earlier ones may
 	// have been sent before it.
 	aliveMargin = 100 * time.Millisecond
+	// startTimeMin is the time within which no process can end and another one accept connections. The check of a target
+	// that lost an answer begins after 10 ms.
+	startTimeMin = 50 * time.Millisecond
 )
 
 // ColdLimits state how long the targets of a service are cold after their start, and what they get meanwhile.
@@ -59,8 +62,10 @@
 	until, ownUntil time.Time
 	// restartAt is the time of a supposed restart, and suspectUntil the end of the suspicion; ownSuspectUntil is its part
 	// that other routers are told of. answered is true once a request that was sent later, at answeredAt, was answered.
-	restartAt, answeredAt         time.Time
-	answered                      bool
+	restartAt, answeredAt time.Time
+	answered              bool
+	// local is true if only this router's path to the target may be at fault, so that others are not told.
+	local                         bool
 	suspectUntil, ownSuspectUntil time.Time
 	// level is the content of this router's bucket, in requests; rank is its position among the routers that send to the
 	// target, as of rankedAt.
@@ -142,20 +147,44 @@
 	return c
 }
 
-// suspectRestart records that a target may have restarted. told is true if other routers are to take it for restarted,
-// too.
-func (p *Pool) suspectRestart(now time.Time, t *target, told bool, s avail.Source) {
+// sign is what makes a target count as one that may have restarted.
+type sign uint8
+
+const (
+	// signTimeout: no connection could be opened, for which the path may be the reason; others are not told.
+	signTimeout sign = iota
+	// signLost: a connection ended before the answer; others are told once the target answers again.
+	signLost
+	// signRefused: the host of the target refused a connection; others are told at once.
+	signRefused
+)
+
+// suspectRestart records that a target may have restarted.
+func (p *Pool) suspectRestart(now time.Time, t *target, s sign) {
 	if p.coldLimits.Rate <= 0 || p.coldLimits.Time <= 0 {
 		return
 	}
 	c := p.coldOf(now, t.ID)
-	c.restartAt, c.answered, c.source = now, false, s
+	c.local = s == signTimeout && (c.local || !now.Before(c.suspectUntil))
+	c.restartAt, c.answered, c.source = now, false, avail.FromConnection
 	c.suspectUntil = now.Add(suspectTime + p.coldLimits.Time)
-	if told {
+	if s == signRefused {
 		c.ownSuspectUntil = c.suspectUntil
 	}
 }
 
+// Accepted records that a target accepted a connection. Right after it lost an answer, that shows that the process is the
+// same one.
+func (p *Pool) Accepted(now time.Time, id ident.TargetID) {
+	c := p.limitedState(now, id)
+	if c == nil || c.answered || now.Before(c.ownSuspectUntil) {
+		return
+	}
+	if now.Sub(c.restartAt) < startTimeMin {
+		c.suspectUntil = time.Time{}
+	}
+}
+
 // recordAnswer records that the target answered a request that was sent at the given time.
 func (p *Pool) recordAnswer(now time.Time, t *target, sent time.Time) {
 	if now.After(t.aliveTo) {
@@ -169,7 +198,9 @@
 	case !c.answered && sent.After(c.restartAt):
 		c.answered, c.answeredAt = true, sent
 		c.suspectUntil = now.Add(p.coldLimits.Time)
-		c.ownSuspectUntil = c.suspectUntil
+		if !c.local {
+			c.ownSuspectUntil = c.suspectUntil
+		}
 	}
 }
 
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -290,8 +290,12 @@
 		p.recordDuration(j, now.Sub(t.runs[i].sent))
 	}
 	switch {
-	case o.Unreachable || o.Lost:
-		p.suspectRestart(now, t, o.Refused, avail.FromConnection)
+	case o.Refused:
+		p.suspectRestart(now, t, signRefused)
+	case o.Unreachable:
+		p.suspectRestart(now, t, signTimeout)
+	case o.Lost:
+		p.suspectRestart(now, t, signLost)
 	case i >= 0 && o.Full:
 		p.recordAnswer(now, t, t.runs[i].sent)
 	}
@@ -322,7 +326,7 @@
 func (p *Pool) MarkDown(now time.Time, id ident.TargetID) {
 	if t, ok := p.targets[id]; ok && !now.Before(t.backoffUntil) {
 		t.foundDown(now)
-		p.suspectRestart(now, t, true, avail.FromConnection)
+		p.suspectRestart(now, t, signRefused)
 	}
 }
 
--- a/router/direct/verify.go
+++ b/router/direct/verify.go
@@ -63,6 +63,7 @@
 	now := time.Now()
 	switch {
 	case err == nil:
+		r.pool(t.Service).Accepted(now, t.ID)
 		r.forgetLostAnswers(t.ID, func(l lostAnswer) bool { return !l.silent && l.at.Before(began) })
 	case errors.Is(err, syscall.ECONNREFUSED):
 		p := r.pool(t.Service)
