Move the records of blocks in the store to core/block

Change: blocks.go of router/direct moves to core/block. The router gives it access to its blocks by an interface. Behaviour is unchanged.

--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -215,13 +215,13 @@
 	for _, b := range blocked {
 		r.log.Log(event.RequestsBlocked, "prints", b.Features, "parts", r.namesOf(b.Features), "until", b.Until.Sub(now), "own", b.Own)
 		if b.Own {
-			r.recordBlock(b, false)
+			r.blocks.Record(b, false)
 		}
 		r.urgentHeartbeats = urgentHeartbeatsMax
 	}
 	for _, b := range lifted {
 		r.log.Log(event.BlockLifted, "prints", b.Features, "parts", r.namesOf(b.Features), "after", now.Sub(b.At))
-		r.recordBlock(b, true)
+		r.blocks.Record(b, true)
 	}
 }
 
@@ -298,3 +298,23 @@
 	}
 	r.updateBlocks(now)
 }
+
+// recordedBlocks gives the recorder of blocks access to those that the router knows.
+type recordedBlocks struct{ *Router }
+
+// MergeBlock implements block.Blocks.
+func (r recordedBlocks) MergeBlock(b poison.Block) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.poison.MergeBlock(time.Now(), b)
+}
+
+// InForce implements block.Blocks.
+func (r recordedBlocks) InForce() []poison.Block {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.poison.Blocks(time.Now())
+}
+
+// RewriteDelay implements block.Blocks.
+func (r recordedBlocks) RewriteDelay() time.Duration { return r.rewriteDelay() }
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -17,6 +17,7 @@
 
 	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/avail"
+	"hickoryvane.example/core/block"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -133,6 +134,7 @@
 	regions     map[ident.DataCentre]ident.Region
 	callers     *accept.Server
 	conns       *connPool
+	blocks      *block.Recorder
 	memory      *memoryBudget
 	table       atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
@@ -177,10 +179,6 @@
 	unanswered map[ident.TargetID]map[*attempt]*unanswered
 	// suspicions are the last ones that were logged.
 	suspicions []poison.Suspicion
-	// blockChanges are changes of blocks that are to be written to the store.
-	blockChanges chan blockChange
-	// storeRestored gets a value when the store was restored from an older copy.
-	storeRestored chan struct{}
 	// reportedRates are the rates of targets as last reported.
 	reportedRates map[ident.TargetID]reportedRate
 	// toVerify receives the targets that lost an answer.
@@ -262,11 +260,12 @@
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), partNames: map[ident.Fingerprint]ident.PromptPart{},
-		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
+		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
 		evacuations: avail.NewEvacuations(), evacuationsListed: make(chan struct{}), rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), watchCancels: map[string]context.CancelCauseFunc{}, stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
+	r.blocks = block.NewRecorder(st, l, recordedBlocks{r})
 	r.requestsEnded, r.endRequests = context.WithCancel(context.Background())
 	for _, c := range cfg.Centres {
 		r.regions[c.Name] = c.Region
--- a/router/direct/restore_test.go
+++ b/router/direct/restore_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"hickoryvane.example/core/block"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/moves"
 	"hickoryvane.example/core/route"
@@ -92,14 +93,14 @@
 	e := newEnv(t)
 	name := strconv.FormatUint(uint64(ident.FingerprintOf("", []byte("[7]"))), 16)
 	put := func(left time.Duration) {
-		e.putObject(direct.BlockKind, name, map[string]any{"features": []uint64{7}, "at": time.Now().UnixMilli(), "until": time.Now().Add(left).UnixMilli()})
+		e.putObject(block.Kind, name, map[string]any{"features": []uint64{7}, "at": time.Now().UnixMilli(), "until": time.Now().Add(left).UnixMilli()})
 	}
 	put(time.Minute)
 	c := e.store.Copy()
 	put(4 * time.Minute)
 	e.runRouter(t, e.store)
 	end := func() time.Time {
-		o, err := e.store.Get(context.Background(), direct.BlockKind, name)
+		o, err := e.store.Get(context.Background(), block.Kind, name)
 		e.g.Expect(err).NotTo(HaveOccurred())
 		var v struct{ Until int64 }
 		e.g.Expect(json.Unmarshal(o.Value, &v)).To(Succeed())
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -110,7 +110,7 @@
 		g.Go(ctx, "follow "+f.kind, func(ctx context.Context) error { return r.followKind(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.runHeartbeats)
-	g.Go(ctx, "blocks", r.keepBlocks)
+	g.Go(ctx, "blocks", r.blocks.Run)
 	for range verifyWorkers {
 		g.Go(ctx, "verify", r.verifyTargets)
 	}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -250,12 +250,7 @@
 			defer r.mu.Unlock()
 			r.fleet.StoreUnreachable()
 		},
-		onRestored: func() {
-			select {
-			case r.storeRestored <- struct{}{}:
-			default: // an earlier one is still to be handled
-			}
-		},
+		onRestored: r.blocks.Restored,
 	}
 }
 
