sched: the facts of a target are not copied for each query

Change: the facts are gathered in one place of the pool, and cold targets are looked up only while there are any.

--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -140,6 +140,9 @@
 
 // limitedState returns the state of a target that is limited now, or nil.
 func (p *Pool) limitedState(now time.Time, id ident.TargetID) *coldState {
+	if len(p.cold) == 0 {
+		return nil
+	}
 	c, ok := p.cold[id]
 	if !ok || p.coldLimits.Rate <= 0 || !c.limited(now) {
 		return nil
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -129,6 +129,8 @@
 	// Schedule began.
 	running int
 	usable  []*target
+	// known is the result of facts.
+	known avail.Facts
 	// evacuated are the data centres whose targets get no jobs.
 	evacuated []ident.DataCentre
 	// cold holds the targets that are cold, also those not in the pool; see cold.go. routers are the other routers that
@@ -207,8 +209,7 @@
 	if !ok {
 		return false
 	}
-	f := p.facts(t)
-	return f.Accepts(now)
+	return p.facts(t).Accepts(now)
 }
 
 // InUse returns the number of targets that jobs are placed on and that were not found down since their last answer, nor are silent.
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -8,12 +8,13 @@
 	"hickoryvane.example/core/ident"
 )
 
-// facts returns what is known of a target that decides whether it takes jobs.
-func (p *Pool) facts(t *target) avail.Facts {
-	f := avail.Facts{
-		Leaving: t.draining, Evacuated: slices.Contains(p.evacuated, t.Centre), Missing: t.missing, Canary: t.CanaryOnly,
-		FoundDown: t.foundDownByAny, BackoffUntil: t.backoffUntil, PausedUntil: t.pause.until, PacedUntil: t.pause.pacedUntil,
-	}
+// facts returns what is known of a target that decides whether it takes jobs. The result is valid until the next call:
+// it is asked several times for each target of a pool, and a copy each time took most of the time of Schedule.
+func (p *Pool) facts(t *target) *avail.Facts {
+	f := &p.known
+	f.Leaving, f.Missing, f.Canary, f.FoundDown = t.draining, t.missing, t.CanaryOnly, t.foundDownByAny
+	f.Evacuated = len(p.evacuated) > 0 && slices.Contains(p.evacuated, t.Centre)
+	f.BackoffUntil, f.PausedUntil, f.PacedUntil = t.backoffUntil, t.pause.until, t.pause.pacedUntil
 	if t.pause.next.Before(f.PacedUntil) {
 		f.PacedUntil = t.pause.next
 	}
@@ -22,7 +23,7 @@
 
 // status returns the state of a target.
 func (p *Pool) status(now time.Time, t *target) avail.Status {
-	f := p.facts(t)
+	f := *p.facts(t)
 	f.Silent = t.silent(now)
 	if c := p.limitedState(now, t.ID); c != nil {
 		f.ColdUntil, f.ColdFrom = c.end(), c.source
@@ -32,8 +33,7 @@
 
 // takes reports whether a target gets jobs now as far as its state is concerned.
 func (p *Pool) takes(now time.Time, t *target) bool {
-	f := p.facts(t)
-	return f.Takes(now)
+	return p.facts(t).Takes(now)
 }
 
 // serves reports whether a target gets jobs that are not chosen for a canary, at some time; missing ones do not count.
