--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +13,7 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/header"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/stream"
@@ -470,7 +469,7 @@
 			h[k] = v
 		}
 	}
-	stripHopHeaders(h, from)
+	header.StripHop(h, from)
 	if r.stopping.Load() {
 		h.Set("Connection", "close")
 	}
@@ -491,7 +490,7 @@
 // newTargetRequest builds the request for a target.
 func (r *Router) newTargetRequest(c *call, t fleet.Target, prog *progress) targetRequest {
 	h := c.r.Header.Clone()
-	stripHopHeaders(h, c.r.Header)
+	header.StripHop(h, c.r.Header)
 	h.Del("Content-Length")
 	r.dialect.SetForwardHeaders(h, Forward{Remaining: time.Until(c.deadline), Target: t.ID, Account: c.accountName(), LastEventID: prog.lastID})
 	return targetRequest{
@@ -499,23 +498,3 @@
 		observe: func(a Answer) { r.recordStatements(c, t, a) },
 	}
 }
-
-// hopHeaders are the hop-by-hop headers.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
-	"Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// stripHopHeaders removes hop-by-hop headers, including those named by the Connection headers of from.
-func stripHopHeaders(h, from http.Header) {
-	for _, line := range from["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			if name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)); name != "" {
-				delete(h, name)
-			}
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
-}
