--- a/router/direct/status.go
+++ b/router/direct/status.go
@@ -1,8 +1,6 @@
 package direct
 
 import (
-	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -15,26 +13,6 @@
 // statusPath is the path on the admin address at which a router lists its targets with their states.
 const statusPath = "/status"
 
-// targetStatus is the state of one target in the list.
-type targetStatus struct {
-	Target  ident.TargetID   `json:"target"`
-	Service ident.Service    `json:"service"`
-	Centre  ident.DataCentre `json:"centre"`
-	Version ident.Version    `json:"version,omitempty"`
-	State   string           `json:"state"`
-	// Source tells where the state is known from, End what ends it, and Left the time until then in ms if that is known.
-	Source avail.Source `json:"source,omitempty"`
-	End    string       `json:"end,omitempty"`
-	Left   int64        `json:"left,omitempty"`
-}
-
-// statusList is the answer to a request for the list.
-type statusList struct {
-	Router    ident.ProcessID    `json:"router"`
-	Evacuated []ident.DataCentre `json:"evacuated"`
-	Targets   []targetStatus     `json:"targets"`
-}
-
 // ownTargets returns the targets that the routers of this cell use; r.mu is held.
 func (r *Router) ownTargets() (out []fleet.Target) {
 	for _, t := range r.targets {
@@ -58,19 +36,13 @@
 func (r *Router) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	r.mu.Lock()
-	l := statusList{Router: r.cfg.Name, Evacuated: append([]ident.DataCentre{}, r.evacuated...), Targets: []targetStatus{}}
+	l := avail.List{Router: r.cfg.Name, Evacuated: append([]ident.DataCentre{}, r.evacuated...), Targets: []avail.Entry{}}
 	for _, t := range r.ownTargets() {
-		s := r.statusOf(now, t)
-		v := targetStatus{Target: t.ID, Service: t.Service, Centre: t.Centre, Version: t.Version, State: s.State.String(), Source: s.Source, End: s.State.End()}
-		if !s.Until.IsZero() {
-			v.Left = s.Until.Sub(now).Milliseconds()
-		}
-		l.Targets = append(l.Targets, v)
+		l.Add(now, avail.Entry{Target: t.ID, Service: t.Service, Centre: t.Centre, Version: t.Version}, r.statusOf(now, t))
 	}
 	r.mu.Unlock()
-	slices.SortFunc(l.Targets, func(a, b targetStatus) int { return cmp.Compare(a.Target, b.Target) })
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l) // the reader may have disconnected
+	_ = l.Encode(w) // the reader may have disconnected
 }
 
 // recordTargets records for the metrics how many targets are in which state; r.mu is held.
