--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -75,6 +75,10 @@
 	ExtraExposedRequests float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
 	// Prefix makes placements depend on what targets are estimated to hold of prompts.
 	Prefix bool `json:"prefix" default:"false"`
+	// ColdRatio and ExtraColdRequests limit the requests that a cold target gets in any second: ColdRatio times the rate of
+	// its service plus ExtraColdRequests.
+	ColdRatio         float64 `json:"overage" default:"1.5" limit:"0..100"`
+	ExtraColdRequests float64 `json:"slack" unit:"requests" default:"5" limit:"0..1000000"`
 }
 
 // Seconds converts a number of seconds to a duration.
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -31,6 +31,10 @@
 	WatchBehind           ID = 309
 	StoreRestored         ID = 310
 	RecordWrittenAgain    ID = 311
+	HomesInvalid          ID = 320
+	EvacuationBegan       ID = 321
+	EvacuationEnded       ID = 322
+	EvacuationInvalid     ID = 323
 	RequestRefused        ID = 401
 	AnswerTruncated       ID = 402
 	FingerprintBlocked    ID = 403
@@ -59,6 +63,7 @@
 	ChangeUnreadable      ID = 511
 	TargetAsksForTime     ID = 512
 	TargetTimeIgnored     ID = 513
+	TargetCold            ID = 520
 	RolloutShareChanged   ID = 601
 	VersionJudgedBad      ID = 602
 	RolloutConcluded      ID = 603
@@ -97,6 +102,10 @@
 	{WatchBehind, log.WarnLevel, "watch is behind that of a peer, list read again"},
 	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
 	{RecordWrittenAgain, log.InfoLevel, "record missing in the object API is written again"},
+	{HomesInvalid, log.WarnLevel, "home regions without a data centre ignored"},
+	{EvacuationBegan, log.InfoLevel, "data centre is evacuated"},
+	{EvacuationEnded, log.InfoLevel, "evacuation of a data centre ended"},
+	{EvacuationInvalid, log.WarnLevel, "evacuation of an unknown data centre ignored"},
 	{RequestRefused, log.DebugLevel, "request refused"},
 	{AnswerTruncated, log.WarnLevel, "answer cut"},
 	{FingerprintBlocked, log.WarnLevel, "request fingerprint blocked"},
@@ -125,6 +134,7 @@
 	{ChangeUnreadable, log.WarnLevel, "change of an object cannot be read"},
 	{TargetAsksForTime, log.InfoLevel, "target asks for time"},
 	{TargetTimeIgnored, log.WarnLevel, "time that a target asks for cannot be used"},
+	{TargetCold, log.InfoLevel, "target is cold"},
 	{RolloutShareChanged, log.InfoLevel, "move changed its share"},
 	{VersionJudgedBad, log.WarnLevel, "version judged bad"},
 	{RolloutConcluded, log.InfoLevel, "move ended"},
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// RecordTargets records how many targets of a service are in a state in which they get no requests.
+// RecordTargets records how many targets of a service are in a state.
 func (m *Meter) RecordTargets(s ident.Service, state string, n int) {
 	m.targets.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", string(m.names.service(s))), attribute.String("state", state)))
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -93,6 +93,10 @@
 	TokensPerEvent int
 	// MaxConns is the number of connections that each target accepts from all callers together; zero means no limit.
 	MaxConns int
+	// ColdTime is the time for which a target is cold after its start, ColdRate the number of requests a second that it
+	// gets from all routers meanwhile; zero if the service states none.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Account is a client account.
--- a/core/sched/ahead.go
+++ b/core/sched/ahead.go
@@ -36,13 +36,23 @@
 	slices.SortFunc(all, class.compare)
 	sum := 0.0
 	for _, k := range all {
-		if sum += p.classes[k].placements.perSecond(now); sum > aheadShare*total {
+		if sum += p.placementRate(now, k); sum > aheadShare*total {
 			return
 		}
 		p.lastAhead, p.anyAhead = k, true
 	}
 }
 
+// placementRate returns the recent placements per second of a class, those of its late jobs and of resumed answers included.
+func (p *Pool) placementRate(now time.Time, k class) (rate float64) {
+	for k.timeliness = 0; k.timeliness <= 2; k.timeliness++ {
+		if s := p.classes[k]; s != nil {
+			rate += s.placements.perSecond(now)
+		}
+	}
+	return rate
+}
+
 // mayWaitAhead reports whether a job may wait at a target.
 func (p *Pool) mayWaitAhead(now time.Time, j *Job) bool {
 	if !p.anyAhead || j.Canary {
@@ -62,7 +72,7 @@
 		return
 	}
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !t.missing && p.mayPlaceAhead(now, t) {
+		if p.serves(t) && p.mayPlaceAhead(now, t) {
 			p.ahead = append(p.ahead, t)
 		}
 	}
@@ -72,7 +82,7 @@
 // turns as for free slots.
 func (p *Pool) mayPlaceAhead(now time.Time, t *target) bool {
 	room := t.freeSlots() + aheadMax
-	if t.freeSlots() > 0 || room <= 0 || t.resting(now) || !p.withinRate(now, t) {
+	if t.freeSlots() > 0 || room <= 0 || !p.takes(now, t) || !p.withinRate(now, t) {
 		return false
 	}
 	return len(p.peers) == 0 || p.mayBorrow(now, t, room)
@@ -92,7 +102,7 @@
 func (p *Pool) bestAhead(now time.Time, j *Job) (best *target, bestScore, expected time.Duration) {
 	chanceMin := p.chanceMin(now, j)
 	for _, t := range p.ahead {
-		if slices.Contains(j.Avoid, t.ID) || !p.mayPlaceAhead(now, t) || !p.fits(t, j) || t.silent(now) || !p.endsInTime(now, t, j) || p.chanceAt(now, t, j) < chanceMin {
+		if !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || !p.mayPlaceAhead(now, t) || !p.fits(t, j) || t.silent(now) || !p.endsInTime(now, t, j) || p.chanceAt(now, t, j) < chanceMin {
 			continue
 		}
 		first := p.slotWait(t) + t.expectedFirstEvent(j)
--- a/core/sched/memory.go
+++ b/core/sched/memory.go
@@ -54,9 +54,9 @@
 	return sharer{id: id, hash: xxhash.Sum64String(string(id))}
 }
 
-// SetRouters sets the routers between which the memory of the targets is divided. Those that fell silent are among them
+// SetSharers sets the routers between which the memory of the targets is divided. Those that fell silent are among them
 // for as long as they may still have requests at the targets. A router that reports is added.
-func (p *Pool) SetRouters(ids []ident.ProcessID) {
+func (p *Pool) SetSharers(ids []ident.ProcessID) {
 	others := make([]sharer, 0, len(ids))
 	for _, id := range ids {
 		if id != p.self {
@@ -102,7 +102,7 @@
 
 // mayPlaceLong reports whether this router may place a long job on the target whatever its share of the slots.
 func (p *Pool) mayPlaceLong(now time.Time, t *target) bool {
-	if t.Memory <= 0 || t.freeSlots() <= 0 || t.resting(now) || !p.withinRate(now, t) {
+	if t.Memory <= 0 || t.freeSlots() <= 0 || !p.takes(now, t) || !p.withinRate(now, t) {
 		return false
 	}
 	p.memoryShare(t) // updates the rank
--- a/core/sched/memory_test.go
+++ b/core/sched/memory_test.go
@@ -47,7 +47,7 @@
 	}
 	for i := range pools {
 		pools[i] = sched.New(all[i], "a1", "a")
-		pools[i].SetRouters(all)
+		pools[i].SetSharers(all)
 		pools[i].SetReportInterval(time.Duration(r.interval) * time.Millisecond)
 		for k := range r.targets {
 			pools[i].Put(sched.Target{ID: ident.TargetID(fmt.Sprint("t", k)), Centre: "a1", Region: "a", Slots: 12, Memory: r.memory}, true)
@@ -183,7 +183,7 @@
 	p := sched.New("r1", "a1", "a")
 	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000}, true)
 	p.MergeReport(at(0), sched.Report{Router: "r2", Region: "a", Loads: []sched.Load{{Target: "t0", Running: 1, Held: 880}}})
-	p.SetRouters(nil)
+	p.SetSharers(nil)
 	j := job("x", 0, 0, 0)
 	j.FirstEventDue, j.Prompt = at(4000), 100
 	p.Add(j)
--- a/core/sched/pause.go
+++ b/core/sched/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/ident"
 )
 
@@ -56,18 +57,13 @@
 // Paused returns the number of targets that want no jobs at present.
 func (p *Pool) Paused(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if !t.draining && now.Before(t.pause.until) {
+		if p.status(now, t).State == avail.Paused {
 			n++
 		}
 	}
 	return n
 }
 
-// resting reports whether a target gets no jobs now, because it failed, asked for time or resumes at its pace.
-func (t *target) resting(now time.Time) bool {
-	return now.Before(t.backoffUntil) || now.Before(t.pause.until) || now.Before(t.pause.pacedUntil) && now.Before(t.pause.next)
-}
-
 // countPaced records a placement for the pace of the target.
 func (t *target) countPaced(now time.Time) {
 	t.placements.add(now)
@@ -76,14 +72,15 @@
 	}
 }
 
-// awaitsPause reports whether all targets want no jobs now, when the first of them resumes, and how many jobs may wait
-// for that; none is waited for if the service has no target.
-func (p *Pool) awaitsPause(now time.Time) (back time.Time, room int, ok bool) {
+// awaitsPause reports whether all targets that homes allow want no jobs now, when the first of them resumes, and how many
+// jobs may wait for that; none is waited for if there is no such target.
+func (p *Pool) awaitsPause(now time.Time, homes avail.Homes) (back time.Time, room int, ok bool) {
 	for _, t := range p.sorted {
+		f := p.facts(t)
 		switch {
-		case t.CanaryOnly || t.draining:
+		case f.Canary || !f.Open() || !homes.Allow(t.Region):
 			continue
-		case !now.Before(t.pause.until):
+		case f.Accepts(now):
 			return back, 0, false
 		}
 		if back.IsZero() || t.pause.until.Before(back) {
@@ -100,7 +97,7 @@
 // refuseUntargeted refuses a job that no target will take in time, because all of them asked for time, or because there
 // is none. waits is true if the job waits for the first one that resumes.
 func (p *Pool) refuseUntargeted(now time.Time, j *Job, ahead int) (r Refusal, refused, waits bool) {
-	back, room, ok := p.awaitsPause(now)
+	back, room, ok := p.awaitsPause(now, j.Homes)
 	switch {
 	case !ok:
 		return r, false, false
@@ -112,9 +109,9 @@
 	return Refusal{Job: j, JobsAhead: ahead, ExpectedWait: wait, RetryAfter: max(wait, shortestRetryAfter), Untargeted: true}, true, false
 }
 
-// RetryAfterPauses returns the time after which the first target takes jobs again; zero if one does now.
-func (p *Pool) RetryAfterPauses(now time.Time) time.Duration {
-	if back, _, ok := p.awaitsPause(now); ok {
+// RetryAfterPauses returns the time after which the first target that homes allow takes jobs again; zero if one does now.
+func (p *Pool) RetryAfterPauses(now time.Time, homes avail.Homes) time.Duration {
+	if back, _, ok := p.awaitsPause(now, homes); ok {
 		return back.Sub(now)
 	}
 	return 0
--- a/core/sched/peer.go
+++ b/core/sched/peer.go
@@ -44,6 +44,8 @@
 	Rates []Rate
 	// Prefixes is empty in most reports.
 	Prefixes prefix.Report
+	// Cold are the targets that the router knows to be cold.
+	Cold []Cold
 }
 
 // report is the last report received from another router.
@@ -58,7 +60,7 @@
 // Report returns the state of this router.
 func (p *Pool) Report(now time.Time) Report {
 	p.updateDemand(now)
-	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Urgent: p.urgent(now), Rates: p.rates(now)}
+	r := Report{Router: p.self, Region: p.region, Demand: p.demand, Waiting: len(p.waiting), Urgent: p.urgent(now), Rates: p.rates(now), Cold: p.coldReports(now)}
 	for _, t := range p.sorted {
 		if len(t.runs) > 0 {
 			l := Load{Target: t.ID, Running: len(t.runs), PendingPrompt: t.pendingPrompt, Held: t.held}
@@ -117,6 +119,7 @@
 	p.addSharer(r.Router)
 	p.mergeRates(now, r.Router, r.Rates)
 	p.prefixes.Merge(r.Router, r.Prefixes)
+	p.mergeCold(now, r.Cold)
 	p.peers[r.Router] = report{Report: r, receivedAt: now, hash: hash, loads: loads}
 	p.ExpireReports(now)
 }
@@ -151,6 +154,7 @@
 			p.waitingRouters++
 		}
 	}
+	p.expireCold(now)
 	p.updateDemand(now)
 	p.divideSlots(now)
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -49,7 +49,7 @@
 	mean := p.meanJobs()
 	var below, above, preferred *target
 	for _, t := range p.sorted {
-		if !t.CanaryOnly || t.draining || t.missing || t.resting(now) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.fits(t, j) || !p.endsInTime(now, t, j) {
+		if f := p.facts(t); !f.Canary || f.Missing || !f.Takes(now) || !j.Homes.Allow(t.Region) || slices.Contains(j.Avoid, t.ID) || t.freeSlots() <= 0 || !p.withinRate(now, t) || !p.fits(t, j) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		if t.jobs() == 0 && slices.Contains(j.Prefer, t.ID) && (preferred == nil || t.hash < preferred.hash) {
@@ -77,7 +77,7 @@
 func (p *Pool) meanJobs() float64 {
 	jobs, n := 0, 0
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining {
+		if f := p.facts(t); !f.Canary && f.Open() {
 			jobs += t.jobs()
 			n++
 		}
@@ -90,7 +90,7 @@
 func (p *Pool) collectUsable(now time.Time) {
 	p.usable = p.usable[:0]
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && (p.mayPlace(now, t) || p.mayPlaceLong(now, t)) {
+		if f := p.facts(t); !f.Canary && (p.mayPlace(now, t) || p.mayPlaceLong(now, t)) {
 			p.usable = append(p.usable, t)
 		}
 	}
@@ -110,7 +110,7 @@
 	kind := p.answerKind(j)
 	gains := gainSearch{}
 	for _, t := range p.usable {
-		if avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) && !(t.isLong(j) && p.mayPlaceLong(now, t)) || !p.fits(t, j) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
+		if !j.Homes.Allow(t.Region) || avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) && !(t.isLong(j) && p.mayPlaceLong(now, t)) || !p.fits(t, j) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
 			continue
 		}
 		chance := p.chanceAt(now, t, j)
@@ -150,7 +150,7 @@
 // target rather than return to one that failed it, but not for one that asked for time.
 func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !t.missing && !now.Before(t.pause.until) && !slices.Contains(j.Avoid, t.ID) {
+		if f := p.facts(t); !f.Canary && !f.Missing && f.Accepts(now) && !p.closedByCold(now, t) && j.Homes.Allow(t.Region) && !slices.Contains(j.Avoid, t.ID) {
 			return true
 		}
 	}
@@ -173,8 +173,9 @@
 
 // riskLevel returns the worst risk of placing the job on the target.
 func (p *Pool) riskLevel(now time.Time, t *target, chance float64) int {
+	f := p.facts(t)
 	switch {
-	case t.missing:
+	case f.Missing:
 		return riskMissing
 	case t.silent(now):
 		return riskSilent
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/prefix"
 )
@@ -44,6 +45,8 @@
 	Stream bool
 	// GapGoal is the longest time between two events of an answer that is on time; zero means no limit.
 	GapGoal time.Duration
+	// Homes are the regions whose targets may serve the job.
+	Homes avail.Homes
 	// Avoid lists targets that failed the request.
 	Avoid []ident.TargetID
 	// Canary is true for a job that goes to a canary target. Placing the job clears it if no canary target had a
@@ -154,6 +157,19 @@
 	ahead     []*target
 	lastAhead class
 	anyAhead  bool
+	// known is the result of facts.
+	known avail.Facts
+	// evacuated are the data centres whose targets get no jobs.
+	evacuated []ident.DataCentre
+	// cold holds the targets that are cold, also those not in the pool; see cold.go. routers are the other routers that
+	// may send to them, counted by routersVersion; routersComplete is true once all are known.
+	cold map[ident.TargetID]*coldState
+	// firstCold is the time at which this router first met a cold target.
+	firstCold       time.Time
+	coldLimits      ColdLimits
+	routers         []ident.ProcessID
+	routersVersion  uint64
+	routersComplete bool
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
 	// sharers are the other routers between which the memory of the targets is divided, in the order of their hashes;
@@ -171,7 +187,7 @@
 // New returns an empty pool for the router self in the given data centre and region.
 func New(self ident.ProcessID, c ident.DataCentre, r ident.Region, opts ...Option) *Pool {
 	p := &Pool{
-		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{},
+		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{}, cold: map[ident.TargetID]*coldState{},
 		speed: poolSpeed{errors: newErrorStats()},
 	}
 	for _, o := range opts {
@@ -222,16 +238,31 @@
 	}
 }
 
+// SetEvacuated sets the data centres whose targets get no new jobs; jobs that run there end as usual. Targets of a data
+// centre that is not evacuated any more are cold.
+func (p *Pool) SetEvacuated(now time.Time, centres []ident.DataCentre) {
+	for _, t := range p.sorted {
+		if slices.Contains(p.evacuated, t.Centre) && !slices.Contains(centres, t.Centre) {
+			p.MarkCold(now, t.ID, p.coldLimits.Time, avail.FromEvacuation)
+		}
+	}
+	p.evacuated = slices.Clone(centres)
+	p.updateEventGap()
+}
+
 // Accepts reports whether a target still takes a job that was placed on it.
 func (p *Pool) Accepts(now time.Time, id ident.TargetID) bool {
 	t, ok := p.targets[id]
-	return ok && !t.draining && !now.Before(t.pause.until)
+	if !ok {
+		return false
+	}
+	return p.facts(t).Accepts(now)
 }
 
 // InUse returns the number of targets that jobs are placed on and that were not found down since their last answer, nor are silent.
 func (p *Pool) InUse(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if p.Accepts(now, t.ID) && !t.missing && !t.CanaryOnly && !t.foundDownByAny && !t.silent(now) {
+		if p.status(now, t).InUse() {
 			n++
 		}
 	}
@@ -274,7 +305,11 @@
 		return
 	}
 	p.recordRead(now, t, j)
-	if i := t.runIndex(j); i >= 0 && !t.runs[i].answering {
+	i := t.runIndex(j)
+	if i >= 0 {
+		p.recordAnswer(now, t, t.runs[i].sent)
+	}
+	if i >= 0 && !t.runs[i].answering {
 		r := t.runs[i]
 		p.learnFirstEvent(t, now.Sub(r.sent), r.promptAhead, j, j.Prompt-r.held)
 	}
@@ -285,8 +320,10 @@
 type Outcome struct {
 	// Failed is true when the target failed; not when it refused the job or the client disconnected.
 	Failed bool
-	// Unreachable is true when no connection could be opened.
-	Unreachable bool
+	// Unreachable is true when no connection could be opened, Refused when the target's host refused it.
+	Unreachable, Refused bool
+	// Lost is true when the connection ended before the answer.
+	Lost bool
 	// Replaced is true when another target has taken over the address.
 	Replaced bool
 	// Full is true when the target refused the job, which then has not run.
@@ -314,6 +351,16 @@
 	if o.Unreachable || o.Replaced {
 		p.prefixes.Lose(id)
 	}
+	switch {
+	case o.Refused:
+		p.suspectRestart(now, t, signRefused)
+	case o.Unreachable:
+		p.suspectRestart(now, t, signTimeout)
+	case o.Lost:
+		p.suspectRestart(now, t, signLost)
+	case i >= 0 && o.Full:
+		p.recordAnswer(now, t, t.runs[i].sent)
+	}
 	if t.done(now, j, o) {
 		p.running--
 		p.recordLength(j, o.Events)
@@ -343,6 +390,7 @@
 	if t, ok := p.targets[id]; ok && !now.Before(t.backoffUntil) {
 		t.foundDown(now)
 		p.prefixes.Lose(id)
+		p.suspectRestart(now, t, signRefused)
 	}
 }
 
@@ -354,6 +402,7 @@
 	d := Placement{Job: j, Target: t.ID, OwnJobs: len(t.runs), OtherJobs: t.peerJobs, ExpectedFirstEvent: firstEvent, Prefix: p.gain}
 	p.countBorrowed(now, t)
 	p.countRate(now, t)
+	p.countCold(now, t)
 	t.countPaced(now)
 	t.start(now, j, p.gain.Held)
 	p.running++
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -45,7 +45,7 @@
 // freeSlots returns the number of jobs that all routers together can place now.
 func (p *Pool) freeSlots(now time.Time) (n int) {
 	for _, t := range p.sorted {
-		if !t.CanaryOnly && !t.draining && !t.missing && !t.resting(now) {
+		if p.serves(t) && p.takes(now, t) {
 			n += p.rateRoom(now, t, max(t.freeSlots(), 0))
 		}
 	}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -94,6 +94,8 @@
 	// did and no answer has come since.
 	downAt         time.Time
 	foundDownByAny bool
+	// aliveFrom and aliveTo are the times at which the last request that was answered was sent and answered.
+	aliveFrom, aliveTo time.Time
 	// pause is the time for which the target wants no jobs; see pause.go. placements counts the recent placements of
 	// this router.
 	pause      pause
@@ -209,7 +211,7 @@
 	var sum, shortest time.Duration
 	n := 0
 	for _, t := range p.sorted {
-		if t.eventGap <= 0 || t.draining || t.missing {
+		if f := p.facts(t); t.eventGap <= 0 || !f.Open() || f.Missing {
 			continue
 		}
 		sum += t.eventGap
--- a/core/wire/heartbeat.go
+++ b/core/wire/heartbeat.go
@@ -61,6 +61,10 @@
 	// ChangesSince. Only scouts send them; see package scout.
 	ChangesSince string
 	Changes      []HeartbeatChange
+	// Evacuations are those that the sender knows of, also those that have ended.
+	Evacuations []HeartbeatEvacuation
+	// Cold are the targets that the sender itself knows to be cold, or to have restarted perhaps.
+	Cold []HeartbeatCold
 }
 
 // StartKey stands for a start of a target with a version of the weights. A receiver ignores those that differ from what
@@ -99,6 +103,33 @@
 	Value     []byte
 }
 
+// HeartbeatCold is a target that is cold or may be.
+type HeartbeatCold struct {
+	_struct bool `codec:",toarray"`
+
+	Target TargetKey
+	// LeftMillis is the time until the target is warm; zero if it is not known to be cold.
+	LeftMillis int64
+	// RestartAgeMillis is the time since a supposed restart, RestartLeftMillis the time until that counts no more; zero if
+	// there was none.
+	RestartAgeMillis, RestartLeftMillis int64
+	// Answered is true if the target has answered since a request that was sent AnsweredAgeMillis ago.
+	Answered          bool
+	AnsweredAgeMillis int64
+}
+
+// HeartbeatEvacuation is the evacuation of a data centre; see package avail.
+type HeartbeatEvacuation struct {
+	_struct bool `codec:",toarray"`
+
+	Centre ident.DataCentre
+	// Rev is the revision of the object, or one at which it did not exist any more if Lifted is true.
+	Rev    string
+	Lifted bool
+	// HoldMillis is the time after which the evacuation ends because a restored store lacks it; zero if the store has it.
+	HoldMillis int64
+}
+
 // HeartbeatTrial is a request on trial; see package poison.
 type HeartbeatTrial struct {
 	_struct bool `codec:",toarray"`
--- a/router/dial/pool.go
+++ b/router/dial/pool.go
@@ -36,6 +36,9 @@
 // ErrUnreachable means that no connection could be opened; nothing was sent.
 var ErrUnreachable = errors.New("target cannot be reached")
 
+// ErrRefused means that the host of the target refused a connection; it is an ErrUnreachable.
+var ErrRefused = errors.WithMessage(ErrUnreachable, "refused")
+
 // Conn is one connection to a target. One request uses it at a time.
 type Conn struct {
 	limitedConn
@@ -77,6 +80,9 @@
 	}
 	k, err := Dial(ctx, addr)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.WithMessage(ErrRefused, err.Error())
+		}
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
 	return k, nil
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fair"
@@ -234,7 +235,7 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal, Parts: c.Parts, MaxIdle: c.maxIdle()}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal, Parts: c.Parts, MaxIdle: c.maxIdle(), Homes: c.homes()}
 }
 
 // recognizeRetry makes the first event of a retry due as long after the caller's first attempt as that of any other
@@ -245,6 +246,14 @@
 	}
 }
 
+// homes returns the regions in which the request may be served.
+func (c *call) homes() avail.Homes {
+	if c.account == nil {
+		return avail.HomesOf(c.route.HomeRegions, nil)
+	}
+	return avail.HomesOf(c.route.HomeRegions, c.account.HomeRegions)
+}
+
 // expectedOutput returns the expected tokens of the answer. Callers' estimates are exact at the median; answers
 // are much shorter than the maximum length that callers allow.
 func (c *call) expectedOutput() ident.Tokens {
--- a/router/direct/cells.go
+++ b/router/direct/cells.go
@@ -38,9 +38,10 @@
 		}
 	}
 	for _, p := range r.pools {
-		p.SetRouters(r.nearRouters(now))
+		p.SetSharers(r.nearRouters(now))
 	}
 	defer r.startLimits(now)
+	r.updateSenders()
 	if own == r.cell {
 		return
 	}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -17,6 +17,8 @@
 
 	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/admit"
+	"hickoryvane.example/core/avail"
+	"hickoryvane.example/core/block"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/conf"
@@ -52,6 +54,10 @@
 	RolloutKind() (kind string)
 	// DecodeRollout decodes a rollout request and its recorded state, which is empty if none is recorded.
 	DecodeRollout(o store.Object) (moves.Request, moves.State, error)
+	// EvacuationKind returns the kind under which operators request evacuations of data centres.
+	EvacuationKind() (kind string)
+	// DecodeEvacuation returns the data centre of an evacuation.
+	DecodeEvacuation(o store.Object) (ident.DataCentre, error)
 	// EncodeState encodes the state of a rollout for the status of its object.
 	EncodeState(req moves.Request, s moves.State) []byte
 }
@@ -103,6 +109,8 @@
 	// HasRate is true when the target states how many requests it takes from all routers together, Rate a second.
 	HasRate bool
 	Rate    float64
+	// Cold is the time for which the target states that it is cold; zero if it states none.
+	Cold time.Duration
 	// Leaving is true when the target states that it leaves; it wants no more requests.
 	Leaving bool
 	// Pause is the time for which the target wants no requests from this router; zero if it asks for none. OddPause is
@@ -131,6 +139,7 @@
 	regions     map[ident.DataCentre]ident.Region
 	callers     *accept.Server
 	conns       *dial.Pool
+	blocks      *block.Recorder
 	memory      *memoryBudget
 	table       atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
@@ -179,10 +188,6 @@
 	unanswered map[ident.TargetID]map[*attempt]*unanswered
 	// suspicions are the last ones that were logged.
 	suspicions []poison.Suspicion
-	// blockChanges are changes of blocks that are to be written to the store.
-	blockChanges chan blockChange
-	// storeRestored gets a value when the store was restored from an older copy.
-	storeRestored chan struct{}
 	// reportedRates are the rates of targets as last reported.
 	reportedRates map[ident.TargetID]reportedRate
 	// toVerify receives the targets that lost an answer.
@@ -207,6 +212,12 @@
 	// them again.
 	rolloutsListed chan struct{}
 	relist         chan struct{}
+	// evacuations is what is known of evacuations, evacuated the data centres of those in force. evacuationsListed is
+	// closed once they were read from the store.
+	evacuations       *avail.Evacuations
+	evacuated         []ident.DataCentre
+	evacuationsListed chan struct{}
+	evacuationsOnce   sync.Once
 	// stateWrites are objects whose status is to be written.
 	stateWrites chan store.Object
 	// ownAddress is the address under which the store has this router registered; registered gets whether that is
@@ -260,11 +271,12 @@
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
 		retryBudgets: map[ident.Service]*retry.Budget{}, poison: poison.New(), docket: poison.NewDocket(cfg.Name), comebacks: comeback.New(), partNames: map[ident.Fingerprint]ident.PromptPart{},
-		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), blockChanges: make(chan blockChange, blockChangesMax), storeRestored: make(chan struct{}, 1), peers: map[ident.ProcessID]*peer{},
+		lostAnswers: map[ident.TargetID][]lostAnswer{}, unanswered: map[ident.TargetID]map[*attempt]*unanswered{}, reportedRates: map[ident.TargetID]reportedRate{}, toVerify: make(chan fleet.Target, verifyWaitingMax), peers: map[ident.ProcessID]*peer{},
 		rollouts: map[ident.Service]*rollout{}, finished: map[ident.Service]pastRollout{}, versions: map[ident.Service]map[ident.Version]versionState{},
-		rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
+		evacuations: avail.NewEvacuations(), evacuationsListed: make(chan struct{}), rolloutsListed: make(chan struct{}), relist: make(chan struct{}, 1), registered: make(chan bool, 1), stateWrites: make(chan store.Object, stateWritesMax), cell: cells.Cell{Count: 1},
 		rnd: rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(cfg.Name)))),
 	}
+	r.blocks = block.NewRecorder(st, l, recordedBlocks{r})
 	r.requestsEnded, r.endRequests = context.WithCancel(context.Background())
 	for _, c := range cfg.Centres {
 		r.regions[c.Name] = c.Region
@@ -301,10 +313,12 @@
 			opts = append(opts, sched.WithPrefixes())
 		}
 		p = sched.New(r.cfg.Name, r.cfg.Centre, r.cfg.Region, opts...)
-		p.StopAt(r.stopAt)
-		p.SetRouters(r.nearRouters(time.Now()))
+		p.SetSharers(r.nearRouters(time.Now()))
 		p.UseConnections(targetConns{r})
 		r.pools[s] = p
+		p.StopAt(r.stopAt)
+		p.SetEvacuated(time.Now(), r.evacuated)
+		r.updateColdLimits(s, p)
 	}
 	return p
 }
@@ -409,6 +423,7 @@
 				p.ExpireReports(now)
 			}
 			r.expireLostAnswers(now)
+			r.applyEvacuations(now, "hold")
 			r.assignCells(now)
 			r.updateTargetCounts()
 			r.limitIdle(now)
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -67,6 +67,9 @@
 	if n, err := strconv.ParseFloat(h.Get("X-Pause"), 64); err == nil && status == 503 {
 		a.Pause = time.Duration(n * float64(time.Second))
 	}
+	if n, err := strconv.Atoi(h.Get("X-Cold")); err == nil {
+		a.Cold = time.Duration(n) * time.Millisecond
+	}
 	if n, err := strconv.ParseFloat(h.Get("X-Rate"), 64); err == nil {
 		a.HasRate, a.Rate = true, n
 	}
@@ -111,6 +114,12 @@
 	return req, s, err
 }
 
+func (catalogue) EvacuationKind() string { return "evacuations" }
+
+func (catalogue) DecodeEvacuation(o store.Object) (ident.DataCentre, error) {
+	return ident.DataCentre(o.Name), nil
+}
+
 func (catalogue) EncodeState(req moves.Request, s moves.State) []byte {
 	return []byte(string(req.To) + ": " + string(s))
 }
@@ -183,7 +192,7 @@
 	e.cfg = conf.Direct{
 		Name: "r1", Region: "a", Centre: "a1", Centres: []conf.Centre{{Name: "a1", Region: "a"}},
 		Listen: freeAddr(g), Ready: freeAddr(g), Admin: freeAddr(g), Heartbeat: freeAddr(g),
-		GraceSeconds: 1.2, DrainMillis: 2500, RetryRatio: 0.5, ExtraRetries: 20, RetryPeriodSeconds: 10, RecoveryMillis: 3000, ExposureRatio: 0.1, ExtraExposedRequests: 50,
+		GraceSeconds: 1.2, DrainMillis: 2500, RetryRatio: 0.5, ExtraRetries: 20, RetryPeriodSeconds: 10, RecoveryMillis: 3000, ExposureRatio: 0.1, ExtraExposedRequests: 50, ColdRatio: 1.5, ExtraColdRequests: 5,
 	}
 	e.putObject("config", "main", config{Generation: 1, Routes: routes()})
 	return e
@@ -228,6 +237,11 @@
 	e.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// registerIn registers a target of a data centre.
+func (e *env) registerIn(x *scriptedTarget, c ident.DataCentre) {
+	e.putObject("targets", x.id, fleet.Target{ID: ident.TargetID(x.id), Service: "s", Address: x.addr, Centre: c, Slots: 4, Boot: 1})
+}
+
 func (e *env) registerTarget(x *scriptedTarget, leaving bool) {
 	e.putObject("targets", x.id, fleet.Target{
 		ID: ident.TargetID(x.id), Service: "s", Address: x.addr, Centre: "a1", Slots: 4, Leaving: leaving, Boot: 1,
@@ -279,6 +293,7 @@
 	seen     []*http.Request
 	bodies   []string
 	conns    int
+	open     []net.Conn
 }
 
 // startTarget starts a target that calls script for each request, with the number of requests so far; it closes
@@ -302,6 +317,7 @@
 			}
 			x.mu.Lock()
 			x.conns++
+			x.open = append(x.open, c)
 			x.mu.Unlock()
 			go x.serveConn(c, script)
 		}
@@ -309,6 +325,15 @@
 	return x
 }
 
+// closeConns closes all connections, as the end of a process does.
+func (x *scriptedTarget) closeConns() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.open {
+		_ = c.Close()
+	}
+}
+
 func (x *scriptedTarget) serveConn(c net.Conn, script func(int, *http.Request, net.Conn) bool) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
--- a/router/direct/heartbeat.go
+++ b/router/direct/heartbeat.go
@@ -178,6 +178,7 @@
 	}
 	r.addCrashes(now, m)
 	r.addAnnouncements(now, m)
+	r.addEvacuations(now, m)
 	return m
 }
 
@@ -195,6 +196,7 @@
 			d.Loads = append(d.Loads, load)
 		}
 		m.Demands = append(m.Demands, d)
+		addCold(m, rep.Cold)
 		r.addRates(now, m, rep.Rates, turn%levelsEvery == 0)
 		if turn%levelsEvery == 1 {
 			addPrefixes(m, p.PrefixReport(now))
@@ -306,6 +308,7 @@
 	p.boot, p.seq, p.lastSeen = b.Boot, b.Seq, now
 	r.mergeCrashes(now, b)
 	r.mergeAnnouncements(now, b)
+	r.mergeEvacuations(now, b)
 	r.mergeRollouts(now, b)
 	if p.otherCell {
 		return
@@ -316,10 +319,10 @@
 			pool.PeerFoundDown(now, d.Target)
 		}
 	}
-	rates, prefixes := r.ratesOf(now, b), r.prefixesOf(b)
+	rates, cold, prefixes := r.ratesOf(now, b), r.coldOf(b), r.prefixesOf(b)
 	for s, pool := range r.pools {
 		rep := reports[s]
-		rep.Router, rep.Region, rep.Rates, rep.Prefixes = b.Process, b.Region, rates[s], prefixes
+		rep.Router, rep.Region, rep.Rates, rep.Cold, rep.Prefixes = b.Process, b.Region, rates[s], cold[s], prefixes
 		pool.SetReportInterval(r.reportInterval(now))
 		pool.MergeReport(now, rep)
 		r.schedule(now, pool)
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -94,6 +94,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", r.meter.Handler())
 	mux.HandleFunc("GET "+snapshotPath, r.serveSnapshot)
+	mux.HandleFunc("GET "+statusPath, r.serveStatus)
 	for addr, h := range map[string]http.Handler{r.cfg.Ready: probe, r.cfg.Admin: mux} {
 		ln, err := admin.Listen(addr)
 		if err != nil {
@@ -106,11 +107,11 @@
 
 // startWorkers starts the goroutines that follow the store and the other routers.
 func (r *Router) startWorkers(ctx context.Context, g *group.Group) {
-	for _, f := range []follow.Handler{r.configHandler(), r.targetHandler(), r.routerHandler(), r.rolloutHandler()} {
+	for _, f := range []follow.Handler{r.configHandler(), r.targetHandler(), r.routerHandler(), r.rolloutHandler(), r.evacuationHandler()} {
 		g.Go(ctx, "follow "+f.Kind, func(ctx context.Context) error { return r.follower.Follow(ctx, f) })
 	}
 	g.Go(ctx, "beacons", r.runHeartbeats)
-	g.Go(ctx, "blocks", r.keepBlocks)
+	g.Go(ctx, "blocks", r.blocks.Run)
 	for range verifyWorkers {
 		g.Go(ctx, "verify", r.verifyTargets)
 	}
--- a/router/direct/scouts.go
+++ b/router/direct/scouts.go
@@ -21,7 +21,7 @@
 		Rank: rankOf(r.cfg.Name), Reachable: r.storeReachable.Load(), Kind: r.catalogue.TargetKind(),
 		Position: scout.Position{Rev: r.targetRev, Count: len(r.targetObjects)},
 	}
-	r.follower.Scout(now, own, r.scoutPeers(now), kind)
+	r.follower.Scout(now, own, r.scoutPeers(now), kind, r.catalogue.EvacuationKind())
 }
 
 // scoutPeers returns the routers of the own cell that were heard lately; r.mu is held.
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +13,7 @@
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/header"
 	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/sse"
@@ -88,7 +87,7 @@
 type progress struct {
 	started bool
 	// format is that of the first target's answer; it is set once started is true.
-	format answerFormat
+	format sse.Format
 	// lastID is the id of the last event that was forwarded.
 	lastID string
 	events int
@@ -280,7 +279,7 @@
 		a.err = errors.Errorf("status %d, not run", x.StatusCode)
 		n, err := io.Copy(io.Discard, io.LimitReader(x.Body, refusalBodyMax))
 		complete = err == nil && n < refusalBodyMax
-	case prog.started && x.format() != prog.format:
+	case prog.started && sse.FormatOf(x.StatusCode, x.Header) != prog.format:
 		a.result, a.outcome.Failed = answerLost, true
 		a.err = errors.Errorf("status %d with content type %.100q is not the rest of the stream", x.StatusCode, x.Header.Get("Content-Type"))
 	case c.route.Kind == route.Stream && x.StatusCode/100 == 2:
@@ -305,9 +304,9 @@
 	case ctx.Err() != nil:
 		a.result = abandoned
 	case errors.Is(err, dial.ErrUnreachable):
-		a.result, a.outcome.Unreachable = notRun, true
+		a.result, a.outcome.Unreachable, a.outcome.Refused = notRun, true, errors.Is(err, dial.ErrRefused)
 	default:
-		a.result, a.outcome.Failed = answerLost, true
+		a.result, a.outcome.Failed, a.outcome.Lost = answerLost, true, isConnectionEnd(err)
 	}
 }
 
@@ -358,7 +357,7 @@
 		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.Count == 0):
 			// Without framing, and for the rest of a stream, only the end of an event can be the end of the stream.
 			err = io.ErrUnexpectedEOF
-		case err == nil && isEvent && rest && !follows(e.LastID, after):
+		case err == nil && isEvent && rest && !sse.Follows(e.LastID, after):
 			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.LastID, after)
 		}
 		if err != nil && err != io.EOF {
@@ -385,7 +384,7 @@
 			}
 		}
 		if !prog.started {
-			prog.started, prog.format = true, x.format()
+			prog.started, prog.format = true, sse.FormatOf(x.StatusCode, x.Header)
 			r.writeHead(w, c, x.StatusCode, x.Header)
 		}
 		_, werr := w.Write(b)
@@ -449,7 +448,7 @@
 	case a.result == targetFailed:
 		r.writeAnswer(w, c, a.answer)
 	case a.result == notRun:
-		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), max(r.jitter(allRefusedRetryAfter), r.untilTargetResumes(c.service))))
+		r.refuse(w, c, withRetryAfter(fault.NotRunf(fault.Shed, "no target took the request: %v", a.err), max(r.jitter(allRefusedRetryAfter), r.untilTargetResumes(c))))
 	default:
 		f := &fault.Error{Run: fault.Unknown, Reason: fault.Target, Detail: "the target's answer was lost"}
 		switch {
@@ -471,7 +470,7 @@
 			h[k] = v
 		}
 	}
-	stripHopHeaders(h, from)
+	header.StripHop(h, from)
 	if r.stopping.Load() {
 		h.Set("Connection", "close")
 	}
@@ -492,7 +491,7 @@
 // newTargetRequest builds the request for a target.
 func (r *Router) newTargetRequest(c *call, t fleet.Target, prog *progress) targetRequest {
 	h := c.r.Header.Clone()
-	stripHopHeaders(h, c.r.Header)
+	header.StripHop(h, c.r.Header)
 	h.Del("Content-Length")
 	r.dialect.SetForwardHeaders(h, Forward{Remaining: time.Until(c.deadline), Target: t.ID, Account: c.accountName(), LastEventID: prog.lastID})
 	return targetRequest{
@@ -500,23 +499,3 @@
 		observe: func(a Answer) { r.recordStatements(c, t, a) },
 	}
 }
-
-// hopHeaders are the hop-by-hop headers.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
-	"Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// stripHopHeaders removes hop-by-hop headers, including those named by the Connection headers of from.
-func stripHopHeaders(h, from http.Header) {
-	for _, line := range from["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			if name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)); name != "" {
-				delete(h, name)
-			}
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
-}
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -5,7 +5,6 @@
 
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
-	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/wire"
 )
 
@@ -16,6 +15,7 @@
 		return // another target has the address
 	}
 	r.recordPause(c, t, a)
+	r.recordCold(t, a)
 	if !a.Leaving {
 		return
 	}
@@ -48,11 +48,11 @@
 	}
 }
 
-// untilTargetResumes returns the time after which a target of a service takes requests again; zero if one does now.
-func (r *Router) untilTargetResumes(s ident.Service) time.Duration {
+// untilTargetResumes returns the time after which a target takes the request again; zero if one does now.
+func (r *Router) untilTargetResumes(c *call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pool(s).RetryAfterPauses(time.Now())
+	return r.pool(c.service).RetryAfterPauses(time.Now(), c.job.Homes)
 }
 
 // releaseIfClosed releases a placement if its target takes no more requests since, and reports whether it did.
@@ -90,17 +90,3 @@
 		r.logFleetEvents(events, "source", "peer", "peer", b.Process)
 	}
 }
-
-// recordTargets records for the metrics which targets get no requests because of what they stated; r.mu is held.
-func (r *Router) recordTargets(now time.Time) {
-	leaving := map[ident.Service]int{}
-	for _, t := range r.targets {
-		if t.Leaving {
-			leaving[t.Service]++
-		}
-	}
-	for s, p := range r.pools {
-		r.meter.RecordTargets(s, "leaving", leaving[s])
-		r.meter.RecordTargets(s, "paused", p.Paused(now))
-	}
-}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -51,6 +51,9 @@
 	if old != nil && old.Generation >= table.Generation {
 		return
 	}
+	for _, f := range table.CheckHomes(r.hasRegion, old) {
+		r.log.Log(event.HomesInvalid, "key", f.Key, "name", f.Name, "regions", f.Unknown, "ignored", f.Ignored, "generation", table.Generation)
+	}
 	var accounts []ident.AccountID
 	var services []ident.Service
 	r.applyLimits(now, table)
@@ -67,9 +70,22 @@
 	r.configObject = o
 	r.logReady()
 	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout())
+	for s, p := range r.pools {
+		r.updateColdLimits(s, p)
+	}
 	r.applySlots(table)
 }
 
+// hasRegion reports whether a region has a data centre.
+func (r *Router) hasRegion(region ident.Region) bool {
+	for _, known := range r.regions {
+		if known == region {
+			return true
+		}
+	}
+	return false
+}
+
 // applySlots applies the configured slots and memory of services to their targets; r.mu is held.
 func (r *Router) applySlots(table *route.Table) {
 	for _, t := range r.targets {
@@ -100,6 +116,7 @@
 		Kind: r.catalogue.TargetKind(),
 		OnList: func(l []store.Object, asOf store.Rev) {
 			r.awaitRolloutList()
+			r.awaitEvacuationList()
 			list := r.decodeTargets(l)
 			r.replaceTargetObjects(l, asOf)
 			r.updateFleet(func(f *fleet.Fleet) []fleet.Event {
@@ -117,12 +134,7 @@
 			defer r.mu.Unlock()
 			r.fleet.StoreUnreachable()
 		},
-		OnRestored: func() {
-			select {
-			case r.storeRestored <- struct{}{}:
-			default: // an earlier one is still to be handled
-			}
-		},
+		OnRestored: r.blocks.Restored,
 	}
 }
 
@@ -174,6 +186,7 @@
 			r.targets[t.ID] = t
 			r.addTargetKey(t.ID)
 			r.observeVersion(t)
+			r.markCold(now, e, pool)
 			if !r.usable(t) {
 				continue
 			}
