Capacity in tokens only where targets terminate beyond their memory; setting terms

Change: the settings list the optional parts of the platform's protocol; the limit is in force with the part by which targets terminate. core/sched, core/conf and the template test pass.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -73,6 +73,8 @@
 	// and its deadline: ExposureRatio times the requests for the service plus ExtraExposedRequests.
 	ExposureRatio        float64 `json:"expose" default:"0.1" limit:"0..1"`
 	ExtraExposedRequests float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
+	// Terms are the optional parts of the platform's protocol that are in force, by the platform's names.
+	Terms []string `json:"terms" limit:"0..64" form:"label"`
 	// Prefix makes placements depend on what targets are estimated to hold of prompts.
 	Prefix bool `json:"prefix" default:"false"`
 	// ColdRatio and ExtraColdRequests limit the requests that a cold target gets in any second: ColdRatio times the rate of
--- a/core/sched/memory.go
+++ b/core/sched/memory.go
@@ -79,11 +79,14 @@
 	}
 }
 
+// limitsMemory reports whether the target's requests have to fit into its memory.
+func (t *target) limitsMemory() bool { return t.MemoryLimited && t.Memory > 0 }
+
 // fits reports whether the job fits into the memory of the target. A job beyond the right of the router goes only to a
 // target without other jobs, from the first of its routers: the unused tenth of the memory is then its own.
 func (p *Pool) fits(t *target, j *Job) bool {
 	n := j.tokens()
-	if t.Memory <= 0 || n == 0 {
+	if !t.limitsMemory() || n == 0 {
 		return true
 	}
 	memory := float64(t.Memory) * t.rateShare()
@@ -97,12 +100,12 @@
 
 // isLong reports whether the job needs so much memory that few routers may place it on the target.
 func (t *target) isLong(j *Job) bool {
-	return t.Memory > 0 && float64(j.tokens()) > longShare*memoryFraction*float64(t.Memory)*t.rateShare()/float64(t.Slots)
+	return t.limitsMemory() && float64(j.tokens()) > longShare*memoryFraction*float64(t.Memory)*t.rateShare()/float64(t.Slots)
 }
 
 // mayPlaceLong reports whether this router may place a long job on the target whatever its share of the slots.
 func (p *Pool) mayPlaceLong(now time.Time, t *target) bool {
-	if t.Memory <= 0 || t.freeSlots() <= 0 || !p.takes(now, t) || !p.withinRate(now, t) {
+	if !t.limitsMemory() || t.freeSlots() <= 0 || !p.takes(now, t) || !p.withinRate(now, t) {
 		return false
 	}
 	p.memoryShare(t) // updates the rank
--- a/core/sched/memory_test.go
+++ b/core/sched/memory_test.go
@@ -50,7 +50,7 @@
 		pools[i].SetSharers(all)
 		pools[i].SetReportInterval(time.Duration(r.interval) * time.Millisecond)
 		for k := range r.targets {
-			pools[i].Put(sched.Target{ID: ident.TargetID(fmt.Sprint("t", k)), Centre: "a1", Region: "a", Slots: 12, Memory: r.memory}, true)
+			pools[i].Put(sched.Target{ID: ident.TargetID(fmt.Sprint("t", k)), Centre: "a1", Region: "a", Slots: 12, Memory: r.memory, MemoryLimited: true}, true)
 		}
 	}
 	held := map[ident.TargetID]ident.Tokens{}
@@ -163,7 +163,7 @@
 func TestJobBeyondTheUsableMemoryRunsAlone(t *testing.T) {
 	g := NewWithT(t)
 	p := sched.New("r1", "a1", "a")
-	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000}, true)
+	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000, MemoryLimited: true}, true)
 	long, short := job("long", 0, 0, 0), job("short", 0, 0, 0)
 	long.Prompt, short.Prompt = 950, 10
 	p.Add(short)
@@ -181,7 +181,7 @@
 func TestSilentRouterIsChargedUntilItsReportExpires(t *testing.T) {
 	g := NewWithT(t)
 	p := sched.New("r1", "a1", "a")
-	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000}, true)
+	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000, MemoryLimited: true}, true)
 	p.MergeReport(at(0), sched.Report{Router: "r2", Region: "a", Loads: []sched.Load{{Target: "t0", Running: 1, Held: 880}}})
 	p.SetSharers(nil)
 	j := job("x", 0, 0, 0)
@@ -199,7 +199,7 @@
 func TestLongJobTakesAFreeSlotWhereThereIsMemory(t *testing.T) {
 	g := NewWithT(t)
 	p := sched.New("r1", "a1", "a")
-	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000}, true)
+	p.Put(sched.Target{ID: "t0", Centre: "a1", Region: "a", Slots: 4, Memory: 1000, MemoryLimited: true}, true)
 	p.MergeReport(at(0), sched.Report{Router: "r2", Region: "a", Demand: 100, Waiting: 50, Loads: []sched.Load{{Target: "t0", Running: 3, Held: 300}}})
 	short, long := job("short", 0, 0, 0), job("long", 1, 0, 0)
 	short.Prompt, long.Prompt = 10, 200
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -71,8 +71,10 @@
 	Region ident.Region
 	// Slots is the number of requests that the target runs at a time, at least 1.
 	Slots int
-	// Memory is the number of tokens that the prompts and answers of the running requests may take; zero means no limit.
-	Memory ident.Tokens
+	// Memory is the number of tokens that the prompts and answers of the running requests may take; zero means that it is
+	// not known. MemoryLimited is true if the target terminates beyond it; other targets preempt requests.
+	Memory        ident.Tokens
+	MemoryLimited bool
 	// Start identifies what the target holds of prompts, which is lost with a restart.
 	Start prefix.Start
 	// CanaryOnly is true for a target that gets only canary jobs because its version is a canary or was rolled
--- a/core/sched/prefix_test.go
+++ b/core/sched/prefix_test.go
@@ -121,7 +121,7 @@
 	pools, models := make([]*sched.Pool, r.routers), make([]*prefix.Model, r.routers)
 	register := func(i int, c *cachingTarget) {
 		s := prefix.Start{Boot: c.boot}
-		pools[i].Put(sched.Target{ID: c.id, Centre: "a1", Region: "a", Slots: prefixSlots, Memory: r.memory, Start: s}, true)
+		pools[i].Put(sched.Target{ID: c.id, Centre: "a1", Region: "a", Slots: prefixSlots, Memory: r.memory, MemoryLimited: true, Start: s}, true)
 		models[i].SetTarget(c.id, s, r.memory)
 	}
 	for i := range pools {
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -137,11 +137,13 @@
 	asyncWriter *event.AsyncWriter
 	meter       *meter.Meter
 	regions     map[ident.DataCentre]ident.Region
-	callers     *accept.Server
-	conns       *dial.Pool
-	blocks      *block.Recorder
-	memory      *memoryBudget
-	table       atomic.Pointer[route.Table]
+	// memoryLimited is true if targets terminate beyond their memory.
+	memoryLimited bool
+	callers       *accept.Server
+	conns         *dial.Pool
+	blocks        *block.Recorder
+	memory        *memoryBudget
+	table         atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
 	joined atomic.Bool
 	// targetsListed is true once the list of targets was read. A shutdown sets stopping first, and later closing,
@@ -261,6 +263,10 @@
 // WithAsyncWriter makes the router run the asynchronous writer of the log and report lines that it dropped.
 func WithAsyncWriter(w *event.AsyncWriter) Option { return func(r *Router) { r.asyncWriter = w } }
 
+// WithLimitedMemory makes the router place requests only where they fit into the memory that the configuration states for
+// targets, for platforms whose targets terminate beyond it.
+func WithLimitedMemory(limited bool) Option { return func(r *Router) { r.memoryLimited = limited } }
+
 // New returns a router that is not serving yet; see Run.
 func New(cfg conf.Direct, st store.StatusStore, c Catalogue, d Dialect, l *event.Logger, m *meter.Meter, opts ...Option) *Router {
 	now := time.Now()
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -103,7 +103,7 @@
 		return out
 	}
 	s := table.Services[t.Service]
-	out.Memory = s.Memory
+	out.Memory, out.MemoryLimited = s.Memory, r.memoryLimited
 	if s.Slots > 0 {
 		out.Slots = s.Slots
 	}
