--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -60,6 +60,9 @@
 	running int
 	// orderTime is the arrival time plus the deferral of long jobs; see wait.go.
 	orderTime time.Time
+	// class and late are those of the job while it waits, as of the last Schedule.
+	class class
+	late  bool
 	// chain identifies the Parts; see prefix.go.
 	chain []prefix.Link
 }
@@ -428,7 +431,7 @@
 	var last class
 	sameClass := 0
 	for _, j := range p.waiting {
-		k := p.classOf(now, j)
+		k := j.class
 		if k != last {
 			last, sameClass = k, 0
 		}
