--- a/router/direct/memory.go
+++ b/core/budget/bodies.go
@@ -1,4 +1,5 @@
-package direct
+// Package budget counts the memory that a process holds on behalf of others. It does no input or output.
+package budget
 
 import (
 	"io"
@@ -40,15 +41,16 @@
 	bodyChunkMax = 64 << 10
 )
 
+// Errors of bodies and answers.
 var (
-	errAnswerTooLarge = errors.Errorf("answer of the target is larger than %d bytes", answerMax)
-	errAnswerMemory   = errors.New("buffered answers use all memory that is reserved for them")
-	errBodyMemory     = errors.New("bodies of requests use all memory that is reserved for them")
+	ErrAnswerTooLarge = errors.Errorf("answer of the target is larger than %d bytes", answerMax)
+	ErrAnswerMemory   = errors.New("buffered answers use all memory that is reserved for them")
+	ErrBodyMemory     = errors.New("bodies of requests use all memory that is reserved for them")
 )
 
-// memoryBudget limits the memory of the bodies and the buffered answers that are held at a time. It is safe for
+// Budget limits the memory of the bodies and the buffered answers that are held at a time. It is safe for
 // concurrent use.
-type memoryBudget struct {
+type Budget struct {
 	totalMax, answersMax, bodiesMax, largeMax int64
 
 	// mu guards the fields below, which are in bytes.
@@ -58,19 +60,28 @@
 	byAccount             map[ident.AccountID]int64
 }
 
-func newMemoryBudget(memoryMB float64) *memoryBudget {
-	all := memoryMB * (1 << 20)
-	if memoryMB <= 0 {
+// New returns the budget of a process that may use the given memory in bytes; zero means that the settings do not limit
+// it.
+func New(memory float64) *Budget {
+	all := memory
+	if memory <= 0 {
 		all = memoryDefault
 	}
-	return &memoryBudget{
+	return &Budget{
 		totalMax: int64(totalShare * all), answersMax: max(int64(answerShare*all), answerMax), bodiesMax: int64(bodyShare * all), largeMax: int64(largeShare * all),
 		byAccount: map[ident.AccountID]int64{},
 	}
 }
 
-// reserveAnswer reserves n bytes for an answer, if there are so many.
-func (m *memoryBudget) reserveAnswer(n int64) bool {
+// Used returns the bytes that are in use.
+func (m *Budget) Used() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answers + m.small + m.large
+}
+
+// ReserveAnswer reserves n bytes for an answer, if there are so many.
+func (m *Budget) ReserveAnswer(n int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.answers+n > m.answersMax || m.answers+m.small+m.large+n > max(m.totalMax, m.answersMax) {
@@ -80,7 +91,7 @@
 	return true
 }
 
-func (m *memoryBudget) releaseAnswer(n int64) {
+func (m *Budget) releaseAnswer(n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.answers -= n
@@ -88,7 +99,7 @@
 
 // hasRoom reports whether n bytes more fit for a body of an account that has own bytes of the memory for large ones; m.mu
 // is held. The only large body, and the only one of an account, may be larger than the part that is for several.
-func (m *memoryBudget) hasRoom(a ident.AccountID, large bool, own, n int64) bool {
+func (m *Budget) hasRoom(a ident.AccountID, large bool, own, n int64) bool {
 	switch {
 	case large && m.large > own && m.large+n > m.largeMax,
 		large && m.byAccount[a] > own && m.byAccount[a]+n > accountFactor*(m.largeMax-m.large-n):
@@ -97,30 +108,31 @@
 	return m.small+m.large+n <= m.bodiesMax && m.answers+m.small+m.large+n <= m.totalMax
 }
 
-// body is the body of a request while it may be sent. Its methods are not safe for concurrent use.
-type body struct {
-	memory  *memoryBudget
+// Body is the body of a request while it may be sent. Its methods are not safe for concurrent use.
+type Body struct {
+	memory  *Budget
 	account ident.AccountID
-	chunks  [][]byte
-	size    int64
+	// Chunks hold Size bytes.
+	Chunks [][]byte
+	Size   int64
 	// reserved is the memory of the chunks; large is true once it counts as that of a large body.
 	reserved int64
 	large    bool
 }
 
-// newBody returns an empty body. It returns errBodyMemory if a body of the declared length would not fit now; a negative
+// NewBody returns an empty body. It returns ErrBodyMemory if a body of the declared length would not fit now; a negative
 // one is not known.
-func (m *memoryBudget) newBody(a ident.AccountID, declared int64) (*body, error) {
+func (m *Budget) NewBody(a ident.AccountID, declared int64) (*Body, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.hasRoom(a, declared > smallBodyMax, 0, max(declared, 0)) {
-		return nil, errBodyMemory
+		return nil, ErrBodyMemory
 	}
-	return &body{memory: m, account: a}, nil
+	return &Body{memory: m, account: a}, nil
 }
 
-// grow adds an empty chunk of n bytes. It returns errBodyMemory if there is no memory for it.
-func (b *body) grow(n int64) error {
+// grow adds an empty chunk of n bytes. It returns ErrBodyMemory if there is no memory for it.
+func (b *Body) grow(n int64) error {
 	m := b.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -133,7 +145,7 @@
 		if large && !b.large {
 			m.small += b.reserved
 		}
-		return errBodyMemory
+		return ErrBodyMemory
 	}
 	if b.large = large; large {
 		m.large += more
@@ -142,27 +154,27 @@
 		m.small += more
 	}
 	b.reserved += n
-	b.chunks = append(b.chunks, make([]byte, 0, n))
+	b.Chunks = append(b.Chunks, make([]byte, 0, n))
 	return nil
 }
 
-// readFrom reads the body from r, of which limit bytes are read at most; what is longer has more than limit bytes then.
-func (b *body) readFrom(r io.Reader, declared, limit int64) error {
-	for b.size <= limit && b.size != declared {
-		if len(b.chunks) == 0 || len(b.chunks[len(b.chunks)-1]) == cap(b.chunks[len(b.chunks)-1]) {
-			n := min(max(b.size, bodyChunkMin), bodyChunkMax)
+// Fill reads the body from r, of which limit bytes are read at most; what is longer has more than limit bytes then.
+func (b *Body) Fill(r io.Reader, declared, limit int64) error {
+	for b.Size <= limit && b.Size != declared {
+		if len(b.Chunks) == 0 || len(b.Chunks[len(b.Chunks)-1]) == cap(b.Chunks[len(b.Chunks)-1]) {
+			n := min(max(b.Size, bodyChunkMin), bodyChunkMax)
 			if declared >= 0 {
-				n = min(declared-b.size, bodyChunkMax)
+				n = min(declared-b.Size, bodyChunkMax)
 			}
 			if err := b.grow(n); err != nil {
 				return err
 			}
 		}
-		last := &b.chunks[len(b.chunks)-1]
+		last := &b.Chunks[len(b.Chunks)-1]
 		n, err := r.Read((*last)[len(*last):cap(*last)])
-		*last, b.size = (*last)[:len(*last)+n], b.size+int64(n)
+		*last, b.Size = (*last)[:len(*last)+n], b.Size+int64(n)
 		switch {
-		case err == io.EOF && b.size < declared:
+		case err == io.EOF && b.Size < declared:
 			return io.ErrUnexpectedEOF
 		case err == io.EOF:
 			return nil
@@ -173,8 +185,8 @@
 	return nil
 }
 
-// release gives the memory back. The body is empty then.
-func (b *body) release() {
+// Release gives the memory back. The body is empty then.
+func (b *Body) Release() {
 	if b == nil || b.reserved == 0 {
 		return
 	}
@@ -189,21 +201,21 @@
 			delete(m.byAccount, b.account)
 		}
 	}
-	b.reserved, b.chunks = 0, nil
+	b.reserved, b.Chunks = 0, nil
 }
 
-// readAll reads an answer to its end. The caller calls release once it no longer needs the answer.
-func (m *memoryBudget) readAll(r io.Reader) (b []byte, release func(), err error) {
+// ReadAll reads an answer to its end. The caller calls release once it no longer needs the answer.
+func (m *Budget) ReadAll(r io.Reader) (b []byte, release func(), err error) {
 	reserved := int64(0)
 	release = func() { m.releaseAnswer(reserved) }
 	for {
 		if len(b) == cap(b) {
 			step := max(int64(cap(b)), answerStep)
 			if int64(len(b)) > answerMax {
-				return nil, release, errAnswerTooLarge
+				return nil, release, ErrAnswerTooLarge
 			}
-			if !m.reserveAnswer(step) {
-				return nil, release, errAnswerMemory
+			if !m.ReserveAnswer(step) {
+				return nil, release, ErrAnswerMemory
 			}
 			reserved += step
 			b = append(make([]byte, 0, int64(cap(b))+step), b...)
@@ -212,7 +224,7 @@
 		b = b[:len(b)+n]
 		switch {
 		case err == io.EOF && len(b) > answerMax:
-			return nil, release, errAnswerTooLarge
+			return nil, release, ErrAnswerTooLarge
 		case err == io.EOF:
 			return b, release, nil
 		case err != nil:
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
@@ -27,7 +28,7 @@
 	account           *route.Account
 	// tokens is the number of tokens charged to the account, and quotaLevel what remained in it afterwards.
 	tokens, quotaLevel ident.Tokens
-	body               *body
+	body               *budget.Body
 	// features are what the request may have in common with others that crash targets; the first is its content.
 	features []ident.Fingerprint
 	// onTrial is true while the request may be sent as a trial.
@@ -48,7 +49,7 @@
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { c.body.release() }()
+	defer func() { c.body.Release() }()
 	if f := r.admit(w, c); f != nil {
 		r.refuse(w, c, f)
 		c.discardBody(w)
@@ -158,23 +159,23 @@
 		c.unread = true
 		return tooLarge()
 	}
-	b, err := r.memory.newBody(c.accountName(), declared)
+	b, err := r.memory.NewBody(c.accountName(), declared)
 	if err == nil {
 		rc := http.NewResponseController(w)
 		_ = rc.SetReadDeadline(c.arrived.Add(c.timeout())) // test recorders do not support it
 		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 		c.body = b
-		err = b.readFrom(c.r.Body, declared, limit)
+		err = b.Fill(c.r.Body, declared, limit)
 	}
 	switch {
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, budget.ErrBodyMemory):
 		c.unread = true
 		return withRetryAfter(fault.NotRunf(fault.Shed, "%v", err), bodyRetryAfter)
 	case err != nil:
 		f = fault.NotRunf(fault.ClientDisconnected, "the body ended early: %v", err)
 		f.StatusOverride = http.StatusBadRequest
 		return f
-	case b.size > limit:
+	case b.Size > limit:
 		c.unread = true
 		return tooLarge()
 	}
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -43,7 +43,7 @@
 
 // setFeatures sets what the request may have in common with others; see package poison.
 func (c *call) setFeatures() {
-	c.features = append(c.features, ident.FingerprintOf(c.service, append([][]byte{[]byte(c.r.Method + " " + c.uri + " " + c.Key + "\n")}, c.body.chunks...)...))
+	c.features = append(c.features, ident.FingerprintOf(c.service, append([][]byte{[]byte(c.r.Method + " " + c.uri + " " + c.Key + "\n")}, c.body.Chunks...)...))
 	for _, p := range c.Parts {
 		c.features = append(c.features, ident.FingerprintOf(c.service, []byte("part "+p)))
 	}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hickoryvane.example/core/accept"
+	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -126,7 +127,7 @@
 	regions     map[ident.DataCentre]ident.Region
 	callers     *accept.Server
 	conns       *connPool
-	memory      *memoryBudget
+	memory      *budget.Budget
 	table       atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
 	joined atomic.Bool
@@ -244,7 +245,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), memory: newMemoryBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), memory: budget.New(cfg.MemoryMB * (1 << 20)), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -272,7 +272,7 @@
 	r.recordLife(t.ID, a.activity)
 	r.recordRate(t, x.answer)
 	if !c.route.Repeatable() && !x.refused(c.ID) && x.hasWritten() {
-		c.body.release() // the request is not sent again
+		c.body.Release() // the request is not sent again
 	}
 	complete := false
 	defer func() { r.conns.release(x, complete) }()
@@ -315,7 +315,7 @@
 
 // bufferAnswer reads the complete answer into memory. The caller calls release when it no longer needs the answer.
 func (r *Router) bufferAnswer(ctx context.Context, c *call, a *attempt, x *exchange) (complete bool, release func()) {
-	b, release, err := r.memory.readAll(x.Body)
+	b, release, err := r.memory.ReadAll(x.Body)
 	if err != nil {
 		a.setError(ctx, err)
 		return false, release
@@ -494,7 +494,7 @@
 	h.Del("Content-Length")
 	r.dialect.SetForwardHeaders(h, Forward{Remaining: time.Until(c.deadline), Target: t.ID, Account: c.accountName(), LastEventID: prog.lastID})
 	return targetRequest{
-		id: c.ID, method: c.r.Method, uri: c.uri, host: c.r.Host, header: h, body: c.body.chunks, bodySize: c.body.size,
+		id: c.ID, method: c.r.Method, uri: c.uri, host: c.r.Host, header: h, body: c.body.Chunks, bodySize: c.body.Size,
 		observe: func(a Answer) { r.recordStatements(c, t, a) },
 	}
 }
