budget, accept: memory of header sections, connections and slow readers

Cause: http.Server parses header sections of any number of lines up to 1 MiB within 30 s, and nothing counts them; 120 clients took 72 to 301 MB of 64. A caller that does not read its stream keeps the slot of its target until the target ends the answer.

Ruled out: a fixed limit of lines (a single legal request can reach it), a copy of each header section before it is parsed, a goroutine per stream.

Change: core/budget counts header sections and unread answers beside bodies and answers; core/accept reserves their cost as bytes are read, answers 431, 408 or 503 or closes, limits connections by memory and descriptors (setting files), limits the socket buffers, and holds what slow readers of streams have not read. All listeners use it. header-timeout-ms is read from the configuration. Event 416 and hickoryvane_limited_total name the limit.

--- a/agent/node/agent.go
+++ b/agent/node/agent.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"hickoryvane.example/agent/target"
+	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/admin"
 	"hickoryvane.example/core/answer"
+	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/group"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/launch"
 	"hickoryvane.example/core/lease"
 	"hickoryvane.example/core/links"
 	"hickoryvane.example/core/member"
@@ -94,7 +97,9 @@
 	defer cancel()
 	g := group.New()
 	handler := admin.Handler(&source{Agent: a, ctx: ctx}, a.meter.Handler())
-	g.Go(ctx, "admin", func(ctx context.Context) error { return admin.Serve(ctx, ln, handler) })
+	g.Go(ctx, "admin", func(ctx context.Context) error {
+		return admin.Serve(ctx, ln, handler, accept.WithBudget(budget.New(launch.MemoryLimit, 0)))
+	})
 	g.Go(ctx, "core", a.loop)
 	g.Go(ctx, "probe", a.probeTarget)
 	if e, ok := a.target.(*target.Engine); ok {
--- a/core/accept/accept.go
+++ b/core/accept/accept.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/budget"
 )
 
 const (
@@ -60,12 +62,39 @@
 	return func(s *Server) { s.closed = f }
 }
 
+// WithBudget makes the server reserve the memory of header sections, and limit its connections, by b.
+func WithBudget(b *budget.Budget) Option { return func(s *Server) { s.budget = b } }
+
+// WithConnsMax sets the number of connections that may be open, if it is less than that of the budget; zero is the latter.
+func WithConnsMax(n int) Option { return func(s *Server) { s.connsMax = n } }
+
+// WithHeaderMax sets the size of a header section in bytes above which it is not read. f is called for each read.
+func WithHeaderMax(f func() int) Option { return func(s *Server) { s.headerMax = f } }
+
+// WithHeaderTime sets the time in which a header section has to be read.
+func WithHeaderTime(f func() time.Duration) Option { return func(s *Server) { s.headerTime = f } }
+
+// WithLimited makes the server call count for each connection that reaches a limit, and report for at most one a second
+// and limit, with the number of those that reached it since the last report.
+func WithLimited(count func(l Limit), report func(l Limit, remote net.Addr, count int)) Option {
+	return func(s *Server) { s.limited, s.reports.f = count, report }
+}
+
 // Server serves HTTP on one listener.
 type Server struct {
 	http     *http.Server
 	idleTime func() time.Duration
 	closed   func(remote net.Addr, c Cause, rested time.Duration)
 	stopping atomic.Bool
+	// closing is true once connections are closed without regard to their answers.
+	closing  atomic.Bool
+	budget   *budget.Budget
+	connsMax int
+	// headerMax is the size of a header section that is read, headerTime the time for it.
+	headerMax  func() int
+	headerTime func() time.Duration
+	limited    func(l Limit)
+	reports    reports
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -82,11 +111,22 @@
 func New(srv *http.Server, opts ...Option) *Server {
 	s := &Server{
 		http: srv, conns: map[*conn]struct{}{}, idleTime: func() time.Duration { return defaultIdleTime },
-		closed: func(net.Addr, Cause, time.Duration) {},
+		closed: func(net.Addr, Cause, time.Duration) {}, limited: func(Limit) {},
+		headerMax: func() int { return srv.MaxHeaderBytes }, headerTime: func() time.Duration { return srv.ReadHeaderTimeout },
+		reports: reports{f: func(Limit, net.Addr, int) {}},
+	}
+	if srv.MaxHeaderBytes <= 0 {
+		srv.MaxHeaderBytes = http.DefaultMaxHeaderBytes
 	}
 	for _, o := range opts {
 		o(s)
 	}
+	if s.budget == nil {
+		s.budget = budget.New(0, 0)
+	}
+	if s.connsMax <= 0 || s.connsMax > s.budget.ConnsMax() {
+		s.connsMax = s.budget.ConnsMax()
+	}
 	h := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
@@ -150,6 +190,7 @@
 // Close closes all connections at once, also those with running requests.
 func (s *Server) Close() error {
 	s.stopping.Store(true)
+	s.closing.Store(true)
 	return s.http.Close()
 }
 
@@ -176,6 +217,7 @@
 		delete(s.conns, c)
 		s.closeIfDrained()
 		s.mu.Unlock()
+		c.release()
 		if cause, rested, ok := c.endedAtRest(); ok {
 			s.closed(c.RemoteAddr(), cause, rested)
 		}
@@ -202,13 +244,57 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	k, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: k, server: l.server, state: fresh, since: time.Now()}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
+	for {
+		k, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		limitBuffers(k)
+		c := &conn{Conn: k, server: l.server, state: fresh, since: time.Now(), head: head{reading: true}}
+		c.owner = budget.NewOwner(c.evict)
+		if l.server.add(c) {
+			return c, nil
+		}
+		c.report(Conns)
+		_ = k.Close() // nothing was read from it
+	}
+}
+
+// add makes a connection known to the server, for which it may end another one. It returns false if there are too many.
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.connsMax {
+		v := s.leastUseful()
+		if v == nil {
+			return false
+		}
+		v.report(Conns)
+		v.end()
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// victimsMax limits the connections that are compared when there are too many.
+const victimsMax = 64
+
+// leastUseful returns the connection that is ended for a new one: one without a complete header section, or else one that
+// rests, of those the one that has waited for the longest; nil if all of those that it compares have a request. s.mu is
+// held.
+func (s *Server) leastUseful() *conn {
+	var best *conn
+	var bestRank int
+	var bestSince time.Time
+	n := 0
+	for c := range s.conns {
+		if n++; n > victimsMax {
+			break
+		}
+		rank, since := c.rank()
+		if rank > bestRank || rank == bestRank && rank > 0 && since.Before(bestSince) {
+			best, bestRank, bestSince = c, rank, since
+		}
+	}
+	return best
 }
--- a/core/accept/accept_test.go
+++ b/core/accept/accept_test.go
@@ -28,15 +28,20 @@
 	return l, serve(t, l, answer, opts...)
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	return ln
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
 // serve serves h on ln until the end of the test.
-func serve(t *testing.T, ln net.Listener, h http.HandlerFunc, opts ...accept.Option) *accept.Server {
-	s := accept.New(&http.Server{ReadHeaderTimeout: time.Minute, Handler: h}, opts...)
+func serve(t testing.TB, ln net.Listener, h http.HandlerFunc, opts ...accept.Option) *accept.Server {
+	s := accept.New(&http.Server{ReadHeaderTimeout: time.Minute, Handler: h, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}, opts...)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ln) }()
 	t.Cleanup(func() {
--- a/core/accept/conn.go
+++ b/core/accept/conn.go
@@ -4,9 +4,12 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/budget"
 )
 
 // state is what a connection waits for.
@@ -27,6 +30,10 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// owner holds the memory of the connection; limit is the first Limit that the connection reached.
+	owner *budget.Owner
+	limit atomic.Uint32
+	out   output
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -37,6 +44,11 @@
 	idleTime time.Duration
 	// expired is true when the connection ended because it rested.
 	expired bool
+	// ending is true once the connection is to end unless it has a request.
+	ending bool
+	// released is true once the connection has ended or belongs to its handler; no memory is reserved any more.
+	released bool
+	head     head
 }
 
 // rest records that an answer is complete.
@@ -44,6 +56,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since, c.idleTime = answered, time.Now(), 0
+	c.nextHead(true)
+	c.out.buffered.Store(false)
+	c.ending = false // it had a request after all
 }
 
 // SetReadDeadline implements net.Conn. After an answer, http.Server sets a deadline before it waits for the next
@@ -53,33 +68,75 @@
 	defer c.mu.Unlock()
 	switch c.state {
 	case fresh:
-		return c.Conn.SetReadDeadline(earlier(t, c.waitDeadline()))
+		if c.ending {
+			return c.Conn.SetReadDeadline(time.Now())
+		}
+		return c.Conn.SetReadDeadline(earlier(c.headDeadline(), c.waitDeadline()))
 	case answered:
 		c.state = resting
 		return c.Conn.SetReadDeadline(c.waitDeadline())
 	default:
 		c.state = active
+		if t.IsZero() { // http.Server has parsed the header section
+			c.head.reading = false
+		} else if c.head.reading {
+			t = c.headDeadline()
+		}
 		return c.Conn.SetReadDeadline(t)
 	}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (n int, err error) {
+	c.beginRead(len(b))
 	n, err = c.Conn.Read(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.allowLastRead() {
 		n, err = c.Conn.Read(b)
 	}
+	l, answer := c.endRead(b[:n], err)
+	if l != noLimit {
+		return 0, c.refuse(l, answer)
+	}
+	return n, err
+}
+
+// beginRead records that http.Server waits for n bytes. It waits for one byte while the handler has the whole request, and
+// for a request that rests only if its buffer is empty.
+func (c *conn) beginRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case n == 1 && c.head.cost > 0:
+		c.server.budget.SetBusy(c.owner)
+	case c.state == resting && c.head.cost > 0:
+		c.nextHead(false)
+	}
+}
+
+// endRead records the result of a read and returns the limit that the connection has reached. answer is true if the
+// request has not been passed to the handler yet.
+func (c *conn) endRead(b []byte, err error) (l Limit, answer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer = c.head.reading
+	switch {
 	case c.state == active:
-	case n > 0:
+	case len(b) > 0:
 		c.state = active
 		_ = c.Conn.SetReadDeadline(c.headDeadline()) // fails only when the connection is closed
 	case c.state == resting && errors.Is(err, os.ErrDeadlineExceeded):
 		c.expired = true
 	}
-	return n, err
+	if c.state == active && answer && errors.Is(err, os.ErrDeadlineExceeded) {
+		return HeaderTime, answer
+	}
+	if len(b) == 0 || c.released {
+		return noLimit, answer
+	}
+	if l = c.count(b); l == noLimit && c.ending && c.head.reading {
+		l = Conns
+	}
+	return l, answer
 }
 
 // allowLastRead sets a deadline for one more read if the connection waits for a request.
@@ -111,9 +168,10 @@
 	return c.since.Add(c.idleTime + idleGrace)
 }
 
-// headDeadline returns the time until which the head of a request has to be read whose first bytes were just read.
+// headDeadline returns the time until which the header section has to be read whose first bytes were just read; c.mu is
+// held.
 func (c *conn) headDeadline() time.Time {
-	d := c.server.http.ReadHeaderTimeout
+	d := c.server.headerTime()
 	if c.server.stopping.Load() && (d <= 0 || d > stopHeadTime) {
 		d = stopHeadTime
 	}
@@ -142,15 +200,6 @@
 	return nil
 }
 
-// CloseWrite ends the sending direction; see net.TCPConn. http.Server uses it to end an answer to a request whose body
-// was not read.
-func (c *conn) CloseWrite() error {
-	if k, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return k.CloseWrite()
-	}
-	return nil
-}
-
 // earlier returns the earlier of two deadlines, of which zero ones are none.
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
--- /dev/null
+++ b/core/accept/output_test.go
@@ -0,0 +1,80 @@
+package accept_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/accept"
+	"hickoryvane.example/core/budget"
+)
+
+const (
+	writeSize  = 16 << 10
+	writeCount = 256
+)
+
+// serveStreams serves streams of writeCount writes and sends the number of those that succeeded on ended.
+func serveStreams(t *testing.T, b *budget.Budget, limits chan accept.Limit) (net.Listener, chan int) {
+	ln, ended := listen(t), make(chan int, 10)
+	serve(t, ln, func(w http.ResponseWriter, r *http.Request) {
+		r.Context().Value(connKey{}).(interface{ BufferWrites() }).BufferWrites()
+		rc := http.NewResponseController(w)
+		_ = rc.SetWriteDeadline(time.Now().Add(10 * time.Second))
+		n := 0
+		for ; n < writeCount; n++ {
+			if _, err := io.WriteString(w, strings.Repeat(string(rune('a'+n%26)), writeSize)); err != nil || rc.Flush() != nil {
+				break
+			}
+		}
+		ended <- n
+	}, accept.WithBudget(b), accept.WithLimited(func(l accept.Limit) { limits <- l }, func(accept.Limit, net.Addr, int) {}))
+	return ln, ended
+}
+
+// Guards against a slow reader that keeps the handler, and with it the target, and against bytes that are lost, doubled or
+// exchanged on the way through the buffer, also where the next request or the end of the connection follows.
+func TestSlowReaderDoesNotKeepTheHandler(t *testing.T) {
+	g := NewWithT(t)
+	b, limits := budget.New(256<<20, 0), make(chan accept.Limit, 10)
+	ln, ended := serveStreams(t, b, limits)
+	c := connect(t, ln)
+	_, _ = io.WriteString(c, request+strings.Replace(request, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+	for range 2 {
+		g.Eventually(ended, "5s").Should(Receive(Equal(writeCount)), "nothing was read")
+	}
+	g.Expect(b.Used()).To(BeNumerically(">", writeSize*writeCount))
+	r := bufio.NewReader(c)
+	for range 2 {
+		res, err := http.ReadResponse(r, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		for n := range writeCount {
+			part := make([]byte, writeSize)
+			_, err = io.ReadFull(res.Body, part)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(part) == strings.Repeat(string(rune('a'+n%26)), writeSize)).To(BeTrue())
+		}
+		g.Expect(io.ReadAll(res.Body)).To(BeEmpty())
+	}
+	g.Eventually(b.Used).Should(BeZero())
+	g.Expect(limits).To(BeEmpty())
+}
+
+// Guards against slow readers that use more memory than is meant for them.
+func TestSlowReadersEndWhenMemoryIsShort(t *testing.T) {
+	g := NewWithT(t)
+	b, limits := budget.New(16<<20, 0), make(chan accept.Limit, 10)
+	ln, ended := serveStreams(t, b, limits)
+	_, _ = io.WriteString(connect(t, ln), request)
+	var n int
+	g.Eventually(ended, "5s").Should(Receive(&n))
+	g.Expect(n).To(BeNumerically("<", writeCount))
+	g.Expect(limits).To(Receive(Equal(accept.Reader)))
+	g.Eventually(b.Used).Should(BeZero())
+}
--- a/core/admin/admin.go
+++ b/core/admin/admin.go
@@ -19,6 +19,8 @@
 	headerTimeout = 5 * time.Second
 	// headerBytesMax bounds the header of a request.
 	headerBytesMax = 16 << 10
+	// connsMax bounds the connections of peers, probes and operators that do not belong to a handler yet.
+	connsMax = 256
 	// closeTimeout bounds the wait for open requests when a server stops.
 	closeTimeout = time.Second
 )
@@ -71,9 +73,9 @@
 }
 
 // Serve serves h on ln until ctx ends.
-func Serve(ctx context.Context, ln net.Listener, h http.Handler) (err error) {
+func Serve(ctx context.Context, ln net.Listener, h http.Handler, opts ...accept.Option) (err error) {
 	defer func() { err = errors.WithMessagef(err, "serve %s", ln.Addr()) }()
-	srv := accept.New(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytesMax})
+	srv := accept.New(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytesMax}, append([]accept.Option{accept.WithConnsMax(connsMax)}, opts...)...)
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	select {
--- a/core/budget/bodies.go
+++ b/core/budget/bodies.go
@@ -52,39 +52,49 @@
 // concurrent use.
 type Budget struct {
 	totalMax, answersMax, bodiesMax, largeMax int64
+	partMax, guaranteed                       int64
+	// connsMax is the number of connections of callers that may be open.
+	connsMax int
 
 	// mu guards the fields below, which are in bytes.
 	mu sync.Mutex
 	// answers, small and large are in use for answers, for small and for large bodies; byAccount holds the large ones.
 	answers, small, large int64
 	byAccount             map[ident.AccountID]int64
+	// parts are in use by part, of which each may use partMax and always guaranteed; owners are those who hold them.
+	parts  [partCount]int64
+	owners [partCount]map[*Owner]struct{}
 }
 
-// New returns the budget of a process that may use the given memory in bytes; zero means that the settings do not limit
-// it.
-func New(memory float64) *Budget {
-	all := memory
+// New returns the budget of a process that may use the given memory in bytes and number of descriptors; zero means that
+// the settings do not limit them.
+func New(memory float64, descriptors int) *Budget {
 	if memory <= 0 {
-		all = memoryDefault
+		memory = memoryDefault
 	}
-	return &Budget{
-		totalMax: int64(totalShare * all), answersMax: max(int64(answerShare*all), answerMax), bodiesMax: int64(bodyShare * all), largeMax: int64(largeShare * all),
+	m := &Budget{
+		totalMax: int64(totalShare * memory), answersMax: max(int64(answerShare*memory), answerMax), bodiesMax: int64(bodyShare * memory), largeMax: int64(largeShare * memory),
+		partMax: int64(partShare * memory), guaranteed: int64(guaranteedShare * memory), connsMax: connsMax(memory, descriptors),
 		byAccount: map[ident.AccountID]int64{},
 	}
+	for p := range m.owners {
+		m.owners[p] = map[*Owner]struct{}{}
+	}
+	return m
 }
 
 // Used returns the bytes that are in use.
 func (m *Budget) Used() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.answers + m.small + m.large
+	return m.used()
 }
 
 // ReserveAnswer reserves n bytes for an answer, if there are so many.
 func (m *Budget) ReserveAnswer(n int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.answers+n > m.answersMax || m.answers+m.small+m.large+n > max(m.totalMax, m.answersMax) {
+	if m.answers+n > m.answersMax || m.answers+m.small+m.large+m.reserved()+n > max(m.totalMax, m.answersMax) {
 		return false
 	}
 	m.answers += n
@@ -105,7 +115,7 @@
 		large && m.byAccount[a] > own && m.byAccount[a]+n > accountFactor*(m.largeMax-m.large-n):
 		return false
 	}
-	return m.small+m.large+n <= m.bodiesMax && m.answers+m.small+m.large+n <= m.totalMax
+	return m.small+m.large+n <= m.bodiesMax && m.answers+m.small+m.large+m.reserved()+n <= m.totalMax
 }
 
 // Body is the body of a request while it may be sent. Its methods are not safe for concurrent use.
--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -57,6 +57,8 @@
 	Store string `json:"store" need:"yes" form:"address"`
 	// MemoryMB bounds the memory of the process.
 	MemoryMB float64 `json:"memory" unit:"MB" need:"yes" limit:"32..1048576"`
+	// Files bounds the descriptors of the process.
+	Files int `json:"files" unit:"descriptors" default:"4096" limit:"1..1048576"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL.
 	GraceSeconds float64 `json:"grace" unit:"s" need:"yes" limit:"0..3600"`
 	// DrainMillis is the time within which a target whose registration was removed must get no more requests.
--- a/core/event/list.go
+++ b/core/event/list.go
@@ -45,6 +45,7 @@
 	RequestUnsent         ID = 413
 	SuspicionWeighed      ID = 414
 	RequestOnTrial        ID = 415
+	LimitReached          ID = 416
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -110,6 +111,7 @@
 	{RequestUnsent, log.InfoLevel, "request not sent to its target"},
 	{SuspicionWeighed, log.InfoLevel, "crashes weighed against requests"},
 	{RequestOnTrial, log.InfoLevel, "request sent as a trial"},
+	{LimitReached, log.WarnLevel, "connection of a caller reached a limit"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
--- a/core/meter/instrument.go
+++ b/core/meter/instrument.go
@@ -50,6 +50,7 @@
 		{&m.linkBytes, "hickoryvane.link", "By", "bytes sent over the region link"},
 		{&m.refused, "hickoryvane.refused", "{request}", "requests refused"},
 		{&m.overQuota, "hickoryvane.quota.refused", "{request}", "requests over the limit of their account"},
+		{&m.limited, "hickoryvane.limited", "{connection}", "connections of callers that reached a limit"},
 		{&m.resent, "hickoryvane.repeated", "{request}", "requests sent to one more target"},
 	} {
 		*c.to, err = in.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text))
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -31,7 +31,7 @@
 	goodput, shed                  metric.Int64Counter
 	wastedPrefill, linkBytes       metric.Int64Counter
 	refused, overQuota             metric.Int64Counter
-	resent                         metric.Int64Counter
+	resent, limited                metric.Int64Counter
 	targets                        metric.Int64Gauge
 
 	names    names
@@ -147,6 +147,11 @@
 	m.resent.Add(context.Background(), 1, m.resends.get(resendLabels{m.names.service(s), after}).add...)
 }
 
+// CountLimited counts a connection that reached a limit of package accept, of which there are few.
+func (m *Meter) CountLimited(limit string) {
+	m.limited.Add(context.Background(), 1, metric.WithAttributes(attribute.String("limit", limit)))
+}
+
 // RecordTargets records how many targets of a service are in a state in which they get no requests.
 func (m *Meter) RecordTargets(s ident.Service, state string, n int) {
 	m.targets.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", string(m.names.service(s))), attribute.String("state", state)))
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -109,6 +109,8 @@
 	BodyBytesMax, HeaderBytesMax ident.Bytes
 	// IdleTimeout is the time for which a caller's connection may rest; zero means the router's own limit.
 	IdleTimeout time.Duration
+	// HeaderTimeout is the time in which the header section of a request has to arrive; zero means the router's own limit.
+	HeaderTimeout time.Duration
 }
 
 // Table is the routing table of one configuration. It is immutable after New.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -72,7 +72,7 @@
 	case r.closing.Load():
 		return withRetryAfter(fault.NotRunf(fault.Draining, "this process stops"), 10*time.Millisecond)
 	}
-	if f := c.checkHeader(table); f != nil {
+	if f := c.checkHeader(r.headerMax()); f != nil {
 		return f
 	}
 	path, _, _ := strings.Cut(c.uri, "?")
@@ -95,11 +95,7 @@
 const defaultHeaderMax = 64 << 10
 
 // checkHeader refuses a request whose request line and headers are larger than the configuration allows.
-func (c *call) checkHeader(table *route.Table) *fault.Error {
-	limit := int(table.Limits.HeaderBytesMax)
-	if limit <= 0 {
-		limit = defaultHeaderMax
-	}
+func (c *call) checkHeader(limit int) *fault.Error {
 	n := len(c.r.Method) + len(c.uri) + len(" HTTP/1.1\r\n") + 1 + len("Host: \r\n") + len(c.r.Host)
 	for k, values := range c.r.Header {
 		for _, v := range values {
--- a/router/direct/callerconn.go
+++ b/router/direct/callerconn.go
@@ -21,6 +21,30 @@
 	return defaultIdleTimeout
 }
 
+// headerMax returns the size of a header section in bytes above which it is not read.
+func (r *Router) headerMax() int {
+	if table := r.table.Load(); table != nil && table.Limits.HeaderBytesMax > 0 {
+		return int(table.Limits.HeaderBytesMax)
+	}
+	return defaultHeaderMax
+}
+
+// headerTime returns the time in which a header section has to be read.
+func (r *Router) headerTime() time.Duration {
+	if table := r.table.Load(); table != nil && table.Limits.HeaderTimeout > 0 {
+		return table.Limits.HeaderTimeout + headerMargin
+	}
+	return headerTimeout
+}
+
+// countLimited counts a connection that reached a limit.
+func (r *Router) countLimited(l accept.Limit) { r.meter.CountLimited(l.String()) }
+
+// logLimited logs the connections that reached a limit since the last line about it.
+func (r *Router) logLimited(l accept.Limit, remote net.Addr, count int) {
+	r.log.Log(event.LimitReached, "limit", l, "from", remote, "count", count)
+}
+
 // logClosed logs that this router ended the connection of a caller.
 func (r *Router) logClosed(remote net.Addr, c accept.Cause, rested time.Duration) {
 	r.log.Log(event.CallerClosed, "from", remote, "cause", c, "rested", rested)
@@ -42,3 +66,10 @@
 		_ = c.SetLinger(0) // the connection may be closed already
 	}
 }
+
+// bufferWrites makes the writes of an answer not wait for the caller, so that a slow one does not keep the target.
+func bufferWrites(req *http.Request) {
+	if c, ok := req.Context().Value(callerConnKey{}).(interface{ BufferWrites() }); ok {
+		c.BufferWrites()
+	}
+}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -245,7 +245,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), memory: budget.New(cfg.MemoryMB * (1 << 20)), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: newConnPool(), memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
@@ -264,7 +264,7 @@
 	}
 	r.callers = accept.New(&http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
-	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed))
+	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed), accept.WithBudget(r.memory), accept.WithHeaderMax(r.headerMax), accept.WithHeaderTime(r.headerTime), accept.WithLimited(r.countLimited, r.logLimited))
 	return r
 }
 
--- a/router/direct/export_test.go
+++ b/router/direct/export_test.go
@@ -23,7 +23,7 @@
 type Memory struct{ *budget.Budget }
 
 // NewMemory returns the limit of a process with the given memory.
-func NewMemory(megabytes float64) Memory { return Memory{budget.New(megabytes * (1 << 20))} }
+func NewMemory(megabytes float64) Memory { return Memory{budget.New(megabytes*(1<<20), 0)} }
 
 // ReadBody reads a body of the declared length and gives its memory back.
 func (m Memory) ReadBody(r io.Reader, declared, limit int64) (size int64, err error) {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/admin"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
@@ -17,9 +18,11 @@
 )
 
 const (
-	// headerTimeout limits the time in which the headers of a request are read; headerMax limits their size
-	// in bytes. Both are above the limits that configurations set.
-	headerTimeout = 30 * time.Second
+	// headerTimeout limits the time in which the headers of a request are read where the configuration does not;
+	// headerMargin is added to its limit, so that a caller which keeps to it is not refused. headerMax limits their size
+	// in bytes; it is above the limits that configurations set.
+	headerTimeout = 10 * time.Second
+	headerMargin  = time.Second
 	headerMax     = 1 << 20
 	// rotationTime is the time after the start of a shutdown within which the load balancer stops sending new
 	// connections: two failed probes, one second apart, and some delay.
@@ -98,7 +101,7 @@
 		if err != nil {
 			return err
 		}
-		g.Go(ctx, "serve "+addr, func(ctx context.Context) error { return admin.Serve(ctx, ln, h) })
+		g.Go(ctx, "serve "+addr, func(ctx context.Context) error { return admin.Serve(ctx, ln, h, accept.WithBudget(r.memory)) })
 	}
 	return nil
 }
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -384,6 +384,7 @@
 		}
 		if !prog.started {
 			prog.started, prog.format = true, x.format()
+			bufferWrites(c.r)
 			r.writeHead(w, c, x.StatusCode, x.Header)
 		}
 		_, werr := w.Write(b)
--- a/router/entry/router.go
+++ b/router/entry/router.go
@@ -8,12 +8,15 @@
 	"sync/atomic"
 	"time"
 
+	"hickoryvane.example/core/accept"
 	"hickoryvane.example/core/admin"
+	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/conf"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/group"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/launch"
 	"hickoryvane.example/core/links"
 	"hickoryvane.example/core/member"
 	"hickoryvane.example/core/meter"
@@ -130,11 +133,13 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	g := group.New()
+	g, memory := group.New(), budget.New(launch.MemoryLimit, 0)
 	g.Go(ctx, "admin", func(ctx context.Context) error {
-		return admin.Serve(ctx, adminLn, admin.Handler(&adminSource{Router: r, ctx: ctx}, r.metrics))
+		return admin.Serve(ctx, adminLn, admin.Handler(&adminSource{Router: r, ctx: ctx}, r.metrics), accept.WithBudget(memory))
+	})
+	g.Go(ctx, "callers", func(ctx context.Context) error {
+		return admin.Serve(ctx, ln, r.handler(ctx), accept.WithBudget(memory), accept.WithConnsMax(0))
 	})
-	g.Go(ctx, "callers", func(ctx context.Context) error { return admin.Serve(ctx, ln, r.handler(ctx)) })
 	g.Go(ctx, "list", r.followVMList)
 	g.Go(ctx, "core", r.loop)
 	r.log.Log(event.Started, "role", "router", "process", r.cfg.Name, "listen", ln.Addr(), "admin", adminLn.Addr())
