accept: whole seconds in Retry-After; test of reports of a flood

The test failed first for its own faults: a header section below the limit (408), and connections that hold their reservation while their refusal is sent (503).

--- a/core/accept/head_test.go
+++ b/core/accept/head_test.go
@@ -125,3 +125,27 @@
 	g.Expect(status).To(Equal(200))
 	g.Expect(limits).To(Receive(Equal(accept.Conns)))
 }
+
+// Guards against a flood of clients that is a flood of log lines, and against refusals that no line counts.
+func TestFloodIsReportedOnceASecond(t *testing.T) {
+	const clients = 20
+	g := NewWithT(t)
+	counts := make(chan int, 2*clients)
+	ln, b, _ := limited(t, accept.WithLimited(func(accept.Limit) {}, func(_ accept.Limit, _ net.Addr, n int) { counts <- n }))
+	began := time.Now()
+	for range clients {
+		c := connect(t, ln)
+		status, _ := ask(g, c, headerSection(4000))
+		g.Expect(status).To(Equal(431))
+		g.Expect(c.Close()).To(Succeed())
+		g.Eventually(b.Used).Should(BeZero())
+	}
+	g.Expect(len(counts)).To(BeNumerically("<=", 1+int(time.Since(began)/time.Second)))
+	time.Sleep(1100 * time.Millisecond)
+	_, _ = ask(g, connect(t, ln), headerSection(4000))
+	total := 0
+	for len(counts) > 0 {
+		total += <-counts
+	}
+	g.Expect(total).To(Equal(clients + 1))
+}
--- a/core/accept/limit.go
+++ b/core/accept/limit.go
@@ -43,8 +43,8 @@
 	refusalTime = 20 * time.Millisecond
 	drainMax    = 64 << 10
 	// memoryRetryAfter is the time after which a request for which there was no memory may be sent again: some others
-	// have ended then.
-	memoryRetryAfter = 500 * time.Millisecond
+	// have ended then. It is a whole second because not all callers read fractions.
+	memoryRetryAfter = time.Second
 )
 
 // reports combines reports of limits, so that a flood of clients is no flood of log lines.
@@ -86,7 +86,7 @@
 		f.StatusOverride = http.StatusRequestTimeout
 	case Memory:
 		f = fault.NotRunf(fault.Shed, "header sections use all memory that is reserved for them")
-		after = fmt.Sprintf("Retry-After: %v\r\n", memoryRetryAfter.Seconds())
+		after = fmt.Sprintf("Retry-After: %d\r\n", memoryRetryAfter/time.Second)
 	default:
 		return nil
 	}
