--- a/core/meter/instrument.go
+++ b/core/meter/instrument.go
@@ -52,6 +52,7 @@
 		{&m.overQuota, "hickoryvane.quota.refused", "{request}", "requests over the limit of their account"},
 		{&m.prefixHeld, "hickoryvane.prefix.held", "{token}", "prompt tokens that targets were estimated to hold"},
 		{&m.prefixMoved, "hickoryvane.prefix.moved", "{request}", "requests sent to another target because of them"},
+		{&m.limited, "hickoryvane.limited", "{connection}", "connections of callers that reached a limit"},
 		{&m.resent, "hickoryvane.repeated", "{request}", "requests sent to one more target"},
 	} {
 		*c.to, err = in.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text))
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/avail"
+	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fair"
@@ -31,7 +32,7 @@
 	account           *route.Account
 	// tokens is the number of tokens charged to the account, and quotaLevel what remained in it afterwards.
 	tokens, quotaLevel ident.Tokens
-	body               *body
+	body               *budget.Body
 	// features are what the request may have in common with others that crash targets; the first is its content.
 	features []ident.Fingerprint
 	// onTrial is true while the request may be sent as a trial.
@@ -52,7 +53,7 @@
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { c.body.release() }()
+	defer func() { c.body.Release() }()
 	if f := r.admit(w, c); f != nil {
 		r.refuse(w, c, f)
 		c.discardBody(w)
@@ -75,7 +76,7 @@
 	case r.closing.Load():
 		return withRetryAfter(fault.NotRunf(fault.Draining, "this process stops"), 10*time.Millisecond)
 	}
-	if f := c.checkHeader(table); f != nil {
+	if f := c.checkHeader(r.headerMax()); f != nil {
 		return f
 	}
 	path, _, _ := strings.Cut(c.uri, "?")
@@ -98,11 +99,7 @@
 const defaultHeaderMax = 64 << 10
 
 // checkHeader refuses a request whose request line and headers are larger than the configuration allows.
-func (c *call) checkHeader(table *route.Table) *fault.Error {
-	limit := int(table.Limits.HeaderBytesMax)
-	if limit <= 0 {
-		limit = defaultHeaderMax
-	}
+func (c *call) checkHeader(limit int) *fault.Error {
 	n := len(c.r.Method) + len(c.uri) + len(" HTTP/1.1\r\n") + 1 + len("Host: \r\n") + len(c.r.Host)
 	for k, values := range c.r.Header {
 		for _, v := range values {
@@ -162,16 +159,16 @@
 		c.unread = true
 		return tooLarge()
 	}
-	b, err := r.memory.newBody(c.accountName(), declared)
+	b, err := r.memory.NewBody(c.accountName(), declared)
 	if err == nil {
 		rc := http.NewResponseController(w)
 		_ = rc.SetReadDeadline(c.arrived.Add(c.timeout())) // test recorders do not support it
 		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 		c.body = b
-		err = b.readFrom(c.r.Body, declared, limit)
+		err = b.Fill(c.r.Body, declared, limit)
 	}
 	switch {
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, budget.ErrBodyMemory):
 		c.unread = true
 		return withRetryAfter(fault.NotRunf(fault.Shed, "%v", err), bodyRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -181,7 +178,7 @@
 		f = fault.NotRunf(fault.ClientDisconnected, "the body ended early: %v", err)
 		f.StatusOverride = http.StatusBadRequest
 		return f
-	case b.size > limit:
+	case b.Size > limit:
 		c.unread = true
 		return tooLarge()
 	}
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -19,6 +19,7 @@
 	"hickoryvane.example/core/admit"
 	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/block"
+	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/cells"
 	"hickoryvane.example/core/comeback"
 	"hickoryvane.example/core/conf"
@@ -142,7 +143,7 @@
 	callers       *accept.Server
 	conns         *dial.Pool
 	blocks        *block.Recorder
-	memory        *memoryBudget
+	memory        *budget.Budget
 	table         atomic.Pointer[route.Table]
 	// joined is true once the configuration was compared with those of the other routers, at the start; see join.
 	joined atomic.Bool
@@ -272,7 +273,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), memory: newMemoryBudget(cfg.MemoryMB), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
@@ -294,7 +295,7 @@
 	r.follower = follow.New(st, l, r.pacer)
 	r.callers = accept.New(&http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
-	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed))
+	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed), accept.WithBudget(r.memory), accept.WithHeaderMax(r.headerMax), accept.WithHeaderTime(r.headerTime), accept.WithLimited(r.countLimited, r.logLimited))
 	return r
 }
 
