sched: requests of the highest classes also wait for a better target while they can

Cause: they were exempt because they may wait at a target; other classes left the slow targets, whose free slots they took, and two thirds of the streams there pause. Change: no exemption.

--- a/core/sched/ontime.go
+++ b/core/sched/ontime.go
@@ -86,11 +86,11 @@
 )
 
 // onTimeMin returns the least chance to be on time that a target must offer to get the job now; zero if the job cannot
-// wait for a better one, or need not because it may wait at a target.
+// wait for a better one.
 func (p *Pool) onTimeMin(now time.Time, j *Job) float64 {
 	typical := p.typicalFirstEvent(j)
 	slack := time.Duration(slackShare * float64(j.FirstEventDue.Sub(j.Arrived)))
-	if p.mayWaitAhead(now, j) || j.AnswerStarted || now.Add(typical+slack).After(j.FirstEventDue) {
+	if j.AnswerStarted || now.Add(typical+slack).After(j.FirstEventDue) {
 		return 0
 	}
 	return onTimeShare * p.onTimeChance(now, j, typical, p.shortestEventGap)
