accept: the end of a header section, answers to slow readers, and connections chosen to end

Cause: found in review. An empty line before a request, or a folded line split between two reads, counted as the end of a header section, so that the lines after it were neither limited nor reserved; http.Server clears the write deadline after each handler, so that answers still held for a slow reader were cut; and a connection that got a request after it was chosen to end was interrupted. Change: the three causes; a server without a time for header sections gets one.

--- a/core/accept/accept.go
+++ b/core/accept/accept.go
@@ -109,8 +109,15 @@
 	drained chan struct{}
 }
 
-// New returns a server that serves by srv, whose ConnState, IdleTimeout and Handler it replaces.
+// defaultHeaderTime is the time in which a header section has to be read if neither srv nor an option limits it.
+const defaultHeaderTime = 30 * time.Second
+
+// New returns a server that serves by srv, whose ConnState, IdleTimeout and Handler it replaces. It sets a missing
+// ReadHeaderTimeout, as the end of a header section is recognised by the change of the read deadline.
 func New(srv *http.Server, opts ...Option) *Server {
+	if srv.ReadHeaderTimeout <= 0 {
+		srv.ReadHeaderTimeout = defaultHeaderTime
+	}
 	s := &Server{
 		http: srv, conns: map[*conn]struct{}{}, idleTime: func() time.Duration { return defaultIdleTime },
 		closed: func(net.Addr, Cause, time.Duration) {}, limited: func(Limit) {},
@@ -286,8 +293,8 @@
 	return true
 }
 
-// victimsMax limits the connections that are compared when there are too many.
-const victimsMax = 64
+// candidatesMax limits the connections that are compared when there are too many.
+const candidatesMax = 64
 
 // leastUseful returns the connection that is ended for a new one: one without a complete header section, or else one that
 // rests, of those the one that has waited for the longest; nil if all of those that it compares have a request. s.mu is
@@ -298,7 +305,7 @@
 	var bestSince time.Time
 	n := 0
 	for c := range s.conns {
-		if n++; n > victimsMax {
+		if n++; n > candidatesMax {
 			break
 		}
 		rank, since := c.rank()
--- a/core/accept/head.go
+++ b/core/accept/head.go
@@ -31,6 +31,8 @@
 	reading bool
 	// bytes and lines are its size so far; line is the number of bytes of its last line without line ends.
 	bytes, lines, line int
+	// cr is true if the last byte of that line was a carriage return.
+	cr bool
 	// cost is reserved for the header section, tail for lines that were read after it. carried is the part of cost for
 	// lines that were read before it, with the last request.
 	cost, tail, carried int64
@@ -43,17 +45,22 @@
 		if i < 0 {
 			h.bytes += len(b)
 			h.line += len(b)
+			h.cr = b[len(b)-1] == '\r'
 			return nil
 		}
 		n := i
 		if i > 0 && b[i-1] == '\r' {
 			n--
 		}
-		if h.bytes += i + 1; h.line+n == 0 || h.line == 1 && i == 0 {
-			h.reading = false // an empty line, or the rest of one that was split after its carriage return
-			return b[i+1:]
+		empty := h.line+n == 0 || h.line == 1 && i == 0 && h.cr
+		h.bytes, h.line, b = h.bytes+i+1, 0, b[i+1:]
+		switch {
+		case !empty:
+			h.lines++
+		case h.lines > 0: // http.Server skips empty lines before a request
+			h.reading = false
+			return b
 		}
-		h.lines, h.line, b = h.lines+1, 0, b[i+1:]
 	}
 	return nil
 }
--- a/core/accept/output.go
+++ b/core/accept/output.go
@@ -45,6 +45,8 @@
 	done     chan struct{}
 	err      error
 	deadline time.Time
+	// clear is true if the deadline ends once nothing is held.
+	clear bool
 	// rest is what tryWrite has not written yet, tryErr the error of its last write.
 	rest   []byte
 	tryErr error
@@ -156,6 +158,10 @@
 		if len(o.pieces) == 0 || o.err != nil {
 			o.pieces = nil
 			o.held.Store(false)
+			if o.clear {
+				o.deadline, o.clear = time.Time{}, false
+				_ = c.Conn.SetWriteDeadline(o.deadline) // fails only when the connection is closed
+			}
 			o.mu.Unlock()
 			return
 		}
@@ -214,9 +220,14 @@
 
 // SetWriteDeadline implements net.Conn.
 func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.out.mu.Lock()
-	c.out.deadline = t
-	c.out.mu.Unlock()
+	o := &c.out
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t.IsZero() && o.held.Load() {
+		o.clear = true
+		return nil
+	}
+	o.deadline, o.clear = t, false
 	return c.Conn.SetWriteDeadline(t)
 }
 
--- a/core/accept/victim.go
+++ b/core/accept/victim.go
@@ -31,10 +31,13 @@
 }
 
 // end ends a connection that has no request. It ends by its deadline, so that a request that has arrived meanwhile is
-// still read.
+// still read. A connection that has got a request since it was chosen goes on.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == answered || c.state == active && !c.head.reading {
+		return
+	}
 	c.ending = true
 	_ = c.Conn.SetReadDeadline(time.Now()) // fails only when the connection is closed
 }
