--- a/core/comeback/comeback.go
+++ b/core/comeback/comeback.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// samples is the number of recent requests of a route from which the time of a first attempt is learnt, and
+	// samples is the number of recent requests of a source from which the time of a first attempt is learnt, and
 	// refresh the number of requests after which it is learnt again.
 	samples = 64
 	refresh = 8
@@ -25,16 +25,23 @@
 	// retryRatio is the part of that time below which a request is a retry. Callers vary the time of a first
 	// attempt by up to 15%, and a retry follows after a refusal and a wait.
 	retryRatio = 0.8
-	// routesMax bounds the routes that are followed.
-	routesMax = 4096
+	// sourcesMax bounds the sources that are followed; when there are more, all are learnt anew.
+	sourcesMax = 4096
 )
 
-// Detector learns which times the callers of each route state. It is not safe for concurrent use.
+// Source is where requests come from that state similar times: one account on one route, so that an account with longer
+// times does not make the requests of others count as retries.
+type Source struct {
+	Route   ident.Route
+	Account ident.AccountID
+}
+
+// Detector learns which times the callers of each source state. It is not safe for concurrent use.
 type Detector struct {
-	routes map[ident.Route]*window
+	sources map[Source]*window
 }
 
-// window holds the times that were stated last on one route.
+// window holds the times that were stated last by one source.
 type window struct {
 	stated [samples]time.Duration
 	// count is the number of requests so far.
@@ -44,21 +51,21 @@
 }
 
 // New returns a detector that has seen no requests.
-func New() *Detector { return &Detector{routes: map[ident.Route]*window{}} }
+func New() *Detector { return &Detector{sources: map[Source]*window{}} }
 
 // Observe records the time that a caller states and returns the time since its first attempt; zero if this is the
 // first one or if that is not known.
-func (d *Detector) Observe(r ident.Route, stated time.Duration) (age time.Duration) {
-	w, ok := d.routes[r]
+func (d *Detector) Observe(from Source, stated time.Duration) (age time.Duration) {
+	if stated <= 0 {
+		return 0
+	}
+	w, ok := d.sources[from]
 	if !ok {
-		if stated <= 0 || len(d.routes) >= routesMax {
-			return 0
+		if len(d.sources) >= sourcesMax {
+			clear(d.sources)
 		}
 		w = &window{}
-		d.routes[r] = w
-	}
-	if stated <= 0 {
-		return 0
+		d.sources[from] = w
 	}
 	w.record(stated)
 	if w.first == 0 || float64(stated) >= retryRatio*float64(w.first) {
@@ -67,14 +74,8 @@
 	return w.first - stated
 }
 
-// Keep forgets the routes for which keep returns false.
-func (d *Detector) Keep(keep func(ident.Route) bool) {
-	for r := range d.routes {
-		if !keep(r) {
-			delete(d.routes, r)
-		}
-	}
-}
+// Sources returns the number of sources that are followed.
+func (d *Detector) Sources() int { return len(d.sources) }
 
 func (w *window) record(stated time.Duration) {
 	w.stated[w.count%samples] = stated
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -171,7 +171,7 @@
 	old, reappeared := e.Target, !e.missingSince.IsZero()
 	stated := t.ColdRemaining
 	again := stated > e.coldStated
-	if t.Boot == old.Boot && !again {
+	if t.Boot == old.Boot && !again && !reappeared {
 		t.ColdRemaining = old.ColdRemaining // keep the first value: it counts down, which is no change
 	}
 	if reappeared {
--- a/core/quota/replicated.go
+++ b/core/quota/replicated.go
@@ -85,6 +85,7 @@
 	}
 	q.refill(now, b)
 	b.limit = l
+	b.promised = min(b.promised, promiseMax.Seconds()*float64(l.Rate))
 	b.level = min(b.level, float64(l.Burst))
 }
 
@@ -99,7 +100,7 @@
 	need := min(float64(n), float64(b.limit.Burst))
 	if b.level < need {
 		err := fault.NotRunf(fault.Quota, "account is over its limit of %d tokens per second", b.limit.Rate)
-		err.RetryAfter = q.promise(b, need)
+		err.RetryAfter = q.promise(now, b, need)
 		return err
 	}
 	b.level -= float64(n)
@@ -113,9 +114,10 @@
 // promise returns the time after which a refused request finds its tokens, if those that were refused before it return
 // first: all would find the bucket empty again if each was told when it alone would be served. Of the rate, this router
 // promises its equal part.
-func (q *Replicated) promise(b *replica, need float64) time.Duration {
+func (q *Replicated) promise(now time.Time, b *replica, need float64) time.Duration {
 	rate := float64(b.limit.Rate)
-	wait := (need-b.level)/rate + b.promised*float64(1+len(q.routers))/rate
+	known, _ := q.counts(now)
+	wait := (need-b.level)/rate + b.promised*float64(known)/rate
 	if wait < promiseMax.Seconds() {
 		b.promised += need
 	}
@@ -217,13 +219,9 @@
 // so the usage of that router is no longer charged here.
 func (q *Replicated) RemoveRouter(id ident.ProcessID) { delete(q.routers, id) }
 
-// refill adds the tokens accrued since the last refill, less the equal shares of silent routers.
-func (q *Replicated) refill(now time.Time, b *replica) {
-	d := now.Sub(b.filledAt).Seconds()
-	if d <= 0 {
-		return
-	}
-	known, silent := 1, 0
+// counts returns the number of routers that may be running, including this one, and of the silent ones among them.
+func (q *Replicated) counts(now time.Time) (known, silent int) {
+	known = 1
 	for _, r := range q.routers {
 		switch age := now.Sub(r.receivedAt); {
 		case age >= PresumedStoppedAfter:
@@ -234,6 +232,16 @@
 			known++
 		}
 	}
+	return known, silent
+}
+
+// refill adds the tokens accrued since the last refill, less the equal shares of silent routers.
+func (q *Replicated) refill(now time.Time, b *replica) {
+	d := now.Sub(b.filledAt).Seconds()
+	if d <= 0 {
+		return
+	}
+	known, silent := q.counts(now)
 	rate := float64(b.limit.Rate) * (1 - float64(silent)/float64(known))
 	b.level = min(b.level+d*rate, float64(b.limit.Burst))
 	b.promised = max(b.promised-d*rate/float64(known), 0)
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -65,6 +65,8 @@
 	// that other routers are told of. answered is true once a request that was sent later, at answeredAt, was answered.
 	restartAt, answeredAt time.Time
 	answered              bool
+	// lostAt is the first lost answer of the suspicion; zero if there was another sign of a restart.
+	lostAt time.Time
 	// local is true if only this router's path to the target may be at fault, so that others are not told.
 	local                         bool
 	suspectUntil, ownSuspectUntil time.Time
@@ -172,6 +174,12 @@
 		return
 	}
 	c := p.coldOf(now, t.ID)
+	switch {
+	case s != signLost:
+		c.lostAt = time.Time{}
+	case !now.Before(c.suspectUntil):
+		c.lostAt = now
+	}
 	c.local = s == signTimeout && (c.local || !now.Before(c.suspectUntil))
 	c.restartAt, c.answered, c.source = now, false, avail.FromConnection
 	c.suspectUntil = now.Add(suspectTime + p.coldLimits.Time)
@@ -187,7 +195,7 @@
 	if c == nil || c.answered || now.Before(c.ownSuspectUntil) {
 		return
 	}
-	if now.Sub(c.restartAt) < shortestStart {
+	if now.Sub(c.lostAt) < shortestStart {
 		c.suspectUntil = time.Time{}
 	}
 }
@@ -336,6 +344,9 @@
 		c.restartAt, c.answered, c.suspectUntil = at, false, left
 	default:
 		c.suspectUntil = later(c.suspectUntil, left)
+		if !m.Answered && !c.answered {
+			c.restartAt = later(c.restartAt, at)
+		}
 	}
 }
 
--- a/core/sched/ontime.go
+++ b/core/sched/ontime.go
@@ -73,7 +73,7 @@
 
 // lateCost returns the time that stands for the risk that the job is late.
 func lateCost(onTime float64, j *Job) time.Duration {
-	return time.Duration((1 - onTime) * float64(j.FirstEventDue.Sub(j.Arrived)))
+	return time.Duration((1 - onTime) * float64(max(j.FirstEventDue.Sub(j.Arrived), 0)))
 }
 
 const (
@@ -93,5 +93,5 @@
 	if j.AnswerStarted || now.Add(typical+slack).After(j.FirstEventDue) {
 		return 0
 	}
-	return onTimeShare * p.onTimeChance(now, j, typical, p.shortestEventGap)
+	return onTimeShare * p.onTimeChance(now, j, typical, p.shortestGap(j))
 }
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -163,3 +163,23 @@
 	placed, _ := p.Schedule(at(201))
 	g.Expect(ids(placed)).To(Equal([]string{"light"}))
 }
+
+// Guards against a second attempt for a stalled request that waits at a full target, or goes to the stalled one again,
+// because targets at which others may wait are still listed.
+func TestSecondAttemptNeedsAFreeSlot(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(2, 1)
+	for n := range 20 {
+		serve(t, p, job(fmt.Sprint("low", n), n*10, 1, 2), time.Millisecond, 0, 0)
+	}
+	serve(t, p, job("draft", 199, 1, 0), time.Millisecond, 0, 0)
+	p.Add(job("low", 200, 1, 2))
+	stalled := job("stalled", 200, 1, 0)
+	p.Add(stalled)
+	placed, _ := p.Schedule(at(200))
+	g.Expect(placed).To(HaveLen(2))
+	p.Add(job("low2", 201, 1, 2))
+	p.Schedule(at(201))
+	_, ok := p.PlaceElsewhere(at(202), stalled, placed[0].Target)
+	g.Expect(ok).To(BeFalse())
+}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -383,6 +383,7 @@
 	p.usable = slices.DeleteFunc(p.usable, func(t *target) bool {
 		return t.ID == from || slices.Contains(j.Avoid, t.ID) || p.riskLevel(now, t, 1) >= riskSilent
 	})
+	p.ahead = p.ahead[:0] // only free slots count here, and the list may hold targets that were replaced
 	t, firstEvent := p.bestTarget(now, j)
 	if t == nil {
 		return Placement{}, false
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -238,8 +238,12 @@
 // recognizeRetry makes the first event of a retry due as long after the caller's first attempt as that of any other
 // request.
 func (c *call) recognizeRetry(d *comeback.Detector) {
-	if age := d.Observe(c.route.Name, c.Timeout); age > 0 {
-		c.job.FirstEventDue = c.job.FirstEventDue.Add(-age)
+	age := d.Observe(comeback.Source{Route: c.route.Name, Account: c.accountName()}, c.Timeout)
+	if age <= 0 || c.route.FirstEventGoal <= 0 {
+		return
+	}
+	if due := c.arrived.Add(c.route.FirstEventGoal - age); due.Before(c.job.FirstEventDue) {
+		c.job.FirstEventDue = due
 	}
 }
 
@@ -281,7 +285,7 @@
 	}
 	c.quotaLevel = r.limiter.Level(c.arrived, c.account.Name)
 	if c.account.Rate > 0 {
-		c.job.Deferral = fair.Deferral(c.quotaLevel, c.account.Burst, c.route.FirstEventGoal)
+		c.job.Deferral = fair.Deferral(c.quotaLevel, ident.Tokens(float64(c.account.Burst)*r.cell.LimitShare()), c.route.FirstEventGoal)
 	}
 	return f
 }
