direct, follow: slots of plain answers, routers that are gone, refused watches; settings and links

Cause: found in review. A plain answer was written before the slot of its target was free; a router deregistered while the watch was lost stayed for ever and was charged its part of the rate of cold targets; a store that answers lists and refuses watches was listed every 100 ms; the pause after a change outlasted a restore.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -58,7 +58,7 @@
 	// MemoryMB bounds the memory of the process.
 	MemoryMB float64 `json:"memory" unit:"MB" need:"yes" limit:"32..1048576"`
 	// Files bounds the descriptors of the process.
-	Files int `json:"files" unit:"descriptors" default:"4096" limit:"1..1048576"`
+	Files int `json:"files,omitempty" unit:"descriptors" default:"4096" limit:"1..1048576"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL.
 	GraceSeconds float64 `json:"grace" unit:"s" need:"yes" limit:"0..3600"`
 	// DrainMillis is the time within which a target whose registration was removed must get no more requests.
@@ -76,7 +76,7 @@
 	ExposureRatio        float64 `json:"expose" default:"0.1" limit:"0..1"`
 	ExtraExposedRequests float64 `json:"leeway" unit:"requests" default:"0" limit:"0..1000000"`
 	// Terms are the optional parts of the platform's protocol that are in force, by the platform's names.
-	Terms []string `json:"terms" limit:"0..64" form:"label"`
+	Terms []string `json:"terms,omitempty" limit:"0..64" form:"label"`
 	// Prefix makes placements depend on what targets are estimated to hold of prompts.
 	Prefix bool `json:"prefix" default:"false"`
 	// ColdRatio and ExtraColdRequests limit the requests that a cold target gets in any second: ColdRatio times the rate of
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -69,8 +69,10 @@
 	// if the target was silent before.
 	activity               *targetActivity
 	connected, unsuspected bool
-	answer                 *bufferedAnswer
-	err                    error
+	// answer is a buffered answer, whose memory release gives back; nil without one.
+	answer  *bufferedAnswer
+	release func()
+	err     error
 }
 
 // survived reports whether the target gave a complete answer that is no failure of its own.
@@ -158,6 +160,9 @@
 		r.logPlacement(c, d, prog.placements)
 		var a *attempt
 		a, next = r.tryTarget(ctx, w, c, d.target, &prog)
+		if a.release != nil {
+			defer a.release() // a buffered failure may still be written after later attempts
+		}
 		r.endTrial(c, a)
 		if next != nil {
 			prog.spareRetries += next.spareRetries
@@ -285,13 +290,7 @@
 	case c.route.Kind == route.Stream && x.StatusCode/100 == 2:
 		complete = r.streamAnswer(ctx, w, c, a, x, prog, stall)
 	default:
-		var release func()
-		complete, release = r.bufferAnswer(ctx, c, a, x)
-		defer release()
-	}
-	if a.result == delivered && a.answer != nil {
-		stall.stop()
-		r.writeAnswer(w, c, a.answer)
+		complete, a.release = r.bufferAnswer(ctx, c, a, x)
 	}
 	r.recordAnswerEnd(c, a)
 	return a, nil
@@ -440,6 +439,9 @@
 	}
 	switch {
 	case a.result == delivered:
+		if a.answer != nil {
+			r.writeAnswer(w, c, a.answer) // the target has its slot back, however slowly the caller reads
+		}
 		if a.sent.Add(a.timeToFirstEvent).Sub(c.arrived) <= c.route.FirstEventGoal {
 			r.meter.CountGoodput(c.job.Tier)
 		}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -226,6 +226,22 @@
 	}
 }
 
+// removeUnlisted removes the routers that are not registered and have been silent for a time, as the list may be stale and
+// the watch may have missed their removal; r.mu is held.
+func (r *Router) removeUnlisted(now time.Time, listed map[ident.ProcessID]bool) {
+	for id, p := range r.peers {
+		if !listed[id] && now.Sub(p.lastSeen) >= peerTTL {
+			r.removePeer(id)
+		}
+	}
+}
+
+// removePeer removes a router that is not registered any more; r.mu is held.
+func (r *Router) removePeer(id ident.ProcessID) {
+	delete(r.peers, id)
+	r.limiter.RemoveRouter(id)
+}
+
 // routerHandler handles the registrations of routers.
 func (r *Router) routerHandler() follow.Handler {
 	put := func(o store.Object) {
@@ -241,11 +257,14 @@
 			r.mu.Lock()
 			r.ownAddress = ""
 			r.mu.Unlock()
+			listed := make(map[ident.ProcessID]bool, len(l))
 			for _, o := range l {
+				listed[ident.ProcessID(o.Name)] = true
 				put(o)
 			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
+			r.removeUnlisted(time.Now(), listed)
 			r.routersListed = true
 			r.assignCells(time.Now())
 			select {
@@ -261,7 +280,7 @@
 			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			delete(r.peers, ident.ProcessID(c.Object.Name))
+			r.removePeer(ident.ProcessID(c.Object.Name))
 		},
 	}
 }
--- a/router/follow/follow.go
+++ b/router/follow/follow.go
@@ -65,7 +65,7 @@
 		objects, rev, err := f.source.List(ctx, h.Kind)
 		if err == nil {
 			if down {
-				down, wait = false, MinRetry
+				down = false
 				f.log.Log(event.StoreUp, "sort", h.Kind, "objects", len(objects), "rev", rev, "away", time.Since(downSince))
 			}
 			if store.Restored(last, rev) {
@@ -76,7 +76,10 @@
 			}
 			last = rev
 			h.OnList(objects, rev)
-			err = f.watch(ctx, h, rev)
+			began := time.Now()
+			if err = f.watch(ctx, h, rev); time.Since(began) >= MaxRetry {
+				wait = MinRetry // a store that answers lists and refuses watches is not listed every MinRetry
+			}
 		}
 		switch {
 		case ctx.Err() != nil:
