--- a/core/sched/ahead.go
+++ b/core/sched/ahead.go
@@ -29,7 +29,7 @@
 	}
 	var all []class
 	for k := range p.classes {
-		if k.timeliness == 1 {
+		if k.timeliness == timely {
 			all = append(all, k)
 		}
 	}
@@ -45,7 +45,7 @@
 
 // placementRate returns the recent placements per second of a class, those of its late jobs and of resumed answers included.
 func (p *Pool) placementRate(now time.Time, k class) (rate float64) {
-	for k.timeliness = 0; k.timeliness <= 2; k.timeliness++ {
+	for k.timeliness = answerStarted; k.timeliness <= overdue; k.timeliness++ {
 		if s := p.classes[k]; s != nil {
 			rate += s.placements.perSecond(now)
 		}
@@ -59,7 +59,7 @@
 		return false
 	}
 	k := p.classOf(now, j)
-	return k.timeliness == 1 && p.isHighest(k)
+	return k.timeliness == timely && p.isHighest(k)
 }
 
 // isHighest reports whether a class of jobs that can be on time is one of the highest.
--- a/core/sched/classes.go
+++ b/core/sched/classes.go
@@ -34,7 +34,9 @@
 
 // arrivalClass returns the class under which the arrival and the refusal of a job are counted: that of a job that
 // can still be on time.
-func arrivalClass(j *Job) class { return class{timeliness: 1, tier: j.Tier, routeTier: j.RouteTier} }
+func arrivalClass(j *Job) class {
+	return class{timeliness: timely, tier: j.Tier, routeTier: j.RouteTier}
+}
 
 // statsOf returns the statistics of a class, which it creates if needed.
 func (p *Pool) statsOf(k class) *classStats {
@@ -69,7 +71,7 @@
 func (p *Pool) classOrder(now time.Time) map[class]int {
 	var all []class
 	for k := range p.classes {
-		if k.timeliness == 1 {
+		if k.timeliness == timely {
 			all = append(all, k)
 		}
 	}
--- a/core/sched/late.go
+++ b/core/sched/late.go
@@ -31,7 +31,7 @@
 // lateMayRun reports whether a late job may be placed on a target with regard to those that can still be on time: there are
 // enough free slots, or a stream on that target would hardly be on time either.
 func (p *Pool) lateMayRun(now time.Time, j *Job, t *target) bool {
-	return p.lateRoom > 0 || p.classOf(now, j).timeliness < 2 || p.steadyChance(j, p.gapOf(t)) < unsteadyChance
+	return p.lateRoom > 0 || p.classOf(now, j).timeliness != overdue || p.steadyChance(j, p.gapOf(t)) < unsteadyChance
 }
 
 // unsteadyChance is the chance of a stream without a long pause below which a target is left to late jobs.
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -438,7 +438,7 @@
 		}
 		t, firstEvent := p.place(now, j)
 		if t != nil {
-			if k.timeliness == 2 {
+			if k.timeliness == overdue {
 				p.lateRoom--
 			}
 			placed = append(placed, p.begin(now, t, j, firstEvent))
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -10,13 +10,13 @@
 
 // The order in which requests wait.
 //
-// Load pattern: a burst of all kinds of requests above the capacity of the targets. A request that can still be
-// answered on time is worth more to its caller than one that is late in any case, so late requests get only the
-// slots that the others leave free, except for those of the highest classes (see ahead.go), which keep their rank. Among requests of the same timeliness, higher tiers precede lower ones, then
-// earlier arrivals precede later ones. A request that will take long is deferred by a fraction of its duration,
-// so that shorter ones of its class overtake it: durations differ a hundredfold, and many short requests are
-// answered in the time of a long one. The fraction is small, so that long requests are served about as often as
-// others.
+// Load pattern: a burst of all kinds of requests above the capacity of the targets. A request that can still be answered on
+// time is worth more to its caller than one that is late in any case, so late requests get only the slots that the others
+// leave free, except for those of the highest classes (see ahead.go), which keep their rank. Among requests of the same
+// timeliness, higher tiers precede lower ones, then those that can be on time precede late ones, then earlier arrivals
+// precede later ones. A request that will take long, or whose account has used much of its limit, is deferred, so that
+// others of its class overtake it: durations differ a hundredfold, and many short requests are answered in the time of a
+// long one. The deferral of long requests is small, so that they are served about as often as others.
 
 const (
 	// deferFraction is the fraction of its expected duration by which a job is deferred, up to deferMax.
@@ -33,11 +33,22 @@
 	return min(time.Duration(deferFraction*float64(d)), deferMax)
 }
 
+// timeliness tells whether a job can be on time.
+type timeliness uint8
+
+const (
+	// answerStarted: a part of the answer was delivered.
+	answerStarted timeliness = iota
+	// timely: the job can be on time, or it is late and of one of the highest classes, which keep their rank.
+	timely
+	// overdue: the job is late.
+	overdue
+)
+
 // class is the first criterion of the order of waiting jobs, before their arrival. Lower values precede higher
 // ones.
 type class struct {
-	// timeliness is 0 for jobs whose answer has started, 1 for those that can be on time, 2 for late ones.
-	timeliness      uint8
+	timeliness      timeliness
 	tier, routeTier ident.Tier
 }
 
@@ -47,12 +58,12 @@
 
 // classOf returns the class of a job.
 func (p *Pool) classOf(now time.Time, j *Job) class {
-	k := class{timeliness: 1, tier: j.Tier, routeTier: j.RouteTier}
+	k := class{timeliness: timely, tier: j.Tier, routeTier: j.RouteTier}
 	switch {
 	case j.AnswerStarted:
-		k.timeliness = 0
+		k.timeliness = answerStarted
 	case p.isLate(now, j) && !p.isHighest(k):
-		k.timeliness = 2
+		k.timeliness = overdue
 	}
 	return k
 }
@@ -65,7 +76,7 @@
 	}
 	slices.SortStableFunc(p.waiting, func(a, b *Job) int {
 		x, y := a.class, b.class
-		if x.tier == y.tier && x.timeliness == 1 && y.timeliness == 1 {
+		if x.tier == y.tier && x.timeliness == timely && y.timeliness == timely {
 			return cmp.Or(cmp.Compare(order[x], order[y]), cmp.Compare(x.routeTier, y.routeTier), compareLate(a, b), a.orderTime.Compare(b.orderTime))
 		}
 		return cmp.Or(x.compare(y), a.orderTime.Compare(b.orderTime))
