sched: bestTarget in steps

Change: demands of a job, whether a target may serve it, and the score with the risk of being late are functions. No behaviour changed; core/sched passes.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -96,37 +96,47 @@
 	}
 }
 
-// bestTarget returns the best target with a free slot for the job, or nil.
+// demands are what a job demands of the target that it is placed on.
+type demands struct {
+	// chanceMin is the least chance that the answer ends in time, onTimeMin the least chance that it is on time.
+	chanceMin, onTimeMin float64
+	// mayBeOnTime is false for a job that is late in any case.
+	mayBeOnTime bool
+	kind        answerKind
+	// avoid is true if targets that failed the job are not used.
+	avoid bool
+}
+
+// demandsOf returns what the job demands of a target now.
+func (p *Pool) demandsOf(now time.Time, j *Job) demands {
+	return demands{
+		chanceMin: p.chanceMin(now, j), onTimeMin: p.onTimeMin(now, j), mayBeOnTime: !j.AnswerStarted && !p.isLate(now, j),
+		kind: p.answerKind(j), avoid: len(j.Avoid) > 0 && p.hasUntriedTarget(now, j),
+	}
+}
+
+// bestTarget returns the best target for the job, or nil: one with a free slot, or one at which the job may wait.
 func (p *Pool) bestTarget(now time.Time, j *Job) (best *target, expected time.Duration) {
 	var bestScore time.Duration
 	bestRisk := 0
-	avoid := len(j.Avoid) > 0 && p.hasUntriedTarget(now, j)
-	chanceMin, onTimeMin, mayBeOnTime := 0.0, 0.0, false
+	gains := gainSearch{}
+	var d demands
 	if len(p.usable) > 0 {
-		chanceMin = p.chanceMin(now, j)
-		mayBeOnTime = !j.AnswerStarted && !p.isLate(now, j)
-		onTimeMin = p.onTimeMin(now, j)
+		d = p.demandsOf(now, j)
 	}
-	kind := p.answerKind(j)
-	gains := gainSearch{}
 	for _, t := range p.usable {
-		if !j.Homes.Allow(t.Region) || avoid && slices.Contains(j.Avoid, t.ID) || !p.mayPlace(now, t) && !(t.isLong(j) && p.mayPlaceLong(now, t)) || !p.fits(t, j) || !p.suits(now, t, j, kind) || !p.endsInTime(now, t, j) {
+		if !p.mayServe(now, t, j, d) {
 			continue
 		}
 		chance := p.chanceAt(now, t, j)
-		if chance < chanceMin {
+		if chance < d.chanceMin {
 			continue
 		}
 		risk := p.riskLevel(now, t, chance)
-		score, held := p.score(t, j)-p.connectionBonus(now, t, j), min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
+		held := min(p.prefixes.Held(t.ID, j.chain), j.Prompt)
 		first := t.expectedFirstEvent(j) - t.readTime(held)
-		if mayBeOnTime {
-			onTime := p.onTimeChance(now, j, first, p.gapOf(t))
-			if onTime < onTimeMin {
-				continue
-			}
-			score += lateCost(onTime, j)
-		} else if !p.lateMayRun(now, j, t) {
+		score, ok := p.timelyScore(now, t, j, d, first)
+		if !ok {
 			continue
 		}
 		gains.consider(t, risk, score)
@@ -146,6 +156,29 @@
 	return best, expected
 }
 
+// mayServe reports whether the job may be placed on the target at all: its home regions, the memory and the slots of the
+// target, and the time until this router stops allow it.
+func (p *Pool) mayServe(now time.Time, t *target, j *Job, d demands) bool {
+	switch {
+	case !j.Homes.Allow(t.Region), d.avoid && slices.Contains(j.Avoid, t.ID):
+		return false
+	case !p.mayPlace(now, t) && !(t.isLong(j) && p.mayPlaceLong(now, t)):
+		return false
+	}
+	return p.fits(t, j) && p.suits(now, t, j, d.kind) && p.endsInTime(now, t, j)
+}
+
+// timelyScore returns the score of a target with the risk that the job is late there, if its first event is expected after
+// first. ok is false if the job waits for a better target, or leaves this one to jobs that can be on time.
+func (p *Pool) timelyScore(now time.Time, t *target, j *Job, d demands, first time.Duration) (score time.Duration, ok bool) {
+	score = p.score(t, j) - p.connectionBonus(now, t, j)
+	if !d.mayBeOnTime {
+		return score, p.lateMayRun(now, j, t)
+	}
+	onTime := p.onTimeChance(now, j, first, p.gapOf(t))
+	return score + lateCost(onTime, j), onTime >= d.onTimeMin
+}
+
 // hasUntriedTarget reports whether a target remains that has not failed the job. The job then waits for such a
 // target rather than return to one that failed it, but not for one that asked for time.
 func (p *Pool) hasUntriedTarget(now time.Time, j *Job) bool {
