--- a/core/event/list.go
+++ b/core/event/list.go
@@ -31,6 +31,7 @@
 	WatchBehind           ID = 309
 	StoreRestored         ID = 310
 	RecordWrittenAgain    ID = 311
+	ConfigBehind          ID = 312
 	HomesInvalid          ID = 320
 	EvacuationBegan       ID = 321
 	EvacuationEnded       ID = 322
@@ -103,6 +104,7 @@
 	{WatchBehind, log.WarnLevel, "watch is behind that of a peer, list read again"},
 	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
 	{RecordWrittenAgain, log.InfoLevel, "record missing in the object API is written again"},
+	{ConfigBehind, log.WarnLevel, "newer configuration of a peer cannot be read"},
 	{HomesInvalid, log.WarnLevel, "home regions without a data centre ignored"},
 	{EvacuationBegan, log.InfoLevel, "data centre is evacuated"},
 	{EvacuationEnded, log.InfoLevel, "evacuation of a data centre ended"},
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -178,6 +178,8 @@
 	// configObject and targetObjects are the objects of the store as last read, for snapshots to other routers.
 	configObject  store.Object
 	targetObjects map[string]store.Object
+	// behindSince is the time since which a peer has had a newer configuration; zero if none has.
+	behindSince time.Time
 	limiter       *quota.Replicated
 	retryBudgets  map[ident.Service]*retry.Budget
 	poison        *poison.Detector
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -11,6 +11,7 @@
 
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
+	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/router/follow"
 )
@@ -118,26 +119,48 @@
 func (r *Router) relaySnapshots(ctx context.Context) error {
 	client := sling.New().Client(&http.Client{Timeout: relayTimeout, Transport: boundedTransport{&http.Transport{DisableCompression: true, MaxResponseHeaderBytes: headerMax}}})
 	r.join(ctx, client)
-	var behindSince time.Time
 	for ctx.Err() == nil {
 		follow.Pause(ctx, relayInterval)
 		now := time.Now()
 		admin, newer := r.snapshotSource(now)
-		if !newer {
-			behindSince = time.Time{}
-		} else if behindSince.IsZero() {
-			behindSince = now
-		}
-		if admin == "" || r.storeReachable.Load() && r.table.Load() != nil && (behindSince.IsZero() || now.Sub(behindSince) < lagMax) {
+		behind := r.observeNewer(now, newer)
+		if admin == "" || r.storeReachable.Load() && r.table.Load() != nil && behind < lagMax {
 			continue
 		}
 		if err := r.fetchSnapshot(ctx, client, admin); err != nil {
-			r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
+			r.logNotRead(now, admin, err)
 		}
 	}
 	return nil
 }
 
+// observeNewer records whether a peer has a newer configuration, and returns for how long one has had it.
+func (r *Router) observeNewer(now time.Time, newer bool) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !newer {
+		r.behindSince = time.Time{}
+	} else if r.behindSince.IsZero() {
+		r.behindSince = now
+	}
+	return r.behindFor(now)
+}
+
+// logNotRead logs that a snapshot could not be read, as a warning if its configuration is needed.
+func (r *Router) logNotRead(now time.Time, admin string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	behind, newest := r.behindFor(now), ident.Generation(0)
+	if behind == 0 {
+		r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
+		return
+	}
+	for _, p := range r.peers {
+		newest = max(newest, p.generation)
+	}
+	r.log.Log(event.ConfigBehind, "peer", admin, "newer", newest, "behind", behind, "error", err)
+}
+
 // join waits until all registered routers were heard, but not longer than joinTime, and takes over a configuration that
 // is newer than the store's: a store that was restored from an older copy may have an older one than routers that run.
 func (r *Router) join(ctx context.Context, client *sling.Sling) {
@@ -225,7 +248,7 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", res.StatusCode)
 	}
-	r.applyConfig(s.Config)
+	r.applyConfig(s.Config, admin)
 	for _, o := range s.RolloutRequests {
 		r.applyRollout(o, admin)
 	}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -19,7 +19,7 @@
 	kind, name := r.catalogue.ConfigObject()
 	apply := func(o store.Object) {
 		if o.Name == name {
-			r.applyConfig(o)
+			r.applyConfig(o, storeSource)
 		}
 	}
 	return follow.Handler{
@@ -37,8 +37,13 @@
 	}
 }
 
-// applyConfig puts a configuration in force unless a newer one is in force.
-func (r *Router) applyConfig(o store.Object) {
+// storeSource is the source of a configuration that was read from the store.
+const storeSource = "store"
+
+// applyConfig puts a configuration in force unless a newer one is in force; source is storeSource or the admin address
+// of a router.
+func (r *Router) applyConfig(o store.Object, source string) {
+	began := time.Now()
 	table, err := r.catalogue.DecodeTable(o)
 	if err != nil {
 		r.log.Log(event.ConfigInvalid, "rev", o.Rev, "error", err)
@@ -69,13 +74,23 @@
 	r.callers.ApplyIdleTime()
 	r.configObject = o
 	r.logReady()
-	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout())
+	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout(),
+		"source", source, "bytes", len(o.Value), "took", now.Sub(began), "behind", r.behindFor(now))
+	r.behindSince = time.Time{}
 	for s, p := range r.pools {
 		r.updateColdLimits(s, p)
 	}
 	r.applySlots(table)
 }
 
+// behindFor returns the time since a peer first reported a newer configuration than the one in force; r.mu is held.
+func (r *Router) behindFor(now time.Time) time.Duration {
+	if r.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.behindSince)
+}
+
 // hasRegion reports whether a region has a data centre.
 func (r *Router) hasRegion(region ident.Region) bool {
 	for _, known := range r.regions {
