Calls end when they make no progress, not after a fixed time

Cause: a call of the store had 1 s for its whole response, the last part of a watch 0.6 s. A configuration of 800 kB takes 0.65 s on a free link of 10 Mbit/s, and 2 s when 18 routers of a region read it over 60 Mbit/s. So each of them gave up, threw away what it had and began again, which kept the link full ("away=10.97s" of watch and list of the configuration). Two more ways threw a response away that was arriving: a change of the mode of the watches, which the full link caused itself as heartbeats were lost on it, and, at scouts, any other response with a newer revision, which the changed configuration always has.

core/fetch: the header of a response has to begin in time; then 16 KB have to arrive in each 0.8 s. Interruptions end only calls that still wait. A mode with shorter waits interrupts the watch instead of listing again, also in the pause after a change. Errors say how much was read. The same limits replace those of the object API (core/store, and the 2 s around a list of all pages in router/entry) and of the list of VMs.

--- a/core/store/http.go
+++ b/core/store/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,10 +12,12 @@
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
+
+	"hickoryvane.example/core/fetch"
 )
 
 const (
-	// defaultCallTimeout limits one call. The API answers in milliseconds when it is up.
+	// defaultCallTimeout limits the time until an answer begins. The API answers in milliseconds when it is up.
 	defaultCallTimeout = 2 * time.Second
 	// dialTimeout limits the connection setup; no call is sent before the connection is open.
 	dialTimeout = time.Second
@@ -46,7 +47,7 @@
 // Option sets one property of an HTTP store.
 type Option func(*HTTP)
 
-// WithTimeout sets the timeout of one call; it does not apply to a watch.
+// WithTimeout sets the time in which the answer to a call has to begin; it does not apply to a watch.
 func WithTimeout(d time.Duration) Option { return func(h *HTTP) { h.callTimeout = d } }
 
 // WithWatchDuration sets the length of one watch, in whole seconds.
@@ -148,20 +149,14 @@
 
 // callAPI sends one call and decodes its answer into v, which may be nil.
 func (h *HTTP) callAPI(ctx context.Context, s *sling.Sling, v any) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, h.callTimeout)
-	defer cancel()
 	req, err := s.Request()
 	if err != nil {
 		return err
 	}
-	res, err := h.send(ctx, req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(res.Body, replyBytesMax))
+	traced, connected := withConnTrace(req.WithContext(ctx))
+	res, b, err := fetch.Do(h.client, traced, fetch.Limits{Head: h.callTimeout, Bytes: replyBytesMax})
 	if err != nil {
-		return transportError(req, true, err)
+		return transportError(req, connected.Load(), err)
 	}
 	if res.StatusCode >= 300 {
 		return statusError(req, res.StatusCode, b)
@@ -175,11 +170,17 @@
 	return nil
 }
 
-// send returns the response with its body unread. The error tells whether the call can have reached the API.
-func (h *HTTP) send(ctx context.Context, req *http.Request) (res *http.Response, err error) {
+// withConnTrace returns a request that records whether it got a connection.
+func withConnTrace(req *http.Request) (*http.Request, *atomic.Bool) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	res, err = h.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), &connected
+}
+
+// send returns the response with its body unread. The error tells whether the call can have reached the API.
+func (h *HTTP) send(ctx context.Context, req *http.Request) (res *http.Response, err error) {
+	traced, connected := withConnTrace(req.WithContext(ctx))
+	res, err = h.client.Do(traced)
 	if err != nil {
 		return nil, transportError(req, connected.Load(), err)
 	}
--- a/core/vmlist/vmlist.go
+++ b/core/vmlist/vmlist.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
+	"hickoryvane.example/core/fetch"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/loose"
 )
@@ -62,7 +62,7 @@
 // Option sets one property of an HTTP source.
 type Option func(*HTTP)
 
-// WithTimeout sets the bound of one read of the list.
+// WithTimeout sets the time in which the answer to a read of the list has to begin.
 func WithTimeout(d time.Duration) Option { return func(h *HTTP) { h.timeout = d } }
 
 // NewHTTP returns the source at addr (IP number and port).
@@ -81,27 +81,17 @@
 // List implements Source.
 func (h *HTTP) List(ctx context.Context) (vms []VM, err error) {
 	defer func() { err = errors.WithMessage(err, "list VMs") }()
-	ctx, cancel := context.WithTimeout(ctx, h.timeout)
-	defer cancel()
 	req, err := h.base.New().Request()
 	if err != nil {
 		return nil, err
 	}
-	res, err := h.client.Do(req.WithContext(ctx))
+	res, b, err := fetch.Do(h.client, req.WithContext(ctx), fetch.Limits{Head: h.timeout, Bytes: listBytesMax})
 	if err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, listBytesMax+1))
-	switch {
-	case err != nil:
-		return nil, errors.Wrap(ErrUnavailable, err.Error())
-	case len(b) > listBytesMax:
-		return nil, errors.Wrapf(ErrUnavailable, "answer is longer than %d bytes", listBytesMax)
-	}
 	return parse(b)
 }
 
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -179,11 +179,11 @@
 	configObject  store.Object
 	targetObjects map[string]store.Object
 	// behindSince is the time since which a peer has had a newer configuration; zero if none has.
-	behindSince time.Time
-	limiter       *quota.Replicated
-	retryBudgets  map[ident.Service]*retry.Budget
-	poison        *poison.Detector
-	docket        *poison.Docket
+	behindSince  time.Time
+	limiter      *quota.Replicated
+	retryBudgets map[ident.Service]*retry.Budget
+	poison       *poison.Detector
+	docket       *poison.Docket
 	// comebacks tells retries of callers from first attempts.
 	comebacks *comeback.Detector
 	// lostAnswers are lost answers that may turn out to be crashes, by target; recentCrashes are the crashes that
--- a/router/direct/scouts.go
+++ b/router/direct/scouts.go
@@ -16,12 +16,11 @@
 
 // followScouts passes what this router and its peers know of the registrations of targets to the follower; r.mu is held.
 func (r *Router) followScouts(now time.Time) {
-	kind, _ := r.catalogue.ConfigObject()
 	own := follow.Own{
 		Rank: rankOf(r.cfg.Name), Reachable: r.storeReachable.Load(), Kind: r.catalogue.TargetKind(),
 		Position: scout.Position{Rev: r.targetRev, Count: len(r.targetObjects)},
 	}
-	r.follower.Scout(now, own, r.scoutPeers(now), kind, r.catalogue.EvacuationKind())
+	r.follower.Scout(now, own, r.scoutPeers(now))
 }
 
 // scoutPeers returns the routers of the own cell that were heard lately; r.mu is held.
--- a/router/entry/store.go
+++ b/router/entry/store.go
@@ -94,9 +94,7 @@
 }
 
 func (r *Router) watchOnce(ctx context.Context, kind string) error {
-	listCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	objects, rev, err := r.store.List(listCtx, kind)
-	cancel()
+	objects, rev, err := r.store.List(ctx, kind)
 	if err != nil {
 		return err
 	}
--- a/router/follow/scout.go
+++ b/router/follow/scout.go
@@ -10,6 +10,7 @@
 
 // Pacer is a store whose watch calls take longer or shorter by mode.
 type Pacer interface {
+	// SetWatchMode sets the mode. Calls that wait longer than it allows are made again.
 	SetWatchMode(m scout.Mode)
 }
 
@@ -29,8 +30,8 @@
 }
 
 // Scout chooses the mode of the watches, and lists the objects of own.Kind again if a scout knows of changes that the
-// own watch did not report. Watches of the other kinds are started again when this router becomes a scout.
-func (f *Follower) Scout(now time.Time, own Own, peers []scout.Peer, others ...string) {
+// own watch did not report.
+func (f *Follower) Scout(now time.Time, own Own, peers []scout.Peer) {
 	if f.pacer == nil {
 		return
 	}
@@ -40,11 +41,6 @@
 		f.log.Log(event.WatchModeChanged, "mode", m, "before", f.mode, "near", len(peers))
 		f.mode = m
 		f.pacer.SetWatchMode(m)
-		if m != scout.Follower { // the calls in progress may last long
-			for _, kind := range append(others, own.Kind) {
-				f.restart(kind)
-			}
-		}
 	}
 	if f.mode != scout.Follower {
 		return
