--- a/core/event/list.go
+++ b/core/event/list.go
@@ -32,6 +32,8 @@
 	StoreRestored         ID = 310
 	RecordWrittenAgain    ID = 311
 	ConfigBehind          ID = 312
+	Seeded                ID = 313
+	SeedRejected          ID = 314
 	HomesInvalid          ID = 320
 	EvacuationBegan       ID = 321
 	EvacuationEnded       ID = 322
@@ -105,6 +107,8 @@
 	{StoreRestored, log.WarnLevel, "object API was restored from an older copy"},
 	{RecordWrittenAgain, log.InfoLevel, "record missing in the object API is written again"},
 	{ConfigBehind, log.WarnLevel, "newer configuration of a peer cannot be read"},
+	{Seeded, log.InfoLevel, "long list read from a peer"},
+	{SeedRejected, log.InfoLevel, "list of a peer is not used"},
 	{HomesInvalid, log.WarnLevel, "home regions without a data centre ignored"},
 	{EvacuationBegan, log.InfoLevel, "data centre is evacuated"},
 	{EvacuationEnded, log.InfoLevel, "evacuation of a data centre ended"},
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -39,6 +39,7 @@
 	"hickoryvane.example/core/wire"
 	"hickoryvane.example/router/dial"
 	"hickoryvane.example/router/follow"
+	"hickoryvane.example/router/relay"
 )
 
 // Catalogue reads the objects that the platform keeps in its store.
@@ -142,6 +143,7 @@
 	memoryLimited bool
 	callers       *accept.Server
 	conns         *dial.Pool
+	snapshots     *relay.Client
 	blocks        *block.Recorder
 	memory        *budget.Budget
 	table         atomic.Pointer[route.Table]
@@ -275,7 +277,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), snapshots: relay.NewClient(), memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
@@ -295,6 +297,9 @@
 	}
 	r.admission.Self = cfg.Name
 	r.follower = follow.New(st, l, r.pacer)
+	if r.pacer != nil {
+		r.pacer.SetSeed(c.TargetKind(), r.seedTargets)
+	}
 	r.callers = accept.New(&http.Server{
 		Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerMax, DisableGeneralOptionsHandler: true, ConnContext: withCallerConn,
 	}, accept.WithIdleTime(r.idleTimeout), accept.WithClosed(r.logClosed), accept.WithBudget(r.memory), accept.WithHeaderMax(r.headerMax), accept.WithHeaderTime(r.headerTime), accept.WithLimited(r.countLimited, r.logLimited))
--- a/router/direct/direct_test.go
+++ b/router/direct/direct_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"hickoryvane.example/core/route"
+	"hickoryvane.example/router/relay"
 )
 
 // resetConn makes the close of a connection send a reset.
@@ -438,20 +438,15 @@
 func TestSnapshotWithoutTargets(t *testing.T) {
 	x := startTarget(t, "t1", func(_ int, r *http.Request, c net.Conn) bool { return writeAnswer(c, r, 200, "ok") })
 	e := startRouter(t, x)
-	read := func(query string) (targets int, generation string) {
-		res, err := http.Get("http://" + e.cfg.Admin + "/snapshot" + query)
+	read := func(targets bool) (n int, config string) {
+		s, err := relay.NewClient().Fetch(t.Context(), e.cfg.Admin, targets)
 		e.g.Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = res.Body.Close() }()
-		var s struct {
-			Config  struct{ Value []byte }
-			Targets []any
-		}
-		e.g.Expect(json.NewDecoder(res.Body).Decode(&s)).To(Succeed())
+		e.g.Expect(s.Config.Value).NotTo(BeEmpty())
 		return len(s.Targets), string(s.Config.Value)
 	}
-	n, c := read("")
+	n, c := read(true)
 	e.g.Expect(n).To(Equal(1))
-	n, without := read("?targets=no")
+	n, without := read(false)
 	e.g.Expect(n).To(BeZero())
 	e.g.Expect(without).To(Equal(c))
 }
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -2,30 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
-	"github.com/dghubble/sling"
-	"github.com/pkg/errors"
-
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/router/follow"
+	"hickoryvane.example/router/relay"
 )
 
 const (
-	// snapshotPath is the path on the admin address at which a router serves its snapshot.
-	snapshotPath = "/snapshot"
-	// withoutTargets is the query of a snapshot without the registrations of targets, which are most of its bytes.
-	withoutTargets = "targets=no"
 	// relayInterval is the interval at which a router that lacks data asks another router for it, well below
 	// the time within which a change has to be in force.
 	relayInterval = 250 * time.Millisecond
-	// relayTimeout limits one request for a snapshot.
-	relayTimeout = 600 * time.Millisecond
 	// joinTime limits the time for which a router that starts waits for the other routers' configurations, and
 	// joinInterval is the interval at which it looks for them.
 	joinTime     = 500 * time.Millisecond
@@ -35,28 +25,6 @@
 	lagMax = 400 * time.Millisecond
 )
 
-// snapshotMax limits a snapshot, in bytes: the largest configuration and some thousand registrations.
-const snapshotMax = 8 << 20
-
-// boundedTransport limits the bodies of answers to snapshotMax, as a peer may be faulty.
-type boundedTransport struct{ http.RoundTripper }
-
-// RoundTrip implements http.RoundTripper.
-func (b boundedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	res, err := b.RoundTripper.RoundTrip(req)
-	if err == nil {
-		res.Body = http.MaxBytesReader(nil, res.Body, snapshotMax)
-	}
-	return res, err
-}
-
-// snapshot holds the objects of the store as a router last read them.
-type snapshot struct {
-	Config          store.Object
-	Targets         []store.Object
-	RolloutRequests []store.Object `json:"Orders"`
-}
-
 // replaceTargetObjects replaces the registrations of targets that are kept for snapshots by those of a list.
 func (r *Router) replaceTargetObjects(l []store.Object, asOf store.Rev) {
 	r.mu.Lock()
@@ -90,35 +58,29 @@
 	r.targetObjects[o.Name] = o
 }
 
-// serveSnapshot serves this router's snapshot to other routers.
-func (r *Router) serveSnapshot(w http.ResponseWriter, req *http.Request) {
+// snapshot returns what this router knows of the store, for other routers; ok is false before it has a configuration.
+func (r *Router) snapshot(targets bool) (s relay.Snapshot, ok bool) {
 	r.mu.Lock()
-	s := snapshot{Config: r.configObject}
-	if req.URL.RawQuery != withoutTargets {
-		s.Targets = make([]store.Object, 0, len(r.targetObjects))
+	defer r.mu.Unlock()
+	s.Config = r.configObject
+	if targets {
+		s.Targets, s.TargetRev, s.NewestTarget = make([]store.Object, 0, len(r.targetObjects)), r.targetsAsOf(), r.targetRev
 		for _, o := range r.targetObjects {
 			s.Targets = append(s.Targets, o)
 		}
 	}
 	for _, m := range r.rollouts {
 		if m.object.Name != "" {
-			s.RolloutRequests = append(s.RolloutRequests, m.object)
+			s.Rollouts = append(s.Rollouts, m.object)
 		}
 	}
-	r.mu.Unlock()
-	if s.Config.Name == "" {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s) // the other router may have disconnected
+	return s, s.Config.Name != ""
 }
 
 // relaySnapshots reads the snapshot of another router while the store cannot be reached or delivers its changes
 // late.
 func (r *Router) relaySnapshots(ctx context.Context) error {
-	client := sling.New().Client(&http.Client{Timeout: relayTimeout, Transport: boundedTransport{&http.Transport{DisableCompression: true, MaxResponseHeaderBytes: headerMax}}})
-	r.join(ctx, client)
+	r.join(ctx)
 	for ctx.Err() == nil {
 		follow.Pause(ctx, relayInterval)
 		now := time.Now()
@@ -127,7 +89,7 @@
 		if admin == "" || r.storeReachable.Load() && r.table.Load() != nil && behind < lagMax {
 			continue
 		}
-		if err := r.fetchSnapshot(ctx, client, admin); err != nil {
+		if err := r.fetchSnapshot(ctx, admin); err != nil {
 			r.logNotRead(now, admin, err)
 		}
 	}
@@ -163,14 +125,14 @@
 
 // join waits until all registered routers were heard, but not longer than joinTime, and takes over a configuration that
 // is newer than the store's: a store that was restored from an older copy may have an older one than routers that run.
-func (r *Router) join(ctx context.Context, client *sling.Sling) {
+func (r *Router) join(ctx context.Context) {
 	jctx, cancel := context.WithTimeout(ctx, joinTime)
 	defer cancel()
 	for jctx.Err() == nil {
 		follow.Pause(jctx, joinInterval)
 		now := time.Now()
 		if admin, newer := r.snapshotSource(now); newer {
-			if err := r.fetchSnapshot(jctx, client, admin); err != nil {
+			if err := r.fetchSnapshot(jctx, admin); err != nil {
 				r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
 			}
 			continue
@@ -220,36 +182,38 @@
 }
 
 // betterSource reports whether a snapshot of x is better than one of y. A router that reads the targets from the store
-// itself needs the newest configuration only; r.mu is held.
+// itself needs the newest configuration only. Of equal ones the nearer is better, as links between regions are slow;
+// r.mu is held.
 func (r *Router) betterSource(x, y *peer) bool {
 	if x.generation != y.generation && (r.storeReachable.Load() || x.storeReachable == y.storeReachable) {
 		return x.generation > y.generation
 	}
-	return x.storeReachable && !y.storeReachable
+	if x.storeReachable != y.storeReachable {
+		return x.storeReachable
+	}
+	return r.distance(x) < r.distance(y)
+}
+
+// distance orders peers: those of the own data centre, of the own region, and the others.
+func (r *Router) distance(p *peer) int {
+	switch {
+	case p.centre == r.cfg.Centre:
+		return 0
+	case p.region == r.cfg.Region:
+		return 1
+	}
+	return 2
 }
 
 // fetchSnapshot reads the snapshot of another router and applies it as data that is older than the store's.
-func (r *Router) fetchSnapshot(ctx context.Context, client *sling.Sling, admin string) (err error) {
-	defer func() { err = errors.WithMessage(err, "read snapshot") }()
+func (r *Router) fetchSnapshot(ctx context.Context, admin string) (err error) {
 	began := time.Now()
-	url := "http://" + admin + snapshotPath
-	if r.storeReachable.Load() {
-		url += "?" + withoutTargets // those of the store are newer
-	}
-	req, err := client.New().Get(url).Request()
+	s, err := r.snapshots.Fetch(ctx, admin, !r.storeReachable.Load()) // the registrations of the store are newer
 	if err != nil {
 		return err
 	}
-	var s snapshot
-	res, err := client.Do(req.WithContext(ctx), &s, nil)
-	if err != nil {
-		return err
-	}
-	if res.StatusCode != http.StatusOK {
-		return errors.Errorf("status %d", res.StatusCode)
-	}
 	r.applyConfig(s.Config, admin)
-	for _, o := range s.RolloutRequests {
+	for _, o := range s.Rollouts {
 		r.applyRollout(o, admin)
 	}
 	r.verifyVersions(began)
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -16,6 +16,7 @@
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/retry"
 	"hickoryvane.example/router/follow"
+	"hickoryvane.example/router/relay"
 )
 
 const (
@@ -96,7 +97,7 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", r.meter.Handler())
-	mux.HandleFunc("GET "+snapshotPath, r.serveSnapshot)
+	mux.Handle("GET "+relay.Path, relay.NewServer(r.snapshot))
 	mux.HandleFunc("GET "+statusPath, r.serveStatus)
 	for addr, h := range map[string]http.Handler{r.cfg.Ready: probe, r.cfg.Admin: mux} {
 		ln, err := admin.Listen(addr)
--- a/router/direct/scouts_test.go
+++ b/router/direct/scouts_test.go
@@ -18,6 +18,7 @@
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/wire"
 	"hickoryvane.example/router/direct"
+	"hickoryvane.example/router/follow"
 
 	"github.com/charmbracelet/log"
 )
@@ -31,6 +32,10 @@
 
 func (s *silentStore) SetWatchMode(m scout.Mode) { s.mode.Store(uint32(m)) }
 
+func (s *silentStore) SetSeed(string, follow.Seed) {}
+
+func (s *silentStore) Confirmed(string) store.Rev { return "" }
+
 func (s *silentStore) Watch(ctx context.Context, kind string, rev store.Rev, f func(store.Change)) error {
 	if kind == "targets" && s.silent.Load() {
 		<-ctx.Done()
--- a/router/follow/scout.go
+++ b/router/follow/scout.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"time"
 
 	"hickoryvane.example/core/event"
@@ -8,10 +9,18 @@
 	"hickoryvane.example/core/store"
 )
 
-// Pacer is a store whose watch calls take longer or shorter by mode.
+// Seed returns the objects of a kind as another router knows them, and the revision from which to watch; ok is false if
+// they have to be listed.
+type Seed func(ctx context.Context) (l []store.Object, rev store.Rev, ok bool)
+
+// Pacer is a store whose watch calls take longer or shorter by mode, and whose long lists can begin at another router.
 type Pacer interface {
 	// SetWatchMode sets the mode. Calls that wait longer than it allows are made again.
 	SetWatchMode(m scout.Mode)
+	// SetSeed sets where long lists of a kind are read.
+	SetSeed(kind string, f Seed)
+	// Confirmed returns the revision up to which all changes of a kind were reported; empty before the first list.
+	Confirmed(kind string) store.Rev
 }
 
 // ScoutInterval is the interval at which the scouts are chosen and their claims are checked, below the time after
