An answer that ends while its request is written is not whole

A caller can get a part of an answer as the whole one: the target answers a long body at once with 200 and no length, sends a part and resets the connection while the body is written. The kernel reports a reset once. If the goroutine that writes gets it, the one that reads sees the end of the connection, which is the end of an answer without length.

Now such an answer counts as whole only if the request was written without an error; the reader waits up to 0.2 s for the end of the write. Answers with a length or in chunks were never concerned.

--- a/agent/target/dispatch.go
+++ b/agent/target/dispatch.go
@@ -23,6 +23,8 @@
 	partBytesMax = 64 << 10
 	// headerBytesMax limits the head of an answer.
 	headerBytesMax = 1 << 20
+	// writeEndTime is the time after the end of a connection within which the goroutine that writes to it has noticed.
+	writeEndTime = 200 * time.Millisecond
 	// requestIDHeader carries the id of a request, in the answer as well if the target echoes it.
 	requestIDHeader = "X-Request-Id"
 	// idleConnsMax bounds the idle connections to the target.
@@ -47,8 +49,15 @@
 // the request looks idempotent; a body without GetBody, or a fresh connection, prevents that.
 func send(ctx context.Context, rt http.RoundTripper, base string, r Request) (res *http.Response, out Outcome) {
 	var connected atomic.Bool
+	written := make(chan error, 1)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			select {
+			case written <- i.Err:
+			default: // once is enough
+			}
+		},
 	})
 	req, err := http.NewRequestWithContext(ctx, r.Method, base+r.Path, io.NopCloser(bytes.NewReader(r.Data)))
 	if err != nil {
@@ -72,6 +81,9 @@
 		_ = res.Body.Close() // not read to its end, so the connection is not used again
 		return nil, Outcome{Run: fault.Unknown, Reason: fault.Target, Detail: "target sent the answer to another request", ConnectionLost: true}
 	case err == nil:
+		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+			res.Body = &bodyUntilEnd{ReadCloser: res.Body, written: written}
+		}
 		return res, Outcome{}
 	case !connected.Load():
 		return nil, Outcome{Run: fault.NotRun, Reason: fault.Target, Detail: "target refused the connection", ConnectionLost: true}
@@ -80,6 +92,41 @@
 	}
 }
 
+// bodyUntilEnd is the body of an answer that ends with its connection. If that ends while the request is still being
+// written, the connection may have been reset: the write gets the error of a reset, and the read only the end.
+type bodyUntilEnd struct {
+	io.ReadCloser
+	// written gets the result of writing the request.
+	written <-chan error
+	// end is the result of reading to the end.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *bodyUntilEnd) Read(p []byte) (n int, err error) {
+	if n, err = b.ReadCloser.Read(p); err != io.EOF {
+		return n, err
+	}
+	if b.end == nil {
+		b.end = b.endOfAnswer()
+	}
+	return n, b.end
+}
+
+// endOfAnswer returns io.EOF if the request was written in whole.
+func (b *bodyUntilEnd) endOfAnswer() error {
+	t := time.NewTimer(writeEndTime)
+	defer t.Stop()
+	select {
+	case werr := <-b.written:
+		if werr == nil {
+			return io.EOF
+		}
+	case <-t.C:
+	}
+	return io.ErrUnexpectedEOF
+}
+
 // answers reports whether an answer belongs to a request. A late second copy of an answer arrives where the answer
 // to the next request on the connection is expected; targets that echo the id of the request show that.
 func answers(res *http.Response, r Request) bool {
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -20,6 +20,8 @@
 	inlineBodyMax = 4 << 10
 	// strayAnswersMax limits the answers to other requests that are skipped on a connection.
 	strayAnswersMax = 3
+	// writeEndTime is the time after the end of a connection within which the goroutine that writes to it has noticed.
+	writeEndTime = 200 * time.Millisecond
 	// strayBodyMax limits the body of an answer that is skipped, in bytes.
 	strayBodyMax = 1 << 20
 )
@@ -165,6 +167,22 @@
 // framed reports whether the end of the answer can be told from the end of the connection.
 func (x *exchange) framed() bool { return x.ContentLength >= 0 || len(x.TransferEncoding) > 0 }
 
+// endsEarly reports whether an answer that ends with its connection ended while the request was still being written. The
+// connection may have been reset then: the write gets the error of a reset, and the read only the end.
+func (x *exchange) endsEarly() bool {
+	if x.framed() {
+		return false
+	}
+	t := time.NewTimer(writeEndTime)
+	defer t.Stop()
+	select {
+	case <-x.written:
+		return x.writeErr != nil
+	case <-t.C:
+		return true
+	}
+}
+
 // close closes the connection and waits for the end of the write, which the close unblocks.
 func (x *exchange) close() {
 	x.stopCancel()
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -312,6 +312,9 @@
 // bufferAnswer reads the complete answer into memory. The caller calls release when it no longer needs the answer.
 func (r *Router) bufferAnswer(ctx context.Context, c *call, a *attempt, x *exchange) (complete bool, release func()) {
 	b, release, err := r.memory.ReadAll(x.Body)
+	if err == nil && x.endsEarly() {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		a.setError(ctx, err)
 		return false, release
@@ -356,6 +359,8 @@
 		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.Count == 0):
 			// Without framing, and for the rest of a stream, only the end of an event can be the end of the stream.
 			err = io.ErrUnexpectedEOF
+		case err == io.EOF && x.endsEarly():
+			err = io.ErrUnexpectedEOF
 		case err == nil && isEvent && rest && !sse.Follows(e.LastID, after):
 			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.LastID, after)
 		}
