A status outside 100 to 599 is no answer

An answer with the status 000 is no answer in the protocol. The agent passed it on as one. A router without agents took it for an interim answer and held the request until its deadline (504 instead of 502), and passed on 600 and above. Both now end the exchange: the request may have run, the connection is closed.

TestStatusThatIsNoneIsNoAnswer (router) and TestStatusThatIsNoneIsNotAnAnswer (agent) failed before with 000.

--- a/agent/target/dispatch.go
+++ b/agent/target/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,8 @@
 	partBytesMax = 64 << 10
 	// headerBytesMax limits the head of an answer.
 	headerBytesMax = 1 << 20
+	// statusMax is the largest status of an answer.
+	statusMax = 599
 	// writeEndTime is the time after the end of a connection within which the goroutine that writes to it has noticed.
 	writeEndTime = 200 * time.Millisecond
 	// requestIDHeader carries the id of a request, in the answer as well if the target echoes it.
@@ -80,6 +83,9 @@
 	case err == nil && !answers(res, r):
 		_ = res.Body.Close() // not read to its end, so the connection is not used again
 		return nil, Outcome{Run: fault.Unknown, Reason: fault.Target, Detail: "target sent the answer to another request", ConnectionLost: true}
+	case err == nil && (res.StatusCode < 200 || res.StatusCode > statusMax):
+		_ = res.Body.Close()
+		return nil, Outcome{Run: fault.Unknown, Reason: fault.Target, Detail: fmt.Sprintf("%03d is no status", res.StatusCode), ConnectionLost: true}
 	case err == nil:
 		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			res.Body = &bodyUntilEnd{ReadCloser: res.Body, written: written}
--- a/agent/target/earlyanswer_test.go
+++ b/agent/target/earlyanswer_test.go
@@ -46,3 +46,18 @@
 		g.Expect(out.Complete).To(BeFalse())
 	}
 }
+
+// Guards against bytes that are no answer and are passed on as one.
+func TestStatusThatIsNoneIsNotAnAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		g := NewWithT(t)
+		addr := startScriptedServer(t, func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\nok")
+		})
+		var parts []target.Part
+		out := target.NewPlain(addr).Run(t.Context(), target.Request{ID: "r", Method: "POST", Path: "/", Data: []byte("x")}, func(p target.Part) { parts = append(parts, p) })
+		g.Expect(out.Complete).To(BeFalse(), status)
+		g.Expect(parts).To(BeEmpty(), status)
+	}
+}
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -22,6 +22,8 @@
 	strayAnswersMax = 3
 	// writeEndTime is the time after the end of a connection within which the goroutine that writes to it has noticed.
 	writeEndTime = 200 * time.Millisecond
+	// statusMax is the largest status of an answer.
+	statusMax = 599
 	// strayBodyMax limits the body of an answer that is skipped, in bytes.
 	strayBodyMax = 1 << 20
 )
@@ -116,7 +118,10 @@
 		if err != nil {
 			return err
 		}
-		if x.StatusCode < 200 {
+		switch {
+		case x.StatusCode < 100 || x.StatusCode > statusMax:
+			return errors.Errorf("%03d is no status", x.StatusCode)
+		case x.StatusCode < 200:
 			continue
 		}
 		x.answer = d.Answer(x.StatusCode, x.Header)
--- a/router/direct/earlyanswer_test.go
+++ b/router/direct/earlyanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -35,3 +36,21 @@
 		})
 	}
 }
+
+// Guards against bytes that are no answer and reach the caller as one, or end the process.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		x := startTarget(t, "t1", func(_ int, _ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		})
+		e := startRouter(t, x)
+		for _, path := range []string{"/unsafe/", "/stream/"} {
+			began := time.Now()
+			a := e.request("POST", path, "x", "X-Left", "3000")
+			e.g.Expect(a.err).NotTo(HaveOccurred())
+			e.g.Expect(a.code).To(Equal(502), "status %s on %s", status, path)
+			e.g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second), "the request is not held")
+		}
+	}
+}
