--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -181,11 +181,13 @@
 	configObject  store.Object
 	targetObjects map[string]store.Object
 	// behindSince is the time since which a peer has had a newer configuration; zero if none has.
-	behindSince  time.Time
-	limiter      *quota.Replicated
-	retryBudgets map[ident.Service]*retry.Budget
-	poison       *poison.Detector
-	docket       *poison.Docket
+	behindSince time.Time
+	// failedSources holds, by admin address, when a snapshot of a peer could not be read.
+	failedSources map[string]time.Time
+	limiter       *quota.Replicated
+	retryBudgets  map[ident.Service]*retry.Budget
+	poison        *poison.Detector
+	docket        *poison.Docket
 	// comebacks tells retries of callers from first attempts.
 	comebacks *comeback.Detector
 	// lostAnswers are lost answers that may turn out to be crashes, by target; recentCrashes are the crashes that
@@ -277,7 +279,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
-		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), snapshots: relay.NewClient(), memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
+		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), snapshots: relay.NewClient(), failedSources: map[string]time.Time{}, memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
 		targets: map[ident.TargetID]fleet.Target{}, targetObjects: map[string]store.Object{}, limiter: quota.NewReplicated(),
--- a/router/direct/relay.go
+++ b/router/direct/relay.go
@@ -23,6 +23,8 @@
 	// lagMax is the time for which another router may have a newer configuration before it is asked for it.
 	// Normally the store delivers a change to all routers within some ten milliseconds of each other.
 	lagMax = 400 * time.Millisecond
+	// failedSourceTime is the time for which a router whose snapshot could not be read is asked only if there is no other.
+	failedSourceTime = 2 * time.Second
 )
 
 // replaceTargetObjects replaces the registrations of targets that are kept for snapshots by those of a list.
@@ -90,7 +92,7 @@
 			continue
 		}
 		if err := r.fetchSnapshot(ctx, admin); err != nil {
-			r.logNotRead(now, admin, err)
+			r.recordNotRead(now, admin, err)
 		}
 	}
 	return nil
@@ -108,10 +110,11 @@
 	return r.behindFor(now)
 }
 
-// logNotRead logs that a snapshot could not be read, as a warning if its configuration is needed.
-func (r *Router) logNotRead(now time.Time, admin string, err error) {
+// recordNotRead records that a snapshot could not be read, and logs it, as a warning if its configuration is needed.
+func (r *Router) recordNotRead(now time.Time, admin string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failedSources[admin] = now
 	behind, newest := r.behindFor(now), ident.Generation(0)
 	if behind == 0 {
 		r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
@@ -133,7 +136,7 @@
 		now := time.Now()
 		if admin, newer := r.snapshotSource(now); newer {
 			if err := r.fetchSnapshot(jctx, admin); err != nil {
-				r.log.Log(event.PeerUnreachable, "peer", admin, "error", err)
+				r.recordNotRead(now, admin, err)
 			}
 			continue
 		}
@@ -171,7 +174,7 @@
 		if !x.storeReachable && table != nil && r.targetsListed.Load() && x.generation <= table.Generation {
 			continue
 		}
-		if best == nil || r.betterSource(x, best) {
+		if best == nil || r.betterSource(now, x, best) {
 			best = x
 		}
 	}
@@ -182,18 +185,31 @@
 }
 
 // betterSource reports whether a snapshot of x is better than one of y. A router that reads the targets from the store
-// itself needs the newest configuration only. Of equal ones the nearer is better, as links between regions are slow;
-// r.mu is held.
-func (r *Router) betterSource(x, y *peer) bool {
+// itself needs the newest configuration only. Of equal ones, those that did not fail lately are better, and then the
+// nearer ones, as links between regions are slow; r.mu is held.
+func (r *Router) betterSource(now time.Time, x, y *peer) bool {
 	if x.generation != y.generation && (r.storeReachable.Load() || x.storeReachable == y.storeReachable) {
 		return x.generation > y.generation
 	}
 	if x.storeReachable != y.storeReachable {
 		return x.storeReachable
 	}
+	if a, b := r.failedLately(now, x), r.failedLately(now, y); a != b {
+		return b
+	}
 	return r.distance(x) < r.distance(y)
 }
 
+// failedLately reports whether the snapshot of a peer could not be read lately; r.mu is held.
+func (r *Router) failedLately(now time.Time, p *peer) bool {
+	at, ok := r.failedSources[p.admin]
+	if ok && now.Sub(at) >= failedSourceTime {
+		delete(r.failedSources, p.admin)
+		ok = false
+	}
+	return ok
+}
+
 // distance orders peers: those of the own data centre, of the own region, and the others.
 func (r *Router) distance(p *peer) int {
 	switch {
--- a/router/direct/seeds_test.go
+++ b/router/direct/seeds_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -100,3 +101,37 @@
 	time.Sleep(100 * time.Millisecond)
 	e.g.Expect(list()).To(BeEmpty(), "all others are behind")
 }
+
+// Guards against a router that asks the nearest peer for a newer configuration again and again although that cannot be
+// read, while others have it as well.
+func TestNewerConfigurationComesFromAnotherPeerIfTheNearestFails(t *testing.T) {
+	e := startRouter(t, startTarget(t, "t1", answerOK))
+	config, err := e.store.Get(t.Context(), "config", "main")
+	e.g.Expect(err).NotTo(HaveOccurred())
+	config.Value = bytes.Replace(config.Value, []byte(`"Generation":1`), []byte(`"Generation":7`), 1)
+	serve := func(ok bool) string {
+		srv := httptest.NewServer(relay.NewServer(func(bool) (relay.Snapshot, bool) { return relay.Snapshot{Config: config}, ok }))
+		t.Cleanup(srv.Close)
+		return strings.TrimPrefix(srv.URL, "http://")
+	}
+	c, err := net.Dial("udp4", e.cfg.Heartbeat)
+	e.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	peers := []wire.Heartbeat{
+		{Process: "near", Centre: e.cfg.Centre, Region: e.cfg.Region, Admin: serve(false)},
+		{Process: "also near", Centre: e.cfg.Centre, Region: e.cfg.Region, Admin: serve(false)},
+		{Process: "far", Centre: "elsewhere", Region: "elsewhere", Admin: serve(true)},
+	}
+	seq := ident.Seq(0)
+	e.g.Eventually(func() string {
+		seq++
+		for _, m := range peers {
+			m.Boot, m.Seq, m.Generation, m.StoreReachable = 1, seq, 7, true
+			b, err := wire.Encode(&m)
+			e.g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.Write(b)
+			e.g.Expect(err).NotTo(HaveOccurred())
+		}
+		return e.log.String()
+	}, 4*time.Second, 100*time.Millisecond).Should(ContainSubstring("event=301 generation=7"))
+}
--- a/router/direct/watch.go
+++ b/router/direct/watch.go
@@ -76,7 +76,6 @@
 	r.logReady()
 	r.log.Log(event.ConfigInForce, "generation", table.Generation, "rev", o.Rev, "accounts", len(accounts), "services", len(services), "idle", r.idleTimeout(),
 		"source", source, "bytes", len(o.Value), "took", now.Sub(began), "behind", r.behindFor(now))
-	r.behindSince = time.Time{}
 	for s, p := range r.pools {
 		r.updateColdLimits(s, p)
 	}
