--- a/review/rig-2/stop.go
+++ b/review/rig-2/stop.go
@@ -15,12 +15,12 @@
 
 func init() { cases["stop"] = stop }
 
-// stop: the only router gets SIGTERM, four times, and is started again. The engines are sound: each falls silent for 1.2 s
+// stop: the only router gets SIGTERM, five times, and is started again. The engines are sound: each falls silent for 1.4 s
 // every 5 s, and goes on.
 func stop(w *world) (broken []string) {
 	w.configure()
 	const (
-		silence = 1200 * time.Millisecond
+		silence = 1400 * time.Millisecond
 		every   = 5 * time.Second
 		gap     = 20 * time.Millisecond
 	)
@@ -58,7 +58,7 @@
 			w.note("engine %s has ended %s", e.id, id)
 		})
 	}
-	for round := range 4 {
+	for round := range 5 {
 		broken = append(broken, stopOnce(w, round, &atWork)...)
 	}
 	return broken
