--- a/review/rig-2/crowd.go
+++ b/review/rig-2/crowd.go
@@ -2,25 +2,27 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 func init() { cases["crowd"] = crowd }
 
-// crowd: clients that nobody controls send one request each, of legal size and with many short header lines, whose body
-// never comes, and leave their connections open.
+// crowd: clients that nobody controls send small requests one after the other on their connections, and read the answers
+// slowly, a byte a second.
 func crowd(w *world) (broken []string) {
 	const (
 		clients = 1400
-		lines   = 40
-		length  = 30 * time.Second
+		length  = 35 * time.Second
 	)
 	w.site = kfc
 	w.configure()
@@ -33,44 +35,52 @@
 		})
 	}
 	r := w.startRouter("front-1")
-	var short strings.Builder
-	for i := range lines {
-		fmt.Fprintf(&short, "%c%c:\r\n", 'a'+i/26, 'a'+i%26)
-	}
 	began := time.Now()
 	end := began.Add(length)
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
 	var all sync.WaitGroup
-	var refused, open atomic.Int64
-	hostile := func(i int) {
-		c, err := net.Dial("tcp", r.front)
+	var open atomic.Int64
+	visit := func(i int) {
+		c, err := d.DialContext(context.Background(), "tcp", r.front)
 		if err != nil {
 			return
 		}
 		defer func() { _ = c.Close() }()
 		_ = c.SetDeadline(end)
-		_, _ = fmt.Fprintf(c, "POST /puxa403/2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %016x\r\nDeadline-Ms: 5000\r\nAuthorization: Token %s\r\n%sContent-Length: 9\r\n\r\n", host, 1<<32+i, key, short.String())
-		b := bufio.NewReader(c)
-		res, err := http.ReadResponse(b, nil)
-		if err != nil {
-			return
-		}
-		_, _ = io.ReadAll(res.Body)
-		refused.Add(1)
 		open.Add(1)
-		_, _ = b.ReadByte() // until the router closes the connection
-		open.Add(-1)
+		defer open.Add(-1)
+		all.Go(func() {
+			for n := 0; ; n++ {
+				if _, err := fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %08x%08x\r\n\r\n", host, i, n); err != nil {
+					return
+				}
+			}
+		})
+		for b := make([]byte, 1); ; time.Sleep(time.Second) {
+			if _, err := c.Read(b); err != nil {
+				return
+			}
+		}
 	}
 	if w.trouble {
-		w.note("%d clients send a head and no body", clients)
+		w.note("%d clients begin to send, and read a byte a second", clients)
 		for i := range clients {
-			all.Go(func() { hostile(i) })
+			all.Go(func() { // whose connection is closed comes again
+				for time.Now().Before(end) {
+					visit(1<<24 + i)
+					time.Sleep(time.Second)
+				}
+			})
 		}
 	}
-	answered, unanswered, ready := 0, 0, 0
-	since := began // the last answer to an ordinary client
+	stable := time.Duration(w.site.stable) * time.Millisecond
+	var since time.Time // of the clients in a row whose connections were not taken, while the router said that it is ready
+	tried, worst, most := 0, time.Duration(0), 0
 	for n := 1; time.Now().Before(end.Add(-500*time.Millisecond)) && !r.ended(); n++ {
 		time.Sleep(200 * time.Millisecond)
-		id, status := fmt.Sprintf("%016x", n), 0
+		id, status, at := fmt.Sprintf("%016x", n), 0, time.Now()
 		c, err := net.DialTimeout("tcp", r.front, time.Second)
 		if err == nil {
 			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
@@ -82,23 +92,26 @@
 			}
 			_ = c.Close()
 		}
+		notTaken := err != nil && status == 0 && !errors.Is(err, os.ErrDeadlineExceeded) // refused, or closed without an answer
 		w.note("ordinary client: %s has status %d, end %v", id, status, err)
 		if n%10 == 0 {
-			w.note("%d of the crowd are refused, %d of their connections are open; memory %.1f MB", refused.Load(), open.Load(), r.memoryMB())
-		}
-		if err == nil {
-			answered, unanswered, ready, since = answered+1, 0, 0, time.Now()
-			continue
+			w.note("%d connections of the crowd are open; memory %.1f MB", open.Load(), r.memoryMB())
 		}
-		unanswered++
-		if r.isReady() {
-			ready++
+		switch {
+		case !notTaken || !r.isReady() || time.Since(began) < 2*stable: // in touch only stable-window-ms after its start
+			since, tried = time.Time{}, 0
+		default:
+			if since.IsZero() {
+				since = at
+			}
+			if tried++; tried >= 7 && time.Since(since) > worst {
+				worst, most = time.Since(since), tried
+			}
 		}
 	}
-	w.note("ordinary clients: %d answered; the last %d, for %.1f s, not, %d of them while the router said that it is ready", answered, unanswered, time.Since(since).Seconds(), ready)
-	stable := time.Duration(w.site.stable) * time.Millisecond
-	if unanswered >= 7 && ready == unanswered && time.Since(since) > 2*stable {
-		broken = append(broken, fmt.Sprintf("the last %d ordinary clients got no answer, for %.1f s, while the router said that it is ready", unanswered, time.Since(since).Seconds()))
+	w.note("the longest time without a connection taken is %.1f s, of %d clients", worst.Seconds(), most)
+	if worst > stable {
+		broken = append(broken, fmt.Sprintf("no connection of %d clients in a row was taken for %.1f s, while the router said that it is ready", most, worst.Seconds()))
 	}
 	all.Wait()
 	return broken
--- a/review/rig-2/stop.go
+++ b/review/rig-2/stop.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -64,6 +66,26 @@
 	return broken
 }
 
+// leaveAfter is the gap after which clients leave a stream: the longest of two seconds, four times the objective and eight
+// times the pause of the site.
+const leaveAfter = 3200 * time.Millisecond
+
+// readStream reads an answer to its end, as long as its client stays.
+func readStream(c net.Conn, body io.Reader, deadline time.Time) error {
+	for b := make([]byte, 4<<10); ; {
+		end := time.Now().Add(leaveAfter)
+		if deadline.Before(end) {
+			end = deadline
+		}
+		_ = c.SetReadDeadline(end)
+		if _, err := body.Read(b); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // stopOnce starts a router, sends it SIGTERM after 8 s of traffic, and waits for its end, and for 9 s without trouble.
 func stopOnce(w *world, round int, atWork *sync.Map) (broken []string) {
 	r := w.startRouter("front-1")
@@ -95,14 +117,14 @@
 		res, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err == nil {
 			status = res.StatusCode
-			_, err = io.ReadAll(res.Body)
+			err = readStream(c, res.Body, sent.Add(deadline))
 		}
 		_, working := atWork.Load(id)
 		w.note("client: %s has status %d, end %v, engine at work %v", id, status, err, working)
 		mu.Lock()
 		defer mu.Unlock()
 		switch {
-		case err == nil, time.Since(sent) >= deadline-50*time.Millisecond, !working, termAt.IsZero():
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded), time.Since(sent) >= deadline-50*time.Millisecond, !working, termAt.IsZero():
 		case sent.Sub(termAt) <= 3*time.Second: // excused while the engine is at work in the last sixth of grace-s
 		case time.Since(termAt) <= 8*time.Second+time.Second:
 			broken = append(broken, fmt.Sprintf("%s, sent to %s %.2f s after SIGTERM, ends %.2f s after it without the rest of its answer, while its engine is at work on it: %v", id, q.path, sent.Sub(termAt).Seconds(), time.Since(termAt).Seconds(), err))
