Break off streams that end inside an event, however they are framed

Cause: streamAnswer looked at what follows the last event only where the body had no framing or went on from another target. With chunks or a length the framing decided, but a server whose generator fails still ends its body.

Ruled out: an abort that the caller's connection hides (TestCutAnswerNeverLooksWhole holds), parts of events passed on before their end is known (blocks are read in whole).

Change: what follows the last event decides for each unencoded stream of events (core/sse, Reader.End). Such a stream counts as lost, but not as a lost connection, so its target is not suspected of a crash; it goes on elsewhere where it may. The agent had the same cause for streams of plain services (copyParts).

--- a/agent/target/dispatch.go
+++ b/agent/target/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"hickoryvane.example/core/fault"
+	"hickoryvane.example/core/sse"
 )
 
 const (
@@ -140,12 +141,16 @@
 	return id == "" || id == string(r.ID)
 }
 
-// copyParts emits an answer that is not a stream in parts of at most partBytesMax.
+// copyParts emits an answer in parts of at most partBytesMax, as it is.
 func copyParts(res *http.Response, emit func(Part)) Outcome {
 	first := Part{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type")}
 	buf := make([]byte, partBytesMax)
+	body := io.Reader(res.Body)
+	if sse.FormatOf(res.StatusCode, res.Header).IsEvents() {
+		body = sse.NewEndReader(body)
+	}
 	for {
-		n, err := res.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 || (first.Status != 0 && err != nil) {
 			first.Data = bytes.Clone(buf[:n])
 			emit(first)
@@ -155,7 +160,7 @@
 			return Outcome{Complete: true, Run: fault.Ran}
 		}
 		if err != nil {
-			return Outcome{Run: fault.Ran, Reason: fault.Target, Detail: "answer of the target was cut", ConnectionLost: true}
+			return Outcome{Run: fault.Ran, Reason: fault.Target, Detail: "answer of the target was cut", ConnectionLost: !errors.Is(err, sse.ErrInsideEvent)}
 		}
 	}
 }
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -350,17 +350,16 @@
 // streamAnswer forwards events as they arrive.
 func (r *Router) streamAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, x *exchange, prog *progress, stall *stallWatch) (complete bool) {
 	rc := http.NewResponseController(w)
-	e := sse.New(x.Body)
+	e, format := sse.New(x.Body), sse.FormatOf(x.StatusCode, x.Header)
 	rest, after := prog.started, prog.lastID
 	var firstAt, lastAt time.Time
 	for {
 		b, isEvent, err := e.Next()
 		switch {
-		case err == io.EOF && (rest || !x.framed()) && (len(b) > 0 || e.Count == 0):
-			// Without framing, and for the rest of a stream, only the end of an event can be the end of the stream.
-			err = io.ErrUnexpectedEOF
 		case err == io.EOF && x.endsEarly():
 			err = io.ErrUnexpectedEOF
+		case err == io.EOF:
+			err = e.End(b, format, x.framed() && !rest)
 		case err == nil && isEvent && rest && !sse.Follows(e.LastID, after):
 			err = errors.Errorf("the event with id %.20q does not follow the one with id %.20q", e.LastID, after)
 		}
@@ -388,7 +387,7 @@
 			}
 		}
 		if !prog.started {
-			prog.started, prog.format = true, sse.FormatOf(x.StatusCode, x.Header)
+			prog.started, prog.format = true, format
 			bufferWrites(c.r)
 			r.writeHead(w, c, x.StatusCode, x.Header)
 		}
