Log the longest silence of a stream with its end

The times between events of a stream are measured in core/sse (Pace) instead of in the loop that moves the bytes.

--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -339,6 +339,9 @@
 	Events int
 	// Pauses is the number of times between two events that were longer than the job's GapGoal.
 	Pauses int
+	// Streamed is the time from the first event of a stream to its end, and Silence the longest part of it without an
+	// event; zero for other answers. Neither depends on whether the answer is complete.
+	Streamed, Silence time.Duration
 	// Complete is true for a complete answer that is not a stream.
 	Complete bool
 }
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -352,7 +352,7 @@
 	rc := http.NewResponseController(w)
 	e, format := sse.New(x.Body), sse.FormatOf(x.StatusCode, x.Header)
 	rest, after := prog.started, prog.lastID
-	var firstAt, lastAt time.Time
+	pace := sse.NewPace(c.route.EventGapGoal)
 	for {
 		b, isEvent, err := e.Next()
 		switch {
@@ -369,21 +369,17 @@
 		}
 		if isEvent {
 			now := time.Now()
-			if !lastAt.IsZero() && c.route.EventGapGoal > 0 && now.Sub(lastAt) > c.route.EventGapGoal {
-				a.outcome.Pauses++
-			}
-			lastAt = now
-			if firstAt.IsZero() {
-				firstAt = lastAt
-				a.timeToFirstEvent = lastAt.Sub(a.sent)
+			sinceFirst := pace.Record(now)
+			if e.Count == 1 {
+				a.timeToFirstEvent = now.Sub(a.sent)
 				r.recordFirstEvent(c.service, a.target.ID, c.job)
 			}
-			stall.recordEvent(lastAt)
-			if !a.passed && lastAt.Sub(firstAt) >= passTime {
+			stall.recordEvent(now)
+			if !a.passed && sinceFirst >= passTime {
 				r.recordPass(c, a)
 			}
 			if e.Count == earlyGapEvents {
-				r.recordEventGap(c.service, a.target.ID, lastAt.Sub(firstAt)/(earlyGapEvents-1))
+				r.recordEventGap(c.service, a.target.ID, pace.Gap())
 			}
 		}
 		if !prog.started {
@@ -413,10 +409,8 @@
 			break
 		}
 	}
-	a.events = e.Count
-	if e.Count > 1 {
-		a.outcome.Gap = lastAt.Sub(firstAt) / time.Duration(e.Count-1)
-	}
+	a.events, a.outcome.Gap, a.outcome.Pauses = e.Count, pace.Gap(), pace.Pauses
+	a.outcome.Streamed, a.outcome.Silence = pace.Streamed(time.Now())
 	if complete && prog.runs == 0 {
 		a.outcome.Events = e.Count
 	}
@@ -427,7 +421,7 @@
 func (r *Router) finish(w http.ResponseWriter, c *call, last *attempt, prog *progress) {
 	now := time.Now()
 	a := prog.result(last)
-	fields := []any{"id", c.ID, "target", a.target.ID, "end", a.result, "events", prog.events, "first", a.timeToFirstEvent.Milliseconds(), "ms", now.Sub(c.arrived).Milliseconds(), "pauses", a.outcome.Pauses, "tries", prog.placements, "route", c.route.Name, "account", c.accountName()}
+	fields := []any{"id", c.ID, "target", a.target.ID, "end", a.result, "events", prog.events, "first", a.timeToFirstEvent.Milliseconds(), "ms", now.Sub(c.arrived).Milliseconds(), "pauses", a.outcome.Pauses, "silence", a.outcome.Silence.Milliseconds(), "tries", prog.placements, "route", c.route.Name, "account", c.accountName()}
 	if a.answer != nil {
 		fields = append(fields, "status", a.answer.status)
 	}
