Leave a silent target only after the longest silence of a sound one

Cause: a stream counted as stalled after 1.2 s, while sound targets fall silent for a second or so and go on. A stream that is moved is placed in any case, as it would be lost otherwise, so the bound on the time that is left does not hold for it.

Change: sched.SoundSilence (1.6 s) is the least silence after which a stream is stalled. Callers leave after 2 s at the earliest, so 0.4 s remain for the next target. A move is not bound to end in time: where the target hangs, it is all that can save the stream.

--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -8,19 +8,20 @@
 
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/route"
+	"hickoryvane.example/core/sched"
 )
 
 // When a request that may be repeated goes on at another target because its target is silent.
 //
 // Load pattern: targets that hang, or send bytes without ever completing an event, beside targets that are slow
-// because they are full. A silent target is left only for one that has a free slot now, as long as the route allows one
-// more run and the retry budget a further target in case that one refuses the request; otherwise the answer goes on
-// however slow it is. Only complete events count as
-// progress. A target that sends events of other requests is slow rather than stalled, and gets twice the time.
+// because they are full, and sound ones that fall silent for a while and go on. A silent target is left only for one that
+// has a free slot now, as long as the route allows one more run and the retry budget a further target in case that one
+// refuses the request; otherwise the answer goes on however slow it is. Only complete events count as progress. A target
+// that sends events of other requests is slow rather than stalled, and gets twice the time.
 
 const (
-	// minStallTimeout is the shortest silence after which a stream is stalled. Callers disconnect after two seconds.
-	minStallTimeout = 1200 * time.Millisecond
+	// minStallTimeout is the shortest silence after which a stream is stalled.
+	minStallTimeout = sched.SoundSilence
 	// stallGoalFactor is the silence after which a stream is stalled, as a multiple of the goal of the route.
 	stallGoalFactor = 3
 	// plainStallFactor is the same for plain calls, whose callers have the whole answer or nothing.
