Weigh the silences of targets in what a stopping router places

Cause: a stream was placed if 0.8 s were left beyond its longest estimated duration. Sound targets fall silent for longer, and the silences were counted a second time in the times between events.

Ruled out: wrong lengths (the case has a spread of 0.1 in the logarithm).

Change: a request is placed if the chance that the router stops before its answer ends is at most 1 in 5,000. The chance weighs the answers during which a target falls silent, for sched.SoundSilence, by their share, which is learnt from all streams. Times between events are learnt without silences for this. The longest answer that the caller allows bounds the length.

--- a/core/sched/ending.go
+++ b/core/sched/ending.go
@@ -13,16 +13,18 @@
 // back. So a request is placed only where its deadline, or nearly certainly its answer, comes before the end.
 
 const (
-	// endingSpreads is the number of standard deviations above the mean up to which lengths and durations are allowed
-	// for: one answer in 2,000 lasts longer.
-	endingSpreads = 3.3
+	// cutRiskMax is the chance that the router stops before the answer ends up to which a job is placed.
+	cutRiskMax = 1.0 / 5000
+	// endingSpreadMin is the least standard deviation of the logarithm of lengths and durations that is assumed. The
+	// factors below keep the doubt for which other decisions assume more.
+	endingSpreadMin = 0.1
+	// endingSlack is the time that is left for the network and for late timers.
+	endingSlack = 200 * time.Millisecond
 	// endingGapFactor and endingFirstFactor allow for targets that become slower when they fill up.
 	endingGapFactor   = 1.2
 	endingFirstFactor = 1.5
 	// endingAgeFactor is the multiple of the time for which similar calls have been running that a call may last.
 	endingAgeFactor = 2
-	// targetPauseMax is the time for which a sound target may pause in an answer.
-	targetPauseMax = 800 * time.Millisecond
 )
 
 // StopAt makes the pool place only jobs that end by t, when the router stops.
@@ -36,18 +38,7 @@
 
 // endsInTime reports whether the job, sent to the target now, ends before the router stops.
 func (p *Pool) endsInTime(now time.Time, t *target, j *Job) bool {
-	if p.isUnbound(j) {
-		return true
-	}
-	if j.isCall() {
-		return p.fitsBeforeStop(now, p.longestCall(now, j))
-	}
-	return p.fitsBeforeStop(now, p.longestStream(t, j))
-}
-
-// fitsBeforeStop reports whether what takes d at the longest ends before the router stops.
-func (p *Pool) fitsBeforeStop(now time.Time, d time.Duration) bool {
-	return !now.Add(d + targetPauseMax).After(p.stopAt)
+	return p.isUnbound(j) || p.cutRisk(now, t, j) <= cutRiskMax
 }
 
 // canEndInTime reports whether a target can end the job before the router stops once it has a free slot.
@@ -55,37 +46,51 @@
 	if p.isUnbound(j) {
 		return true
 	}
-	if j.isCall() {
-		return p.fitsBeforeStop(now, p.longestCall(now, j))
-	}
 	for _, t := range p.sorted {
-		if f := p.facts(t); !f.Canary && f.Open() && j.Homes.Allow(t.Region) && p.fitsBeforeStop(now, p.longestStream(t, j)) {
+		if f := p.facts(t); !f.Canary && f.Open() && j.Homes.Allow(t.Region) && p.cutRisk(now, t, j) <= cutRiskMax {
 			return true
 		}
 	}
 	return false
 }
 
-// unknownDuration stands for the duration of a job about which nothing is known yet.
-const unknownDuration = 365 * 24 * time.Hour
+// cutRisk returns the chance that the router stops before the job ends if it is sent to the target now. Few answers are
+// much longer than expected, and in few of them the target falls silent, so the chance of both is small.
+func (p *Pool) cutRisk(now time.Time, t *target, j *Job) float64 {
+	outlasts := p.streamOutlasts
+	if j.isCall() {
+		outlasts = p.callOutlasts
+	}
+	left := p.stopAt.Sub(now)
+	silent := p.silences.chance(left)
+	return (1-silent)*outlasts(now, t, j, left-endingSlack) + silent*outlasts(now, t, j, left-SoundSilence)
+}
 
-// longestCall returns the time that a plain call takes at the longest.
-func (p *Pool) longestCall(now time.Time, j *Job) time.Duration {
+// callOutlasts returns the chance that a plain call takes longer than d.
+func (p *Pool) callOutlasts(now time.Time, _ *target, j *Job, d time.Duration) float64 {
 	k := arrivalClass(j)
 	s := p.statsOf(k)
-	if !s.hasDurations {
-		return unknownDuration
+	if !s.hasDurations || endingAgeFactor*p.oldestRun(now, k) > d {
+		return 1
 	}
-	return max(seconds(s.durations.upper()), endingAgeFactor*p.oldestRun(now, k))
+	return 1 - s.durations.chanceWith(d.Seconds(), endingSpreadMin)
 }
 
-// longestStream returns the time that a stream takes at the longest at a target.
-func (p *Pool) longestStream(t *target, j *Job) time.Duration {
-	if !j.generates() || t.eventGap <= 0 {
-		return unknownDuration
+// streamOutlasts returns the chance that a stream takes longer than d at a target that does not fall silent.
+func (p *Pool) streamOutlasts(_ time.Time, t *target, j *Job, d time.Duration) float64 {
+	gap := t.steadyGap
+	if gap <= 0 {
+		gap = t.eventGap
+	}
+	if !j.generates() || gap <= 0 {
+		return 1
+	}
+	first := endingFirstFactor * t.expectedFirstEvent(j).Seconds()
+	tokens := float64(j.Stride) * (d.Seconds() - first) / (endingGapFactor * gap.Seconds())
+	if j.OutputMax > 0 && tokens >= float64(j.OutputMax) {
+		return 0
 	}
-	events := p.statsOf(arrivalClass(j)).lengths.upper() * float64(j.Output) / float64(j.Stride)
-	return seconds(endingFirstFactor*t.expectedFirstEvent(j).Seconds() + endingGapFactor*events*t.eventGap.Seconds())
+	return 1 - p.statsOf(arrivalClass(j)).lengths.chanceWith(tokens/float64(j.Output), endingSpreadMin)
 }
 
 // oldestRun returns the age of the oldest running call of a class.
@@ -128,10 +133,10 @@
 // isCall reports whether the answer comes as a whole and its length is not known.
 func (j *Job) isCall() bool { return !j.Stream && !j.generates() }
 
-// upper returns a bound that nearly all samples stay below.
-func (s *lengthStats) upper() float64 { return math.Exp(s.mean + endingSpreads*s.spread()) }
+// durationMax limits durations that are computed from estimates.
+const durationMax = 365 * 24 * time.Hour
 
-// seconds converts a number of seconds; what does not fit is unknownDuration.
+// seconds converts a number of seconds, up to durationMax.
 func seconds(s float64) time.Duration {
-	return time.Duration(min(s, unknownDuration.Seconds()) * float64(time.Second))
+	return time.Duration(min(s, durationMax.Seconds()) * float64(time.Second))
 }
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -46,16 +46,17 @@
 }
 
 // chance returns the probability that an answer has at most ratio times its expected length.
-func (s *lengthStats) chance(ratio float64) float64 {
+func (s *lengthStats) chance(ratio float64) float64 { return s.chanceWith(ratio, lengthSpreadMin) }
+
+// chanceWith is chance with another least standard deviation of the logarithm.
+func (s *lengthStats) chanceWith(ratio, spreadMin float64) float64 {
 	if ratio <= 0 {
 		return 0
 	}
-	return 0.5 * math.Erfc(-(math.Log(ratio)-s.mean)/(s.spread()*math.Sqrt2))
+	spread := max(math.Sqrt(s.variance), spreadMin)
+	return 0.5 * math.Erfc(-(math.Log(ratio)-s.mean)/(spread*math.Sqrt2))
 }
 
-// spread returns the standard deviation of the logarithm.
-func (s *lengthStats) spread() float64 { return max(math.Sqrt(s.variance), lengthSpreadMin) }
-
 // finishChance returns the probability that an answer of which the first event is expected after first, and the
 // others at intervals of gap, ends before the deadline; 1 if nothing is known about its length or speed.
 func (p *Pool) finishChance(now time.Time, j *Job, first, gap time.Duration) float64 {
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -36,7 +36,9 @@
 	// Prompt and Output are the expected lengths in tokens; both zero for plain services. Stride is the number of
 	// tokens in an event.
 	Prompt, Output ident.Tokens
-	Stride         int
+	// OutputMax is the longest answer that the caller allows, in tokens; zero if it states none.
+	OutputMax ident.Tokens
+	Stride    int
 	// Deferral is the time by which the job goes behind others of its class; see core/fair.
 	Deferral time.Duration
 	// Parts are the parts of the prompt that other prompts may have in common, in their order.
@@ -177,6 +179,8 @@
 	routersComplete bool
 	// stopAt is the time at which the router stops; zero while it does not. See ending.go.
 	stopAt time.Time
+	// silences is what was learnt of targets that fall silent; see silence.go.
+	silences silenceStats
 	// sharers are the other routers between which the memory of the targets is divided, in the order of their hashes;
 	// sharersVersion counts their changes. See memory.go.
 	sharers        []sharer
@@ -373,6 +377,7 @@
 		p.running--
 		p.recordLength(j, o.Events)
 		p.recordPauses(t, j, o)
+		p.silences.record(o)
 	}
 	p.updateEventGap()
 	p.removeDrained(t)
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -85,6 +85,8 @@
 	// itself; until then it is what another router reported.
 	eventGap time.Duration
 	observed bool
+	// steadyGap is what this router has measured of the same without silences; zero before that.
+	steadyGap time.Duration
 	// rate is nil unless the target has stated one.
 	rate *rate
 	// failures counts consecutive failures; no job is placed before backoffUntil.
@@ -183,6 +185,7 @@
 	t.runs = append(t.runs[:i], t.runs[i+1:]...)
 	j.running--
 	t.learnGap(o.Gap)
+	t.learnSteadyGap(o.steadyGap())
 	switch {
 	case o.Full:
 		t.backoffUntil = later(t.backoffUntil, now.Add(fullBackoff))
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -232,7 +232,7 @@
 	if c.route.FirstEventGoal <= 0 || due.After(c.deadline) {
 		due = c.deadline
 	}
-	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal, Parts: c.Parts, MaxIdle: c.maxIdle(), Homes: c.homes()}
+	c.job = &sched.Job{ID: c.ID, Tier: tier, RouteTier: c.route.Tier, Arrived: c.arrived, FirstEventDue: due, Deadline: c.deadline, Prompt: c.Prompt, Output: c.expectedOutput(), OutputMax: c.MaxOutput, Stride: table.Services[c.service].TokensPerEvent, Stream: c.route.Kind == route.Stream, GapGoal: c.route.EventGapGoal, Parts: c.Parts, MaxIdle: c.maxIdle(), Homes: c.homes()}
 }
 
 // recognizeRetry makes the first event of a retry due as long after the caller's first attempt as that of any other
--- a/router/direct/silence_test.go
+++ b/router/direct/silence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,3 +43,60 @@
 		})
 	}
 }
+
+// silentScript is streamScript at a target that falls silent every 5 s, from offset on.
+func silentScript(gap, offset time.Duration) func(int, *http.Request, net.Conn) bool {
+	const every = 5 * time.Second
+	began := time.Now()
+	return func(_ int, r *http.Request, c net.Conn) bool {
+		n, _ := strconv.Atoi(r.Header.Get("X-Events"))
+		writeStreamHead(c, r)
+		for i := range n {
+			time.Sleep(gap)
+			if into := (time.Since(began) + offset) % every; into < soundSilence {
+				time.Sleep(soundSilence - into)
+			}
+			writeChunk(c, streamEvent(i+1))
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// Guards against streams that are taken late in a shutdown, meet the silence of a sound target and are cut.
+func TestStreamsTakenWhileStoppingOutlastSilences(t *testing.T) {
+	t.Parallel()
+	var targets []*scriptedTarget
+	for i := range 8 {
+		targets = append(targets, startTarget(t, "t"+strconv.Itoa(i), silentScript(10*time.Millisecond, time.Duration(i)*620*time.Millisecond)))
+	}
+	e := startSlowStop(t, targets...)
+	var n atomic.Int32
+	send := func() answer {
+		i := int(n.Add(1))
+		path, events := "/stream/", strconv.Itoa(2+i%4*10)
+		if i%2 == 0 {
+			path = "/resume/"
+		}
+		return e.request("POST", path, "p", "X-Left", "12000", "X-Events", events, "X-Length", events)
+	}
+	var warm sync.WaitGroup
+	for range 100 {
+		warm.Go(func() { send() })
+		time.Sleep(20 * time.Millisecond)
+	}
+	warm.Wait()
+	var mu sync.Mutex
+	codes := map[int]int{}
+	e.sendWhileStopping(1900*time.Millisecond, func() {
+		a := send()
+		mu.Lock()
+		defer mu.Unlock()
+		codes[a.code]++
+		e.g.Expect(a.err).NotTo(HaveOccurred())
+	})
+	e.g.Expect(codes).To(HaveKey(http.StatusOK))
+	delete(codes, http.StatusOK)
+	delete(codes, http.StatusServiceUnavailable)
+	e.g.Expect(codes).To(BeEmpty())
+}
