Reset a connection of which a part of an answer was dropped

Cause: what a slow reader has not taken is held after the handler has ended. When its write deadline passed, the rest was dropped, but the connection stayed open, and net/http, which had written all of the answer, served the next request on it.

Evidence: the record of the case and the failing test show the head of the second answer after the cut. Ruled out: two answers in the wrong order, as the second handler begins after the rest was dropped.

Change: whoever drops a part of an answer resets the connection in the same step, also where the memory for unread answers ends; a normal close would look like the end of an answer to callers without HTTP/1.1.

--- a/core/accept/output.go
+++ b/core/accept/output.go
@@ -96,7 +96,7 @@
 	if !c.server.budget.Reserve(time.Now(), c.owner, budget.Unread, int64(size+pieceCost)) {
 		c.report(Reader)
 		o.pieces, o.err = nil, errReader
-		_ = c.Conn.Close()
+		c.abort()
 		return o.err
 	}
 	if o.evicted.Load() {
@@ -184,13 +184,21 @@
 	}
 }
 
-// failOutput makes further writes fail.
+// failOutput ends the connection, as a part of an answer is not written any more: what is written after it would be taken
+// for the rest of that answer.
 func (c *conn) failOutput(err error) {
 	c.out.mu.Lock()
 	defer c.out.mu.Unlock()
 	if c.out.err == nil {
 		c.out.err = err
 	}
+	c.abort()
+}
+
+// abort resets the connection: callers without HTTP/1.1 take a normal close for the end of a complete answer.
+func (c *conn) abort() {
+	_ = c.SetLinger(0) // the connection may be closed already
+	_ = c.Conn.Close()
 }
 
 // evictOutput gives up what is held, without waiting for a write that is waiting for the budget and gives it up itself.
--- a/core/accept/output_test.go
+++ b/core/accept/output_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +80,33 @@
 	g.Expect(limits).To(Receive(Equal(accept.Reader)))
 	g.Eventually(b.Used).Should(BeZero())
 }
+
+// Guards against the answer to the next request, or the end of the connection, that looks like the rest or the end of an
+// answer of which a part was dropped, because its reader was too slow for the write deadline.
+func TestConnectionEndsWithAnAnswerThatIsNotRead(t *testing.T) {
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		t.Run(version, func(t *testing.T) {
+			g := NewWithT(t)
+			ln, ended := listen(t), make(chan struct{}, 10)
+			serve(t, ln, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/next" {
+					_, _ = io.WriteString(w, "next")
+					return
+				}
+				r.Context().Value(connKey{}).(interface{ BufferWrites() }).BufferWrites()
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+				_, _ = io.WriteString(w, strings.Repeat("a", writeCount*writeSize))
+				ended <- struct{}{}
+			}, accept.WithBudget(budget.New(256<<20, 0)))
+			c := connect(t, ln)
+			_, _ = io.WriteString(c, strings.Replace(request, "HTTP/1.1", version, 1))
+			g.Eventually(ended, "5s").Should(Receive())
+			time.Sleep(500 * time.Millisecond)
+			_, werr := io.WriteString(c, strings.Replace(request, " / ", " /next ", 1)) // takes the error of the reset
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			b, err := io.ReadAll(c)
+			g.Expect(string(b)).NotTo(ContainSubstring("next"))
+			g.Expect(errors.Is(errors.Join(werr, err), syscall.ECONNRESET)).To(BeTrue(), "%v, %v", werr, err)
+		})
+	}
+}
--- a/core/accept/victim.go
+++ b/core/accept/victim.go
@@ -10,9 +10,10 @@
 	if c.out.held.Load() {
 		c.report(Reader)
 		c.evictOutput()
-	} else {
-		c.report(Memory)
+		c.abort()
+		return
 	}
+	c.report(Memory)
 	_ = c.Conn.Close()
 }
 
