Keep the write deadline of an answer that is held for a slow reader

Callers lost the rest of an answer that they still had time to read, because they had sent a next request with less time on the same connection.

Cause: the deadline of the next answer replaced that of the connection while a part of the first one was held.

Change: what is held keeps its deadline unless the next one is later. The next one holds once nothing is held.

Before: TestNextAnswerLeavesTheTimeOfTheOneThatIsHeld fails (connection reset by peer). After: it passes; go test ./core/accept passes.

--- a/core/accept/output.go
+++ b/core/accept/output.go
@@ -45,8 +45,9 @@
 	done     chan struct{}
 	err      error
 	deadline time.Time
-	// clear is true if the deadline ends once nothing is held.
-	clear bool
+	// hasNext is true if the deadline is next once nothing is held.
+	hasNext bool
+	next    time.Time
 	// rest is what tryWrite has not written yet, tryErr the error of its last write.
 	rest   []byte
 	tryErr error
@@ -158,8 +159,8 @@
 		if len(o.pieces) == 0 || o.err != nil {
 			o.pieces = nil
 			o.held.Store(false)
-			if o.clear {
-				o.deadline, o.clear = time.Time{}, false
+			if o.hasNext {
+				o.deadline, o.hasNext = o.next, false
 				_ = c.Conn.SetWriteDeadline(o.deadline) // fails only when the connection is closed
 			}
 			o.mu.Unlock()
@@ -226,16 +227,16 @@
 	<-done
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. What is held keeps its deadline unless t is later.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	o := &c.out
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if t.IsZero() && o.held.Load() {
-		o.clear = true
+	if o.held.Load() && (t.IsZero() || t.Before(o.deadline)) {
+		o.hasNext, o.next = true, t
 		return nil
 	}
-	o.deadline, o.clear = t, false
+	o.deadline, o.hasNext = t, false
 	return c.Conn.SetWriteDeadline(t)
 }
 
--- a/core/accept/output_test.go
+++ b/core/accept/output_test.go
@@ -110,3 +110,33 @@
 		})
 	}
 }
+
+// Guards against an answer that is cut because the next one on the connection has less time.
+func TestNextAnswerLeavesTheTimeOfTheOneThatIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	ln, ended := listen(t), make(chan struct{}, 10)
+	serve(t, ln, func(w http.ResponseWriter, r *http.Request) {
+		d, n := 10*time.Second, writeCount*writeSize
+		if r.URL.Path == "/next" {
+			d, n = 200*time.Millisecond, 1
+		}
+		r.Context().Value(connKey{}).(interface{ BufferWrites() }).BufferWrites()
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d))
+		_, _ = io.WriteString(w, strings.Repeat("a", n))
+		ended <- struct{}{}
+	}, accept.WithBudget(budget.New(256<<20, 0)))
+	c := connect(t, ln)
+	_, _ = io.WriteString(c, request+strings.Replace(request, " / ", " /next ", 1))
+	for range 2 {
+		g.Eventually(ended, "5s").Should(Receive())
+	}
+	time.Sleep(500 * time.Millisecond)
+	r := bufio.NewReader(c)
+	for _, n := range []int{writeCount * writeSize, 1} {
+		res, err := http.ReadResponse(r, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		b, err := io.ReadAll(res.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b).To(HaveLen(n))
+	}
+}
