End connections whose callers do not read, where others need them

Cause: refusals were written without a deadline, so that handlers waited as long as their callers stayed; and a new connection takes the place of one without a request only, while these all had one.

Evidence: both tests wait for 10 s before the change; with the first part alone a crowd that comes again can still hold all connections for the time of the deadline. Ruled out: the answers of targets, which have a deadline (the case asks for no route).

Change: a refusal has 5 s (core/fault, for routers with and without agents). If no connection rests or lacks its header section, a new one takes the place of the one whose write has waited for its caller for the longest, from 2 s on.

--- a/core/accept/accept.go
+++ b/core/accept/accept.go
@@ -282,12 +282,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.connsMax {
-		v := s.leastUseful()
+		v, r := s.leastUseful(time.Now())
 		if v == nil {
 			return false
 		}
-		v.report(Conns)
-		v.end()
+		v.giveWay(r)
 	}
 	s.conns[c] = struct{}{}
 	return true
@@ -296,22 +295,19 @@
 // candidatesMax limits the connections that are compared when there are too many.
 const candidatesMax = 64
 
-// leastUseful returns the connection that is ended for a new one: one without a complete header section, or else one that
-// rests, of those the one that has waited for the longest; nil if all of those that it compares have a request. s.mu is
-// held.
-func (s *Server) leastUseful() *conn {
-	var best *conn
-	var bestRank int
+// leastUseful returns the connection that is ended for a new one, and its rank: of those of the highest rank the one that
+// has waited for the longest; nil if all of those that it compares have a request whose client reads. s.mu is held.
+func (s *Server) leastUseful(now time.Time) (best *conn, bestRank rank) {
 	var bestSince time.Time
 	n := 0
 	for c := range s.conns {
 		if n++; n > candidatesMax {
 			break
 		}
-		rank, since := c.rank()
-		if rank > bestRank || rank == bestRank && rank > 0 && since.Before(bestSince) {
-			best, bestRank, bestSince = c, rank, since
+		r, since := c.rank(now)
+		if r > bestRank || r == bestRank && r > hasRequest && since.Before(bestSince) {
+			best, bestRank, bestSince = c, r, since
 		}
 	}
-	return best
+	return best, bestRank
 }
--- a/core/accept/output.go
+++ b/core/accept/output.go
@@ -34,6 +34,9 @@
 	buffered, held atomic.Bool
 	// evicted is true once the memory is needed by others.
 	evicted atomic.Bool
+	// waitingSince is the time in Unix nanoseconds at which the write began that waits for the client; zero while none
+	// does.
+	waitingSince atomic.Int64
 	// raw is the socket, try the bound writeOnce; they are set by the first use.
 	raw syscall.RawConn
 	try func(fd uintptr) bool
@@ -61,7 +64,7 @@
 func (c *conn) Write(b []byte) (n int, err error) {
 	o := &c.out
 	if !o.buffered.Load() && !o.held.Load() {
-		return c.Conn.Write(b)
+		return c.writeWaiting(b)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -83,6 +86,13 @@
 	return len(b), nil
 }
 
+// writeWaiting writes b, for which it may have to wait for the client.
+func (c *conn) writeWaiting(b []byte) (n int, err error) {
+	c.out.waitingSince.Store(time.Now().UnixNano())
+	defer c.out.waitingSince.Store(0)
+	return c.Conn.Write(b)
+}
+
 // hold adds a copy of b to what is held; c.out.mu is held.
 func (c *conn) hold(b []byte) error {
 	o := &c.out
@@ -172,7 +182,7 @@
 		o.mu.Unlock()
 		size := int64(cap(b) + pieceCost)
 		for len(b) > 0 {
-			n, err := c.Conn.Write(b[:min(len(b), outputPiece)])
+			n, err := c.writeWaiting(b[:min(len(b), outputPiece)])
 			if b = b[n:]; n > 0 {
 				c.server.budget.Read(time.Now(), c.owner, 0)
 			}
--- a/core/accept/output_test.go
+++ b/core/accept/output_test.go
@@ -140,3 +140,38 @@
 		g.Expect(b).To(HaveLen(n))
 	}
 }
+
+// Guards against clients that read nothing and keep new connections out, as each of them has a request.
+func TestClientsThatDoNotReadGiveWay(t *testing.T) {
+	const connsMax = 4
+	g := NewWithT(t)
+	ln, limits := listen(t), make(chan accept.Limit, 100)
+	serve(t, ln, answer, accept.WithConnsMax(connsMax), accept.WithLimited(func(l accept.Limit) { limits <- l }, func(accept.Limit, net.Addr, int) {}))
+	for range connsMax {
+		c := connect(t, ln)
+		go func() {
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(c, request)
+			}
+		}()
+	}
+	time.Sleep(time.Second) // the buffers of all connections are full
+	g.Eventually(func() int { return statusOn(connect(t, ln)) }, "10s", "200ms").Should(Equal(http.StatusOK))
+	for range connsMax - 1 {
+		g.Expect(statusOn(connect(t, ln))).To(Equal(http.StatusOK))
+	}
+	g.Expect(limits).To(Receive())
+}
+
+// statusOn sends a request and returns the status of the answer, zero without one.
+func statusOn(c net.Conn) int {
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_, _ = io.WriteString(c, request)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
--- a/core/accept/victim.go
+++ b/core/accept/victim.go
@@ -17,18 +17,50 @@
 	_ = c.Conn.Close()
 }
 
-// rank returns how little is lost if the connection ends, zero if it has a request, and since when it waits.
-func (c *conn) rank() (rank int, since time.Time) {
+// rank tells how little is lost if a connection ends.
+type rank uint8
+
+const (
+	// hasRequest: a request is read or answered.
+	hasRequest rank = iota
+	// isUnread: the client has not read its answer for unreadTime.
+	isUnread
+	// isResting: it waits for the next request.
+	isResting
+	// hasNoHead: not all of the header section was read.
+	hasNoHead
+)
+
+// unreadTime is the time for which a write waits for the client before the connection may be ended for a new one.
+const unreadTime = 2 * time.Second
+
+// rank returns the rank of the connection, and since when it waits.
+func (c *conn) rank(now time.Time) (r rank, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.ending:
+		return hasRequest, c.since
 	case c.state == resting:
-		return 1, c.since
+		return isResting, c.since
 	case c.state == fresh, c.state == active && c.head.reading:
-		return 2, c.since
+		return hasNoHead, c.since
+	}
+	if n := c.out.waitingSince.Load(); n != 0 && now.Sub(time.Unix(0, n)) >= unreadTime {
+		return isUnread, time.Unix(0, n)
+	}
+	return hasRequest, c.since
+}
+
+// giveWay ends a connection of the given rank for a new one.
+func (c *conn) giveWay(r rank) {
+	if r == isUnread {
+		c.report(Reader)
+		c.abort()
+		return
 	}
-	return 0, c.since
+	c.report(Conns)
+	c.end()
 }
 
 // end ends a connection that has no request. It ends by its deadline, so that a request that has arrived meanwhile is
--- a/core/fault/problem.go
+++ b/core/fault/problem.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // ContentType is the media type of a Problem.
@@ -51,7 +52,11 @@
 	writeProblem(w, e, id, strconv.FormatFloat(math.Ceil(e.RetryAfter.Seconds()*1000)/1000, 'f', -1, 64))
 }
 
+// writeTime limits the writing of a problem. It is small, so only a client waits that has not read earlier answers.
+const writeTime = 5 * time.Second
+
 func writeProblem(w http.ResponseWriter, e *Error, id, retryAfter string) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime)) // test recorders do not support it
 	w.Header().Set("Content-Type", ContentType)
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", retryAfter)
--- a/router/direct/refusals_test.go
+++ b/router/direct/refusals_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -166,3 +167,16 @@
 		})
 	}
 }
+
+// Guards against refusals that wait without end for callers who do not read them.
+func TestRefusalsThatAreNotReadEnd(t *testing.T) {
+	e := startRouter(t)
+	c, err := net.Dial("tcp", e.cfg.Listen)
+	e.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	for err == nil {
+		_, err = io.WriteString(c, "GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	}
+	e.g.Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
+}
