Wait in TestClientsThatDoNotReadGiveWay until nothing is taken

Cause: the test waited for a second and took the buffers of all connections for full then.

Change: the test waits until no client sends any more, and then expects the same four connections, each within 10 s.

--- a/core/accept/output_test.go
+++ b/core/accept/output_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -147,18 +148,20 @@
 	g := NewWithT(t)
 	ln, limits := listen(t), make(chan accept.Limit, 100)
 	serve(t, ln, answer, accept.WithConnsMax(connsMax), accept.WithLimited(func(l accept.Limit) { limits <- l }, func(accept.Limit, net.Addr, int) {}))
+	var sent atomic.Int64
 	for range connsMax {
 		c := connect(t, ln)
 		go func() {
-			for err := error(nil); err == nil; {
+			for err := error(nil); err == nil; sent.Add(1) {
 				_, err = io.WriteString(c, request)
 			}
 		}()
 	}
-	time.Sleep(time.Second) // the buffers of all connections are full
-	g.Eventually(func() int { return statusOn(connect(t, ln)) }, "10s", "200ms").Should(Equal(http.StatusOK))
-	for range connsMax - 1 {
-		g.Expect(statusOn(connect(t, ln))).To(Equal(http.StatusOK))
+	for before := int64(-1); before != sent.Load(); time.Sleep(time.Second) {
+		before = sent.Load() // it stays the same once the buffers of all connections are full
+	}
+	for range connsMax {
+		g.Eventually(func() int { return statusOn(connect(t, ln)) }, "10s", "200ms").Should(Equal(http.StatusOK))
 	}
 	g.Expect(limits).To(Receive())
 }
