Judge streams by their events where targets name another type or none

Callers still got streams that end inside an event as complete, from targets whose answers are not declared as text/event-stream.

The soak's targets declare none, and their server writes text/plain; on a route of streams the answer consists of events all the same.

Change: an answer to a request for a stream is judged by its events if it declares them, declares nothing, or has had an event with an id.

Before: two forms of TestStreamThatEndsInsideAnEventIsBrokenOff fail (no type, another type).

--- a/core/sse/end.go
+++ b/core/sse/end.go
@@ -18,12 +18,18 @@
 	switch {
 	case !framed && (len(rest) > 0 || e.Count == 0):
 		return io.ErrUnexpectedEOF
-	case f.IsEvents() && endsInside(rest):
+	case e.hasEvents(f) && endsInside(rest):
 		return ErrInsideEvent
 	}
 	return io.EOF
 }
 
+// hasEvents reports whether the answer, of a target that was asked for a stream, consists of events: it says so, says
+// nothing of its type, or has had an event with an id.
+func (e *Reader) hasEvents(f Format) bool {
+	return f.IsEvents() || f == Format{status: f.status} || e.LastID != ""
+}
+
 // endsInside reports whether bytes that begin between two events end inside one.
 func endsInside(b []byte) bool {
 	var p position
