Learn the steady times between events from running answers too

Cause: the times between events without silences were learnt at the end of an answer only. A target that becomes slow was known to be so from the first eight events of an answer in other decisions, but not in what a stopping router places.

Change: both are learnt from the same two moments; EventGap takes an Outcome.

--- a/core/sched/evacuated_test.go
+++ b/core/sched/evacuated_test.go
@@ -19,8 +19,8 @@
 		x.Slots, x.Region = 8, "a"
 		p.Put(x, true)
 	}
-	p.EventGap("a", 5*time.Millisecond)
-	p.EventGap("b", 90*time.Millisecond)
+	p.EventGap("a", sched.Outcome{Gap: 5 * time.Millisecond})
+	p.EventGap("b", sched.Outcome{Gap: 90 * time.Millisecond})
 	before := job("before", 0, 0, 0)
 	p.Add(before)
 	placed, _ := p.Schedule(at(0))
--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -116,11 +116,12 @@
 	}
 }
 
-// EventGap records the time between events of an answer that is still running, so that the speed of a target is
-// known before the first answer ends.
-func (p *Pool) EventGap(id ident.TargetID, gap time.Duration) {
+// EventGap records the times between events of an answer that is still running, so that the speed of a target is known
+// before the first answer ends.
+func (p *Pool) EventGap(id ident.TargetID, o Outcome) {
 	if t, ok := p.targets[id]; ok {
-		t.learnGap(gap)
+		t.learnGap(o.Gap)
+		t.learnSteadyGap(o.steadyGap())
 		p.updateEventGap()
 	}
 }
--- a/core/sched/homes_test.go
+++ b/core/sched/homes_test.go
@@ -17,8 +17,8 @@
 	p.Put(sched.Target{ID: "a-slow", Centre: "a1", Region: "a", Slots: 1}, true)
 	p.Put(sched.Target{ID: "b-fast", Centre: "b1", Region: "b", Slots: 8}, true)
 	p.Put(sched.Target{ID: "b-canary", Centre: "b1", Region: "b", Slots: 8, CanaryOnly: true}, true)
-	p.EventGap("a-slow", 90*time.Millisecond)
-	p.EventGap("b-fast", 10*time.Millisecond)
+	p.EventGap("a-slow", sched.Outcome{Gap: 90 * time.Millisecond})
+	p.EventGap("b-fast", sched.Outcome{Gap: 10 * time.Millisecond})
 	return p
 }
 
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -98,8 +98,8 @@
 		j.Avoid = []ident.TargetID{"t1", "t2"}
 		serve(t, p, j, 100*time.Millisecond, 15*time.Millisecond, 0)
 	}
-	p.EventGap("t1", 150*time.Millisecond)
-	p.EventGap("t2", 15*time.Millisecond)
+	p.EventGap("t1", sched.Outcome{Gap: 150 * time.Millisecond})
+	p.EventGap("t2", sched.Outcome{Gap: 15 * time.Millisecond})
 	expected := func(id string, avoid ...ident.TargetID) time.Duration {
 		j := streamJob(id, 500_001, 1, 5000, 2)
 		j.Avoid, j.FirstEventDue = avoid, j.Arrived // takes any target
--- a/core/sched/rate_test.go
+++ b/core/sched/rate_test.go
@@ -197,8 +197,8 @@
 func TestLongAnswersGoToTargetsThatStateARate(t *testing.T) {
 	g := NewWithT(t)
 	p := pool(2, 8)
-	p.EventGap("t0", 20*time.Millisecond)
-	p.EventGap("t1", 20*time.Millisecond)
+	p.EventGap("t0", sched.Outcome{Gap: 20 * time.Millisecond})
+	p.EventGap("t1", sched.Outcome{Gap: 20 * time.Millisecond})
 	add := func(id string, ms int, tokens ident.Tokens) {
 		j := job(id, ms, 0, 0)
 		j.Output, j.Stride = tokens, 1
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -382,11 +382,11 @@
 	r.pool(s).FirstEvent(time.Now(), t, j)
 }
 
-// recordEventGap reports the time between events of a running answer to the pool.
-func (r *Router) recordEventGap(s ident.Service, t ident.TargetID, gap time.Duration) {
+// recordEventGap reports the times between events of a running answer to the pool.
+func (r *Router) recordEventGap(s ident.Service, t ident.TargetID, o sched.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pool(s).EventGap(t, gap)
+	r.pool(s).EventGap(t, o)
 }
 
 // recordOutcome reports the end of a request at a target to the pool.
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -78,6 +78,12 @@
 // survived reports whether the target gave a complete answer that is no failure of its own.
 func (a *attempt) survived() bool { return a.answer != nil && a.answer.status < 500 }
 
+// measure sets what the times between events tell.
+func (a *attempt) measure(p *sse.Pace, now time.Time) {
+	a.outcome.Gap, a.outcome.Pauses = p.Gap(), p.Pauses
+	a.outcome.Streamed, a.outcome.Silence = p.Streamed(now)
+}
+
 // bufferedAnswer is a complete answer that was not forwarded yet.
 type bufferedAnswer struct {
 	status int
@@ -379,7 +385,8 @@
 				r.recordPass(c, a)
 			}
 			if e.Count == earlyGapEvents {
-				r.recordEventGap(c.service, a.target.ID, pace.Gap())
+				a.measure(pace, now)
+				r.recordEventGap(c.service, a.target.ID, a.outcome)
 			}
 		}
 		if !prog.started {
@@ -409,8 +416,8 @@
 			break
 		}
 	}
-	a.events, a.outcome.Gap, a.outcome.Pauses = e.Count, pace.Gap(), pace.Pauses
-	a.outcome.Streamed, a.outcome.Silence = pace.Streamed(time.Now())
+	a.events = e.Count
+	a.measure(pace, time.Now())
 	if complete && prog.runs == 0 {
 		a.outcome.Events = e.Count
 	}
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -20,8 +20,6 @@
 // that sends events of other requests is slow rather than stalled, and gets twice the time.
 
 const (
-	// minStallTimeout is the shortest silence after which a stream is stalled.
-	minStallTimeout = sched.SoundSilence
 	// stallGoalFactor is the silence after which a stream is stalled, as a multiple of the goal of the route.
 	stallGoalFactor = 3
 	// plainStallFactor is the same for plain calls, whose callers have the whole answer or nothing.
@@ -89,9 +87,9 @@
 	case rt.Kind != route.Stream:
 		return max(time.Duration(plainStallFactor*float64(rt.FirstEventGoal)), minPlainStall)
 	case started:
-		return max(minStallTimeout, stallGoalFactor*rt.EventGapGoal)
+		return max(sched.SoundSilence, stallGoalFactor*rt.EventGapGoal)
 	}
-	return max(minStallTimeout, stallGoalFactor*rt.FirstEventGoal)
+	return max(sched.SoundSilence, stallGoalFactor*rt.FirstEventGoal)
 }
 
 // minPlainStall is the shortest silence after which a plain call is stalled, above the usual time of a call.
