Let a test of silent targets fall silent for 1.3 s

Cause: TestStreamIsNotLeftWhileASoundTargetIsSilent slept for 1.4 s, and 1.6 s is the bound, so a machine under load had 0.2 s for late timers. Found by reading.

Change: 1.3 s, which is above the 1.2 s after which the code before left the target.

Result: no change of the product.

--- a/core/sse/end.go
+++ b/core/sse/end.go
@@ -11,9 +11,9 @@
 // an event stream").
 var ErrInsideEvent = errors.New("stream ends inside an event")
 
-// End returns io.EOF if the stream may be complete where Next returned io.EOF with rest, and otherwise what cut it. framed
-// is false if only its last event can show that the stream is complete: its answer ends with the connection, or goes on
-// with the stream of another answer.
+// End returns io.EOF if the stream may be complete where Next returned io.EOF with rest; io.ErrUnexpectedEOF or
+// ErrInsideEvent if it was cut. framed is false if only its last event can show that the stream is complete: its answer
+// ends with the connection, or goes on with the stream of another answer.
 func (e *Reader) End(rest []byte, f Format, framed bool) error {
 	switch {
 	case !framed && (len(rest) > 0 || e.Count == 0):
--- a/router/direct/silence_test.go
+++ b/router/direct/silence_test.go
@@ -13,9 +13,6 @@
 	. "github.com/onsi/gomega"
 )
 
-// soundSilence is the time for which the sound targets of these tests fall silent.
-const soundSilence = 1400 * time.Millisecond
-
 // Guards against a stream that leaves a sound target which falls silent and goes on: the target still works on it while
 // it runs at the next one, and it may meet the next silence there.
 func TestStreamIsNotLeftWhileASoundTargetIsSilent(t *testing.T) {
@@ -28,7 +25,7 @@
 				writeStreamHead(c, r)
 				for i := range 2 {
 					if i == silentAfter {
-						time.Sleep(soundSilence)
+						time.Sleep(1300 * time.Millisecond)
 					}
 					writeChunk(c, streamEvent(i+1))
 				}
@@ -46,15 +43,15 @@
 
 // silentScript is streamScript at a target that falls silent every 5 s, from offset on.
 func silentScript(gap, offset time.Duration) func(int, *http.Request, net.Conn) bool {
-	const every = 5 * time.Second
+	const every, silence = 5 * time.Second, 1400 * time.Millisecond
 	began := time.Now()
 	return func(_ int, r *http.Request, c net.Conn) bool {
 		n, _ := strconv.Atoi(r.Header.Get("X-Events"))
 		writeStreamHead(c, r)
 		for i := range n {
 			time.Sleep(gap)
-			if into := (time.Since(began) + offset) % every; into < soundSilence {
-				time.Sleep(soundSilence - into)
+			if into := (time.Since(began) + offset) % every; into < silence {
+				time.Sleep(silence - into)
 			}
 			writeChunk(c, streamEvent(i+1))
 		}
