--- a/core/sched/silence.go
+++ b/core/sched/silence.go
@@ -15,8 +15,8 @@
 	// users' pages, with time for the network and for late timers. It is below the two seconds after which the first
 	// callers leave a stream.
 	SoundSilence = 1600 * time.Millisecond
-	// leastSilence is the shortest time between two events that counts as a silence. Sound targets, even full ones, need
-	// much less.
+	// leastSilence is the shortest time between two events that counts as a silence. Shorter ones count in the mean time
+	// between events.
 	leastSilence = 500 * time.Millisecond
 	// silenceMemory is the time of streams that is remembered. silenceDoubt is the time of streams in which one silence
 	// is assumed before any was seen.
