--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -38,6 +38,7 @@
 	store     *store
 	engines   []*engine
 	routers   []*router
+	closers   []io.Closer
 	began     time.Time
 
 	mu     sync.Mutex
@@ -146,6 +147,9 @@
 	for _, e := range r.engines {
 		e.stop()
 	}
+	for _, c := range r.closers {
+		_ = c.Close()
+	}
 	if r.store != nil {
 		r.store.close()
 	}
