--- a/review/rig-3/model.go
+++ b/review/rig-3/model.go
@@ -24,12 +24,11 @@
 	kvCapacity  = 537_912
 )
 
-// Another caller of an engine ("anyone may call it") takes much of its memory for otherTime in every otherEvery. The
+// Another caller of an engine ("anyone may call it") takes much of its memory for otherTime now and then. The
 // newest requests of the engine are preempted as long as the memory does not suffice: for more than a pause of a second or
 // so, and less than the gap after which their clients leave (3.2 s).
 const (
-	otherTime  = 2900 * time.Millisecond
-	otherEvery = 10 * time.Second
+	otherTime = 2900 * time.Millisecond
 	// readPerMilli is the number of prompt tokens that an engine reads in a millisecond.
 	readPerMilli = 125
 )
@@ -54,8 +53,9 @@
 type modelEngines struct {
 	rig        *rig
 	someKeepOn bool
-	// other is the number of tokens that another caller takes of the memory of each engine now and then.
-	other int
+	// other is the number of tokens that another caller takes of the memory of each engine, once in the time otherEvery.
+	other      int
+	otherEvery time.Duration
 
 	mu   sync.Mutex
 	runs map[string][]*streamRun
@@ -142,7 +142,7 @@
 	sum := 0
 	if m.other > 0 {
 		phase := time.Duration(run.engine[len(run.engine)-1]) * 3700 * time.Millisecond
-		if (time.Since(m.rig.began)+phase)%otherEvery < otherTime {
+		if (time.Since(m.rig.began)+phase)%m.otherEvery < otherTime {
 			sum = m.other
 		}
 	}
--- a/review/rig-3/preempt.go
+++ b/review/rig-3/preempt.go
@@ -20,7 +20,7 @@
 // preempted.
 func preempt(r *rig) error {
 	r.store.put("config", "main", modelConfig())
-	m := &modelEngines{rig: r, someKeepOn: true}
+	m := &modelEngines{rig: r, someKeepOn: true, otherEvery: 10 * time.Second}
 	if r.trouble {
 		m.other = kvCapacity - 200
 	}
