--- a/review/rig-3/preempt.go
+++ b/review/rig-3/preempt.go
@@ -12,6 +12,8 @@
 	// preemptRouters is the number of routers, preemptClients that of the clients of each.
 	preemptRouters, preemptClients = 3, 3
 	preemptRunTime                 = 40 * time.Second
+	// touchTime is the time after the start of a process from which it is in touch: stable-window-ms, and some more.
+	touchTime = 3500 * time.Millisecond
 	// overlapMax is the time for which an engine may work on a request that goes on at another one.
 	overlapMax = 400 * time.Millisecond
 )
@@ -35,6 +37,7 @@
 		}
 		routers = append(routers, p)
 	}
+	time.Sleep(touchTime)
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	calls, whole := 0, 0
