--- a/review/rig-3/model.go
+++ b/review/rig-3/model.go
@@ -181,9 +181,9 @@
 	deadline time.Duration
 	status   int
 	events   int
-	// complete is true for a complete answer, left if the client gave up.
-	complete, left bool
-	err            error
+	// whole is true for a complete answer of any status, complete for one with status 200, left if the client gave up.
+	whole, complete, left bool
+	err                   error
 }
 
 // drawEvents returns the length of an answer in events: lognormal as on the sheet, and the client's hint in tokens, which is
@@ -234,7 +234,8 @@
 	}
 	var ne net.Error
 	c.left = errors.As(err, &ne) && ne.Timeout()
-	c.complete = err == io.EOF && c.status == http.StatusOK
+	c.whole = err == io.EOF && c.status != 0
+	c.complete = c.whole && c.status == http.StatusOK
 	if !c.complete {
 		c.err = err
 	}
--- a/review/rig-3/stop.go
+++ b/review/rig-3/stop.go
@@ -90,7 +90,7 @@
 	close(done)
 	_ = p.cmd.Process.Kill() // it may have ended; the streams that still run are not judged
 	all.Wait()
-	late, whole := 0, 0
+	late, complete, failed := 0, 0, 0
 	for _, c := range calls {
 		m.mu.Lock()
 		runs := m.runs[c.id]
@@ -101,13 +101,17 @@
 		}
 		late++
 		if c.complete {
-			whole++
+			complete++
 		}
-		if !c.complete && !c.left && c.ended.Sub(stopped) <= graceTime+time.Second && c.ended.Before(c.sent.Add(c.deadline)) {
+		if c.whole && !c.complete {
+			failed++
+			r.note("%s %s: sent %.3f s after the SIGTERM, answered %d", c.path, c.id, after.Seconds(), c.status)
+		}
+		if !c.whole && !c.left && c.ended.Sub(stopped) <= graceTime+time.Second && c.ended.Before(c.sent.Add(c.deadline)) {
 			cut++
 			r.note("%s %s: sent %.3f s after the SIGTERM, ran at %s, cut %.3f s after it, %d events, %.1f s before its deadline: %v", c.path, c.id, after.Seconds(), runs[0].engine, c.ended.Sub(stopped).Seconds(), c.events, c.sent.Add(c.deadline).Sub(c.ended).Seconds(), c.err)
 		}
 	}
-	r.note("round %d: %d streams, %d sent later than 3 s after the SIGTERM and run, %d of these complete, %d cut", round, len(calls), late, whole, cut)
+	r.note("round %d: %d streams, %d sent later than 3 s after the SIGTERM and run, %d of these complete, %d with a complete failure (not counted), %d cut", round, len(calls), late, complete, failed, cut)
 	return cut, nil
 }
