--- a/review/rig-3/preempt.go
+++ b/review/rig-3/preempt.go
@@ -66,6 +66,9 @@
 	twice := 0
 	for id, runs := range m.runs {
 		for i := 1; i < len(runs); i++ {
+			if runs[i-1].first.IsZero() || runs[i-1].first.After(runs[i].began) {
+				continue // it had not begun to run there
+			}
 			if d := runs[i-1].last.Sub(runs[i].began); d > overlapMax {
 				twice++
 				r.note("%s went on at %s at %.3f s, and %s worked on it until %.3f s, %.0f ms later", id, runs[i].engine, runs[i].began.Sub(r.began).Seconds(), runs[i-1].engine, runs[i-1].last.Sub(r.began).Seconds(), float64(d.Milliseconds()))
--- a/review/rig-3/stop.go
+++ b/review/rig-3/stop.go
@@ -10,7 +10,7 @@
 func init() { cases["stop"] = stopCase }
 
 const (
-	stopRounds  = 5
+	stopRounds  = 6
 	stopClients = 75
 	// calmTime is the time of traffic before each SIGTERM, graceTime is grace-s.
 	calmTime  = 8 * time.Second
@@ -20,7 +20,7 @@
 // stopCase stops the only router in each round while some streams are preempted at their engines.
 func stopCase(r *rig) error {
 	r.store.put("config", "main", modelConfig())
-	m := &modelEngines{rig: r, other: 525_000, otherEvery: 6 * time.Second}
+	m := &modelEngines{rig: r, other: kvCapacity - 200, otherEvery: 7500 * time.Millisecond}
 	if err := m.start(9); err != nil {
 		return err
 	}
