router/direct: log what is put on trial, and whether it passed before

Nothing was logged when requests were put on trial, only when one was sent.

Change: event 417 names what is put on trial, the number of targets and the time since which all of it has passed before ("never" if some of it has no known pass). The refusal names the number of targets in use. The decision is unchanged.

The router keeps no pass of a content that was not at a crash.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -54,6 +54,7 @@
 	SuspicionWeighed      ID = 414
 	RequestOnTrial        ID = 415
 	LimitReached          ID = 416
+	RequestsOnTrial       ID = 417
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -129,6 +130,7 @@
 	{SuspicionWeighed, log.InfoLevel, "crashes weighed against requests"},
 	{RequestOnTrial, log.InfoLevel, "request sent as a trial"},
 	{LimitReached, log.WarnLevel, "connection of a caller reached a limit"},
+	{RequestsOnTrial, log.InfoLevel, "requests put on trial"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -34,31 +34,56 @@
 // suspect is a set of features that were running at the crashes of several targets and cannot be told apart.
 type suspect struct {
 	features []ident.Fingerprint
-	// last is the time of the last of these crashes.
-	last time.Time
+	// targets is the number of these targets, last the time of the last crash.
+	targets int
+	last    time.Time
 }
 
 // Trial is why a request may be sent only as a trial.
 type Trial struct {
 	// Features are those that the request has in common with others that were running at crashes.
 	Features []ident.Fingerprint
-	// Crashed is the time of the last of these crashes.
+	// Targets is the number of targets that crashed, Crashed the time of the last of these crashes.
+	Targets int
 	Crashed time.Time
+	// Passed is the time since which no feature lacks a pass: the oldest of their last passes. It is zero if one of them
+	// never passed.
+	Passed time.Time
 	// Reported is true once all routers have reported on it.
 	Reported bool
 }
 
 // Trial returns whether a request with the features is on trial.
 func (d *Detector) Trial(now time.Time, features []ident.Fingerprint) (Trial, bool) {
+	for _, t := range d.Trials(now) {
+		if contains(features, t.Features) {
+			return t, true
+		}
+	}
+	return Trial{}, false
+}
+
+// Trials returns what is on trial, in the order of the features.
+func (d *Detector) Trials(now time.Time) (out []Trial) {
 	if d.suspectsChanged {
 		d.findSuspects()
 	}
 	for _, s := range d.onTrial {
-		if now.Sub(s.last) < crashTTL && contains(features, s.features) {
-			return Trial{Features: s.features, Crashed: s.last, Reported: now.Sub(s.last) >= settleTime}, true
+		if now.Sub(s.last) < crashTTL {
+			out = append(out, Trial{Features: s.features, Targets: s.targets, Crashed: s.last, Passed: d.oldestPass(s.features), Reported: now.Sub(s.last) >= settleTime})
 		}
 	}
-	return Trial{}, false
+	return out
+}
+
+// oldestPass returns the oldest of the last passes of the features; zero if one of them never passed.
+func (d *Detector) oldestPass(features []ident.Fingerprint) (oldest time.Time) {
+	for i, f := range features {
+		if at := d.lastPass(f); i == 0 || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
 }
 
 // findSuspects derives from the crashes what is on trial. A part of prompts is not if requests with it passed before:
@@ -77,7 +102,7 @@
 		if len(targets) < trialTargets || !d.lastPass(f).IsZero() && !isContent(f, list) {
 			continue
 		}
-		s := suspect{features: d.commonFeatures(f, list), last: list[len(list)-1].at}
+		s := suspect{features: d.commonFeatures(f, list), targets: len(targets), last: list[len(list)-1].at}
 		if !slices.ContainsFunc(d.onTrial, func(o suspect) bool { return slices.Equal(o.features, s.features) }) {
 			d.onTrial = append(d.onTrial, s)
 		}
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -212,6 +212,7 @@
 func (r *Router) updateBlocks(now time.Time) {
 	blocked, lifted := r.poison.Step(now)
 	r.logSuspicions()
+	r.logTrials(now)
 	for _, b := range blocked {
 		r.log.Log(event.RequestsBlocked, "prints", b.Features, "parts", r.namesOf(b.Features), "until", b.Until.Sub(now), "own", b.Own)
 		if b.Own {
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fault"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/poison"
 	"hickoryvane.example/router/follow"
 )
 
@@ -61,8 +64,8 @@
 	if !onTrial {
 		return true, nil
 	}
-	if r.pool(c.service).InUse(now) < trialTargetsMin && now.Sub(t.Crashed) < loneTrialDelay {
-		return false, trialRefusal("it would run on the last target")
+	if n := r.pool(c.service).InUse(now); n < trialTargetsMin && now.Sub(t.Crashed) < loneTrialDelay {
+		return false, trialRefusal(fmt.Sprintf("it would run on the last target, %d in use", n))
 	}
 	ok, changed := r.docket.Begin(now, t, c.features, r.reportInterval(now)+trialHeardSlack)
 	if changed {
@@ -75,6 +78,22 @@
 	return ok, nil
 }
 
+// logTrials logs what was put on trial since the last call; r.mu is held.
+func (r *Router) logTrials(now time.Time) {
+	list := r.poison.Trials(now)
+	for _, t := range list {
+		if slices.ContainsFunc(r.trials, func(o poison.Trial) bool { return o.Crashed.Equal(t.Crashed) && slices.Equal(o.Features, t.Features) }) {
+			continue
+		}
+		var passed any = "never"
+		if !t.Passed.IsZero() {
+			passed = now.Sub(t.Passed).Milliseconds()
+		}
+		r.log.Log(event.RequestsOnTrial, "prints", t.Features, "targets", t.Targets, "since", now.Sub(t.Crashed).Milliseconds(), "passed", passed)
+	}
+	r.trials = list
+}
+
 // endTrial ends the trial of a request, if it was one, with the attempt a; nil if nothing was sent.
 func (r *Router) endTrial(c *call, a *attempt) {
 	if !c.onTrial {
