router/direct: refuse requests on trial with 503, not 422

What callers saw: after targets crashed together, requests that were not sent because others like them are on trial got 422 "crashes", at once and with Retry-After 1 s. 422 tells a caller that the request itself is at fault and must not be sent again, and it promises nothing. Neither is true: nothing is known against the request yet, it has not run, and it is to come back.

Cause: core/fault maps the reason "crashes" to 422, which is meant for requests that are blocked by agents. The router without agents used that reason both for blocks, where it set 503 itself (checkBlocked), and for requests on trial, where it did not (trialRefusal): docs/PLATFORM.md says 503 and 1 s for these.

Change: refusals of a trial have a reason of their own, "trial", with 503. All three use it: the turn that does not come in half of the time, the last target, and the silent target.

Related paths: a block of this router was 503 before; a block of the entry router or an agent stays 422, as docs/PROTOCOL.md says for them.

This changes what callers are told, not how many are refused.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -40,6 +40,7 @@
 	Shed               Reason = "shed"      // queues are full of equal or higher tiers
 	Deadline           Reason = "deadline"  // the deadline cannot be met
 	Crashes            Reason = "crashes"   // the request crashes targets
+	Trial              Reason = "trial"     // targets crashed under requests like it; one is tried first
 	Draining           Reason = "draining"  // the process or target is stopping
 	BadVersion         Reason = "bad"       // the version is rolled back
 	Store              Reason = "store"     // the object API is not available
@@ -60,6 +61,7 @@
 	Shed:               http.StatusServiceUnavailable,
 	Deadline:           http.StatusServiceUnavailable,
 	Crashes:            http.StatusUnprocessableEntity,
+	Trial:              http.StatusServiceUnavailable,
 	Draining:           http.StatusServiceUnavailable,
 	BadVersion:         http.StatusServiceUnavailable,
 	Store:              http.StatusServiceUnavailable,
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -50,7 +50,7 @@
 }
 
 func trialRefusal(detail string) *fault.Error {
-	return withRetryAfter(fault.NotRunf(fault.Crashes, "targets crashed while requests with this content ran: %s", detail), trialRetryAfter)
+	return withRetryAfter(fault.NotRunf(fault.Trial, "targets crashed while requests with this content ran: %s", detail), trialRetryAfter)
 }
 
 // beginTrial reports whether a request may be sent now, or refuses it.
