--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/recent"
 )
 
 const (
@@ -52,8 +53,6 @@
 	longestBlock = 30 * time.Minute
 	// RenewTime is the time after the end of a block in which another crash renews it.
 	RenewTime = longestBlock
-	// passesMax bounds the features whose last pass is remembered.
-	passesMax = 1 << 14
 )
 
 // Request is a request that ran on a target when it crashed.
@@ -112,8 +111,8 @@
 type Detector struct {
 	// crashes are in the order of their times.
 	crashes []*crash
-	// recentPasses and olderPasses hold the last pass of features; recentPasses replaces olderPasses when it is full.
-	recentPasses, olderPasses map[ident.Fingerprint]time.Time
+	// passes are those of parts, and of contents that were running at a crash; contents those of other contents.
+	passes, contents recent.Times[ident.Fingerprint]
 	// blocks has no block whose features contain all those of another one in force. Expired ones are kept to be renewed.
 	blocks []*block
 	// due is the time of the next look at the crashes; zero if there is nothing new.
@@ -150,7 +149,9 @@
 }
 
 // New returns a detector that suspects nothing.
-func New() *Detector { return &Detector{recentPasses: map[ident.Fingerprint]time.Time{}} }
+func New() *Detector {
+	return &Detector{passes: recent.NewTimes[ident.Fingerprint](partPassesMax), contents: recent.NewTimes[ident.Fingerprint](contentPassesMax)}
+}
 
 // RecordCrash records a crash that this router observed.
 func (d *Detector) RecordCrash(c Crash) { d.merge(c, true) }
@@ -209,55 +210,11 @@
 	return k
 }
 
-// RecordPass records that a request with the features did not crash its target.
-func (d *Detector) RecordPass(now time.Time, features []ident.Fingerprint) {
-	for i, f := range features {
-		if i > 0 || d.known(f) { // few contents ever come again
-			d.MergePass(f, now)
-		}
-	}
-}
-
-// known reports whether a content was running at a crash or is blocked.
-func (d *Detector) known(content ident.Fingerprint) bool {
-	for _, k := range d.crashes {
-		if slices.ContainsFunc(k.requests, func(r runner) bool { return r.Features[0] == content }) {
-			return true
-		}
-	}
-	return d.inBlock(content)
-}
-
 // inBlock reports whether a block has the feature.
 func (d *Detector) inBlock(f ident.Fingerprint) bool {
 	return slices.ContainsFunc(d.blocks, func(b *block) bool { return slices.Contains(b.Features, f) })
 }
 
-// MergePass records that a request with the feature passed at another router.
-func (d *Detector) MergePass(f ident.Fingerprint, at time.Time) {
-	if !at.After(d.lastPass(f)) {
-		return
-	}
-	d.clearSuspects(f)
-	if len(d.recentPasses) >= passesMax {
-		d.recentPasses, d.olderPasses = map[ident.Fingerprint]time.Time{}, d.recentPasses
-	}
-	d.recentPasses[f] = at
-	for _, b := range slices.Clone(d.blocks) {
-		if at.After(b.At) && slices.Contains(b.Features, f) {
-			d.clear(b, f)
-		}
-	}
-}
-
-// lastPass returns the time of the last known pass of a feature; zero if there is none.
-func (d *Detector) lastPass(f ident.Fingerprint) time.Time {
-	if at, ok := d.recentPasses[f]; ok {
-		return at
-	}
-	return d.olderPasses[f]
-}
-
 // clear takes a feature that passed out of a block. A block is lifted when no feature that never passed remains.
 func (d *Detector) clear(b *block, f ident.Fingerprint) {
 	d.removeBlock(b)
@@ -346,24 +303,3 @@
 	}
 	return out
 }
-
-// Pass is the last pass of a feature.
-type Pass struct {
-	Feature ident.Fingerprint
-	At      time.Time
-}
-
-// Passes returns the last passes of the features that are accused or blocked, for the other routers.
-func (d *Detector) Passes() (out []Pass) {
-	features := slices.Concat(d.accused, d.cleared)
-	for _, b := range d.blocks {
-		features = append(features, b.Features...)
-	}
-	slices.Sort(features)
-	for _, f := range slices.Compact(features) {
-		if at := d.lastPass(f); !at.IsZero() {
-			out = append(out, Pass{Feature: f, At: at})
-		}
-	}
-	return out
-}
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -16,10 +16,15 @@
 // What was running when several targets crashed or fell silent, and has not passed since, is on trial: all routers
 // together send one such request at a time. If it passes, all others follow; if its target crashes, too, that counts for
 // more than a crash among many requests. What is sound waits for one of its like, and what is not costs one target.
+//
+// The last target in use is spared for some seconds, as all other requests need it, but not from what has passed before:
+// crashes of several targets at one moment say little against a request that targets answer all the time.
 
 const (
-	// trialTargets is the number of targets whose crashes put a feature on trial.
-	trialTargets = 2
+	// trialTargets is the number of targets whose crashes put a feature on trial, and of those that have to be in use so
+	// that a trial does not take the last one. From lastTargetDelay after a crash on, that does not matter.
+	trialTargets    = 2
+	lastTargetDelay = 5 * time.Second
 	// trialWeight is the weight of a crash under a request on trial.
 	trialWeight = 2 * earlyWeight
 	// clearedMax bounds the features that passed a trial and are told to the other routers.
@@ -53,6 +58,13 @@
 	Reported bool
 }
 
+// Refused reports whether the request is refused at once, as its trial could end the last target of its service that is
+// in use. One that passed before is not: it is probably sound, and its callers have no other target. Nothing is refused
+// before all routers have reported, as another one may know of a pass.
+func (t Trial) Refused(now time.Time, inUse int) bool {
+	return t.Reported && t.Passed.IsZero() && inUse < trialTargets && now.Sub(t.Crashed) < lastTargetDelay
+}
+
 // Trial returns whether a request with the features is on trial.
 func (d *Detector) Trial(now time.Time, features []ident.Fingerprint) (Trial, bool) {
 	for _, t := range d.Trials(now) {
@@ -65,10 +77,7 @@
 
 // Trials returns what is on trial, in the order of the features.
 func (d *Detector) Trials(now time.Time) (out []Trial) {
-	if d.suspectsChanged {
-		d.findSuspects()
-	}
-	for _, s := range d.onTrial {
+	for _, s := range d.suspected() {
 		if now.Sub(s.last) < crashTTL {
 			out = append(out, Trial{Features: s.features, Targets: s.targets, Crashed: s.last, Passed: d.oldestPass(s.features), Reported: now.Sub(s.last) >= settleTime})
 		}
@@ -76,14 +85,12 @@
 	return out
 }
 
-// oldestPass returns the oldest of the last passes of the features; zero if one of them never passed.
-func (d *Detector) oldestPass(features []ident.Fingerprint) (oldest time.Time) {
-	for i, f := range features {
-		if at := d.lastPass(f); i == 0 || at.Before(oldest) {
-			oldest = at
-		}
+// suspected returns what is on trial unless its crashes are long ago.
+func (d *Detector) suspected() []suspect {
+	if d.suspectsChanged {
+		d.findSuspects()
 	}
-	return oldest
+	return d.onTrial
 }
 
 // findSuspects derives from the crashes what is on trial. A part of prompts is not if requests with it passed before:
@@ -127,10 +134,7 @@
 
 // clearSuspects ends the trials of what has a feature that passes.
 func (d *Detector) clearSuspects(f ident.Fingerprint) {
-	if d.suspectsChanged {
-		d.findSuspects()
-	}
-	if !slices.ContainsFunc(d.onTrial, func(s suspect) bool { return slices.Contains(s.features, f) }) {
+	if !slices.ContainsFunc(d.suspected(), func(s suspect) bool { return slices.Contains(s.features, f) }) {
 		return
 	}
 	d.suspectsChanged = true
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -262,8 +262,8 @@
 		m.Crashes = append(m.Crashes, w)
 	}
 	for _, p := range r.poison.Passes() {
-		if age := now.Sub(p.At); age < crashGossipOften || rare {
-			m.Passes = append(m.Passes, wire.HeartbeatPass{Feature: p.Feature, AgeMillis: age.Milliseconds()})
+		if now.Sub(p.Since) < crashGossipOften || rare {
+			m.Passes = append(m.Passes, wire.HeartbeatPass{Feature: p.Feature, AgeMillis: now.Sub(p.At).Milliseconds()})
 		}
 	}
 	for _, k := range r.docket.Claims(now) {
--- a/router/direct/lasttarget_test.go
+++ b/router/direct/lasttarget_test.go
@@ -57,6 +57,20 @@
 	return e.request("GET", "/unsafe/popular", "", "X-Left", timeoutMillis(timeout))
 }
 
+// Guards against sound requests that are refused for seconds while the last target has room for them, because others like
+// them, which had been answered many times, ran on targets that crashed together.
+func TestRequestThatPassedRunsOnTheLastTarget(t *testing.T) {
+	for _, n := range []int{3, 4} {
+		routers, _ := crashUnder(t, n, 5)
+		for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for _, r := range routers {
+				a := r.popular(2 * time.Second)
+				r.g.Expect(a.code).To(Equal(200), "%d targets: %v", n, a)
+			}
+		}
+	}
+}
+
 // Guards against a request that ends the last target of a service, when nothing tells it from those that crash targets.
 func TestRequestThatNeverPassedSparesTheLastTarget(t *testing.T) {
 	routers, last := crashUnder(t, 3, 0)
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -22,10 +22,6 @@
 	trialHeardSlack = 50 * time.Millisecond
 	// trialRetryAfter is the time after which the caller of a request that was not tried may retry.
 	trialRetryAfter = time.Second
-	// trialTargetsMin is the number of targets of a service that have to be in use, so that a trial does not take the
-	// last one; loneTrialDelay is the time after a crash from which that does not matter.
-	trialTargetsMin = 2
-	loneTrialDelay  = 5 * time.Second
 	// trialVerifyTime is the time after a lost answer in which its target is found down; silentTrialTime is that in which
 	// a silent target is replaced, or answers again.
 	trialVerifyTime = 500 * time.Millisecond
@@ -64,7 +60,7 @@
 	if !onTrial {
 		return true, nil
 	}
-	if n := r.pool(c.service).InUse(now); n < trialTargetsMin && now.Sub(t.Crashed) < loneTrialDelay {
+	if n := r.pool(c.service).InUse(now); t.Refused(now, n) {
 		return false, trialRefusal(fmt.Sprintf("it would run on the last target, %d in use", n))
 	}
 	ok, changed := r.docket.Begin(now, t, c.features, r.reportInterval(now)+trialHeardSlack)
@@ -78,7 +74,8 @@
 	return ok, nil
 }
 
-// logTrials logs what was put on trial since the last call; r.mu is held.
+// logTrials logs what was put on trial since the last call, and tells the other routers soon if it passed before; r.mu is
+// held.
 func (r *Router) logTrials(now time.Time) {
 	list := r.poison.Trials(now)
 	for _, t := range list {
@@ -88,6 +85,7 @@
 		var passed any = "never"
 		if !t.Passed.IsZero() {
 			passed = now.Sub(t.Passed).Milliseconds()
+			r.urgentHeartbeats = urgentHeartbeatsMax
 		}
 		r.log.Log(event.RequestsOnTrial, "prints", t.Features, "targets", t.Targets, "since", now.Sub(t.Crashed).Milliseconds(), "passed", passed)
 	}
