core/guard: count crashes of one moment once if the request finished before

What callers would see: with agents, a request that is answered all the time and runs alone on two targets that end together is refused with 422 "crashes" for 10 min, at all routers and agents.

Cause: as in core/poison, whether such requests were answered before does not count. The guard keeps nothing of a fingerprint that was never at a crash.

Change: a guard remembers the fingerprints that finished at its process, in bounded memory, and says so in the entry of a crash. Crashes within 250 ms of each other then count as one target. The next crash later than that blocks the request as before, so one that turned bad ends the targets of one moment more at most. A request that never finished is handled as before.

Not changed: TestTargetsThatEndTogetherBlockNoRequest stays red. Its request never finished before, and agents have no trial over all of them.

Measured: TestRequestThatFinishedBeforeIsBlockedAtASecondMoment failed before (Blocked where Isolated is expected after one moment) and passes; the tests of core/trace, agent/node and router/entry pass.

--- a/core/guard/entry.go
+++ b/core/guard/entry.go
@@ -28,6 +28,9 @@
 	Target ident.TargetID
 	// Running is the number of requests that ran on the target when it crashed, at least 1; for Crash only.
 	Running int `json:"Among"`
+	// Proven is true if requests with the fingerprint had finished before, at the process that saw the crash; for Crash
+	// only.
+	Proven bool `json:",omitempty"`
 	// At is the time of the crash, of the completion, or of the end of the block.
 	At time.Time
 }
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -3,9 +3,11 @@
 package guard
 
 import (
+	"slices"
 	"time"
 
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/recent"
 )
 
 const (
@@ -21,6 +23,11 @@
 	Threshold = 1.0
 	// crashesMax bounds the targets recorded per fingerprint; the target recorded first is dropped first.
 	crashesMax = 4
+	// sameMoment is the time within which crashes of targets count as one against a fingerprint that finished before:
+	// targets that end together have a cause in common that is no request.
+	sameMoment = 250 * time.Millisecond
+	// finishedMax is the number of fingerprints that are surely known to have finished.
+	finishedMax = 4096
 )
 
 // Guard holds the fingerprints known to one process. It is not safe for concurrent use.
@@ -29,6 +36,8 @@
 	fingerprintsMax int
 	threshold       float64
 	fingerprints    map[ident.Fingerprint]*record
+	// finished holds the requests that finished at this process.
+	finished recent.Times[ident.Fingerprint]
 }
 
 type record struct {
@@ -46,6 +55,8 @@
 	target  ident.TargetID
 	running int
 	at      time.Time
+	// proven is true if a request with the fingerprint had finished before, where the crash was seen.
+	proven bool
 }
 
 // Option changes a limit of a Guard.
@@ -59,7 +70,7 @@
 
 // New returns a guard without suspected fingerprints.
 func New(opts ...Option) *Guard {
-	g := &Guard{ttl: TTL, fingerprintsMax: FingerprintsMax, threshold: Threshold, fingerprints: map[ident.Fingerprint]*record{}}
+	g := &Guard{ttl: TTL, fingerprintsMax: FingerprintsMax, threshold: Threshold, fingerprints: map[ident.Fingerprint]*record{}, finished: recent.NewTimes[ident.Fingerprint](finishedMax)}
 	for _, o := range opts {
 		o(g)
 	}
@@ -85,7 +96,7 @@
 // the entries to publish: a Crash for each fingerprint, and a Block for each that is now blocked.
 func (g *Guard) RecordCrash(now time.Time, t ident.TargetID, running []ident.Fingerprint) (out []Entry) {
 	for _, p := range running {
-		e := Entry{Kind: Crash, Fingerprint: p, Target: t, Running: len(running), At: now}
+		e := Entry{Kind: Crash, Fingerprint: p, Target: t, Running: len(running), At: now, Proven: !g.finished.Last(p).IsZero()}
 		out = append(out, e)
 		out = append(out, g.Merge(now, e)...)
 	}
@@ -95,6 +106,7 @@
 // RecordFinish records that a request with the fingerprint finished. It returns an entry to publish only if the
 // fingerprint had recorded crashes.
 func (g *Guard) RecordFinish(now time.Time, p ident.Fingerprint) []Entry {
+	g.finished.Record(p, now)
 	if r, ok := g.fingerprints[p]; !ok || len(r.crashes) == 0 {
 		return nil
 	}
@@ -116,13 +128,20 @@
 }
 
 // suspicion returns the number of targets that crashed within the TTL and after the last request with the
-// fingerprint completed, and the sum of suspicions as Threshold defines it.
+// fingerprint completed, and the sum of suspicions as Threshold defines it. If such requests had finished before,
+// crashes at the same moment count as one target.
 func (g *Guard) suspicion(now time.Time, r *record) (targets int, sum float64) {
+	var counted []crash
+	proven := slices.ContainsFunc(r.crashes, func(c crash) bool { return c.proven })
 	for _, c := range r.crashes {
-		if c.at.After(r.clearedAt) && now.Sub(c.at) < g.ttl {
-			targets++
-			sum += 1 / float64(max(c.running, 1))
+		if !c.at.After(r.clearedAt) || now.Sub(c.at) >= g.ttl {
+			continue
 		}
+		sum += 1 / float64(max(c.running, 1))
+		if proven && slices.ContainsFunc(counted, func(o crash) bool { return o.at.Sub(c.at).Abs() < sameMoment }) {
+			continue
+		}
+		counted = append(counted, c)
 	}
-	return targets, sum
+	return len(counted), sum
 }
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -109,3 +109,28 @@
 	gu.RecordCrash(t0.Add(20*time.Millisecond), "t2", []ident.Fingerprint{innocent})
 	g.Expect(gu.Check(after(1), innocent)).NotTo(Equal(guard.Blocked))
 }
+
+// Guards against a request that is answered all the time and refused for minutes after one moment in which targets ended
+// for another reason, and against one that is sent for ever because it was answered once.
+func TestRequestThatFinishedBeforeIsBlockedAtASecondMoment(t *testing.T) {
+	g := NewWithT(t)
+	a, b := guard.New(), guard.New()
+	g.Expect(a.RecordFinish(after(-60), innocent)).To(BeEmpty())
+	g.Expect(b.RecordFinish(after(-50), innocent)).To(BeEmpty())
+	crash := func(x *guard.Guard, at time.Time, target ident.TargetID) {
+		for _, e := range x.RecordCrash(at, target, []ident.Fingerprint{innocent}) {
+			a.Merge(at, e)
+			b.Merge(at, e)
+		}
+	}
+	crash(a, t0, "t1")
+	crash(b, t0.Add(20*time.Millisecond), "t2")
+	crash(b, t0.Add(40*time.Millisecond), "t3")
+	for _, x := range []*guard.Guard{a, b} {
+		g.Expect(x.Check(after(1), innocent)).To(Equal(guard.Isolated))
+	}
+	crash(a, after(3), "t4")
+	for _, x := range []*guard.Guard{a, b} {
+		g.Expect(x.Check(after(3), innocent)).To(Equal(guard.Blocked))
+	}
+}
--- a/core/guard/merge.go
+++ b/core/guard/merge.go
@@ -67,7 +67,7 @@
 }
 
 func (r *record) addCrash(e Entry) {
-	c := crash{target: e.Target, running: e.Running, at: e.At}
+	c := crash{target: e.Target, running: e.Running, at: e.At, proven: e.Proven}
 	i := slices.IndexFunc(r.crashes, func(o crash) bool { return o.target == c.target })
 	switch {
 	case i >= 0 && r.crashes[i].at.Before(c.at):
