core/poison: own what is new on trial and how long a trial lasts

Change: the detector says what is new on trial and which suspicions changed (NewTrials, NewSuspicions), and how long it takes until a trial turns out (TimeToVerify).

Measured: the tests of core/poison, and those of router/direct on trials, the last target and requests that end all targets pass.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -126,6 +126,9 @@
 	suspectsChanged bool
 	cleared         []ident.Fingerprint
 	lifted          []Block
+	// toldTrials and toldSuspicions are those as of the last call of NewTrials and NewSuspicions.
+	toldTrials     []Trial
+	toldSuspicions []Suspicion
 }
 
 // Suspicion is what counts against a feature that was running when several targets crashed and did not pass since.
@@ -148,6 +151,17 @@
 	return d.weighed
 }
 
+// NewSuspicions returns the suspicions that changed since the last call.
+func (d *Detector) NewSuspicions() (out []Suspicion) {
+	for _, s := range d.Suspicions() {
+		if !slices.Contains(d.toldSuspicions, s) {
+			out = append(out, s)
+		}
+	}
+	d.toldSuspicions = slices.Clone(d.weighed)
+	return out
+}
+
 // New returns a detector that suspects nothing.
 func New() *Detector {
 	return &Detector{passes: recent.NewTimes[ident.Fingerprint](partPassesMax), contents: recent.NewTimes[ident.Fingerprint](contentPassesMax)}
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -27,6 +27,10 @@
 	lastTargetDelay = 5 * time.Second
 	// trialWeight is the weight of a crash under a request on trial.
 	trialWeight = 2 * earlyWeight
+	// trialVerifyTime is the time after a lost answer in which its target is found down; trialSilentTime is that in which a silent
+	// target is replaced, or answers again.
+	trialVerifyTime = 500 * time.Millisecond
+	trialSilentTime = 4 * time.Second
 	// clearedMax bounds the features that passed a trial and are told to the other routers.
 	clearedMax = 64
 	// waitingClaimTTL is the time after which the claim of a request that no longer asks for its trial ends.
@@ -85,6 +89,18 @@
 	return out
 }
 
+// NewTrials returns what was put on trial since the last call, or again by another crash.
+func (d *Detector) NewTrials(now time.Time) (out []Trial) {
+	list := d.Trials(now)
+	for _, t := range list {
+		if !slices.ContainsFunc(d.toldTrials, func(o Trial) bool { return o.Crashed.Equal(t.Crashed) && slices.Equal(o.Features, t.Features) }) {
+			out = append(out, t)
+		}
+	}
+	d.toldTrials = list
+	return out
+}
+
 // suspected returns what is on trial unless its crashes are long ago.
 func (d *Detector) suspected() []suspect {
 	if d.suspectsChanged {
@@ -200,7 +216,19 @@
 	return true, true
 }
 
-// End ends the trial of a request after the given time, in which it turns out whether its target is down.
+// TimeToVerify returns the time after the run of a request on trial in which it turns out whether its target is down: lost
+// is true if its answer was lost, silent if the target has answered nothing since.
+func TimeToVerify(lost, silent bool) time.Duration {
+	switch {
+	case silent:
+		return trialSilentTime
+	case lost:
+		return trialVerifyTime
+	}
+	return 0
+}
+
+// End ends the trial of a request after the given time, that of TimeToVerify.
 func (k *Docket) End(now time.Time, request []ident.Fingerprint, after time.Duration) {
 	for _, c := range k.own {
 		if c.Running && c.until.IsZero() && slices.Equal(c.Features, request) {
--- a/router/direct/crash.go
+++ b/router/direct/crash.go
@@ -228,13 +228,9 @@
 
 // logSuspicions logs the suspicions that changed; r.mu is held.
 func (r *Router) logSuspicions() {
-	list := r.poison.Suspicions()
-	for _, s := range list {
-		if !slices.Contains(r.suspicions, s) {
-			r.log.Log(event.SuspicionWeighed, "print", s.Feature, "targets", s.Targets, "events", s.Events, "weight", s.Weight, "needed", s.Needed)
-		}
+	for _, s := range r.poison.NewSuspicions() {
+		r.log.Log(event.SuspicionWeighed, "print", s.Feature, "targets", s.Targets, "events", s.Events, "weight", s.Weight, "needed", s.Needed)
 	}
-	r.suspicions = append(r.suspicions[:0], list...)
 }
 
 // namesOf returns the ids of those features that are parts of prompts of this router's requests; r.mu is held.
--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -195,9 +195,6 @@
 	lostAnswers map[ident.TargetID][]lostAnswer
 	// unanswered are the requests to which their targets have sent nothing yet, by target.
 	unanswered map[ident.TargetID]map[*attempt]*unanswered
-	// suspicions and trials are the last ones that were logged.
-	suspicions []poison.Suspicion
-	trials     []poison.Trial
 	// reportedRates are the rates of targets as last reported.
 	reportedRates map[ident.TargetID]reportedRate
 	// toVerify receives the targets that lost an answer.
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"hickoryvane.example/core/event"
@@ -22,10 +21,6 @@
 	trialHeardSlack = 50 * time.Millisecond
 	// trialRetryAfter is the time after which the caller of a request that was not tried may retry.
 	trialRetryAfter = time.Second
-	// trialVerifyTime is the time after a lost answer in which its target is found down; silentTrialTime is that in which
-	// a silent target is replaced, or answers again.
-	trialVerifyTime = 500 * time.Millisecond
-	silentTrialTime = 4 * time.Second
 )
 
 // awaitTrial waits until a request may be sent. One that is on trial waits for its turn, for at most half of its time.
@@ -74,14 +69,9 @@
 	return ok, nil
 }
 
-// logTrials logs what was put on trial since the last call, and tells the other routers soon if it passed before; r.mu is
-// held.
+// logTrials logs what was put on trial, and tells the other routers soon if it passed before; r.mu is held.
 func (r *Router) logTrials(now time.Time) {
-	list := r.poison.Trials(now)
-	for _, t := range list {
-		if slices.ContainsFunc(r.trials, func(o poison.Trial) bool { return o.Crashed.Equal(t.Crashed) && slices.Equal(o.Features, t.Features) }) {
-			continue
-		}
+	for _, t := range r.poison.NewTrials(now) {
 		var passed any = "never"
 		if !t.Passed.IsZero() {
 			passed = now.Sub(t.Passed).Milliseconds()
@@ -89,7 +79,6 @@
 		}
 		r.log.Log(event.RequestsOnTrial, "prints", t.Features, "targets", t.Targets, "since", now.Sub(t.Crashed).Milliseconds(), "passed", passed)
 	}
-	r.trials = list
 }
 
 // endTrial ends the trial of a request, if it was one, with the attempt a; nil if nothing was sent.
@@ -99,12 +88,8 @@
 	}
 	c.onTrial = false
 	var after time.Duration
-	switch {
-	case a == nil || a.result == notRun:
-	case a.silent(time.Now()):
-		after = silentTrialTime
-	case a.result == answerLost:
-		after = trialVerifyTime
+	if a != nil && a.result != notRun {
+		after = poison.TimeToVerify(a.result == answerLost, a.silent(time.Now()))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
