router/direct: a request on trial keeps its turn when it is placed again

What callers would see: a request on trial whose target leaves or asks for time after the placement and before the send is held until half of its time is over and refused with 503 ("another request with this content is tried first"), and all others like it wait behind it. The review names it by reading; it was not seen in a run of processes.

Cause: the placement is released and the request asks for its turn once more. The docket has a running claim, its own, and no turn comes until the claim ends with the request.

Change: a request that has its turn keeps it. A block since then still refuses it.

Measured: TestRequestOnTrialKeepsItsTurn failed before (granted false, true, false where the third is asked to be true) and passes.

--- a/router/direct/export_test.go
+++ b/router/direct/export_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"time"
 
 	"hickoryvane.example/core/budget"
 	"hickoryvane.example/core/ident"
+	"hickoryvane.example/core/poison"
 )
 
 // Memory exposes the limit of the memory for bodies to benchmarks.
@@ -40,3 +42,17 @@
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// AskForTrial lets one request, which was running when two targets crashed, ask for its turn at the given times, as it does
+// before each placement, and returns whether it had it.
+func (r *Router) AskForTrial(times ...time.Time) (granted []bool) {
+	c := &call{service: "s", features: []ident.Fingerprint{1}, arrived: times[0]}
+	for _, t := range []ident.TargetID{"t1", "t2"} {
+		r.poison.RecordCrash(poison.Crash{Target: t, At: times[0].Add(-time.Minute), Requests: []poison.Request{{Features: c.features}}})
+	}
+	for _, at := range times {
+		ok, _ := r.beginTrial(at, c)
+		granted = append(granted, ok)
+	}
+	return granted
+}
--- a/router/direct/lasttarget_test.go
+++ b/router/direct/lasttarget_test.go
@@ -7,7 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
+
+	"hickoryvane.example/core/event"
+	"hickoryvane.example/core/meter"
+	"hickoryvane.example/router/direct"
 )
 
 // crashUnder starts routers in front of n targets. passed requests are answered by the first router; then each target but
@@ -86,4 +91,15 @@
 	routers[0].g.Expect(last.requests()).To(BeEmpty())
 }
 
+// Guards against a request on trial that waits for itself until half of its time is over, and is refused, because its
+// placement was released: its target left before it was sent.
+func TestRequestOnTrialKeepsItsTurn(t *testing.T) {
+	e := newEnv(t)
+	m, err := meter.New()
+	e.g.Expect(err).NotTo(HaveOccurred())
+	r := direct.New(e.cfg, e.store, catalogue{}, dialect{}, event.New(e.log, log.InfoLevel), m)
+	at := func(ms int) time.Time { return time.Unix(1_800_000_000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	e.g.Expect(r.AskForTrial(at(0), at(150), at(170))).To(Equal([]bool{false, true, true}))
+}
+
 func timeoutMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/router/direct/trial.go
+++ b/router/direct/trial.go
@@ -48,8 +48,8 @@
 func (r *Router) beginTrial(now time.Time, c *call) (ok bool, f *fault.Error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if f = r.checkBlocked(now, c); f != nil {
-		return false, f
+	if f = r.checkBlocked(now, c); f != nil || c.onTrial {
+		return f == nil, f // it keeps its turn when its placement was released
 	}
 	t, onTrial := r.poison.Trial(now, c.features)
 	if !onTrial {
