--- a/core/sched/ending.go
+++ b/core/sched/ending.go
@@ -63,7 +63,7 @@
 	}
 	left := p.stopAt.Sub(now)
 	silent := p.silences.chance(left)
-	return (1-silent)*outlasts(now, t, j, left-endingSlack) + silent*outlasts(now, t, j, left-SoundSilence)
+	return (1-silent)*outlasts(now, t, j, left-endingSlack) + silent*outlasts(now, t, j, left-p.silences.length())
 }
 
 // callOutlasts returns the chance that a plain call takes longer than d.
--- a/core/sched/ending_test.go
+++ b/core/sched/ending_test.go
@@ -20,7 +20,8 @@
 	// gaps are the times between events at the targets, firstEvent is the time to the first one.
 	gaps       []time.Duration
 	firstEvent time.Duration
-	// silence is the time for which each target sends nothing in every 5 s, at times of its own.
+	// silence is the time for which each target sends nothing in every 5 s, at times of its own; 7.5 s if it is longer than
+	// two seconds.
 	silence time.Duration
 	// events is the median of the estimated lengths, in events; perSecond is the number of arrivals.
 	events, perSecond float64
@@ -37,7 +38,10 @@
 
 // awaken returns the time from at on at which the target sends.
 func (s stopReplay) awaken(target int, at time.Time) time.Time {
-	const every = 5 * time.Second
+	every := 5 * time.Second
+	if s.silence > 2*time.Second {
+		every = 7500 * time.Millisecond
+	}
 	into := (time.Duration(at.UnixNano()) + time.Duration(target)*1700*time.Millisecond) % every
 	return at.Add(max(s.silence-into, 0))
 }
@@ -51,7 +55,7 @@
 		o.Silence = max(o.Silence, next.Sub(last))
 		last = next
 	}
-	o.Events = events
+	o.Events, o.Resumed = events, o.Silence
 	if o.Streamed = last.Sub(first); events > 1 {
 		o.Gap = o.Streamed / time.Duration(events-1)
 	}
@@ -140,7 +144,7 @@
 func TestStreamsPlacedWhileStoppingEndInTime(t *testing.T) {
 	unlike := []time.Duration{15 * time.Millisecond, 18 * time.Millisecond, 25 * time.Millisecond, 60 * time.Millisecond}
 	var replays []stopReplay
-	for _, silence := range []time.Duration{0, 1400 * time.Millisecond} {
+	for _, silence := range []time.Duration{0, 1400 * time.Millisecond, 2900 * time.Millisecond} {
 		for _, s := range []stopReplay{{events: 30, perSecond: 20}, {events: 4, perSecond: 60}} {
 			s.gaps, s.firstEvent, s.silence, s.bound = unlike, 150*time.Millisecond, silence, true
 			for _, s.spread = range []float64{0.1, 0.5, 1} {
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -320,6 +320,9 @@
 	}
 	if i >= 0 && !t.runs[i].answering {
 		r := t.runs[i]
+		if j.Stream {
+			p.silences.recordStart(now.Sub(r.sent), seconds(endingFirstFactor*t.expectedFirstEvent(j).Seconds()))
+		}
 		p.learnFirstEvent(t, now.Sub(r.sent), r.promptAhead, j, j.Prompt-r.held)
 	}
 	t.firstEvent(j)
@@ -346,6 +349,8 @@
 	// Streamed is the time from the first event of a stream to its end, and Silence the longest part of it without an
 	// event; zero for other answers. Neither depends on whether the answer is complete.
 	Streamed, Silence time.Duration
+	// Resumed is the longest time between two events of a stream: a silence after which the target went on.
+	Resumed time.Duration
 	// Complete is true for a complete answer that is not a stream.
 	Complete bool
 }
--- a/core/sse/pace.go
+++ b/core/sse/pace.go
@@ -11,8 +11,8 @@
 	count       int
 	// Pauses is the number of times between two events that were longer than goal.
 	Pauses int
-	// silence is the longest time between two events.
-	silence time.Duration
+	// Longest is the longest time between two events.
+	Longest time.Duration
 }
 
 // NewPace returns the Pace of a stream.
@@ -23,7 +23,7 @@
 	if p.count == 0 {
 		return 0, 0
 	}
-	return now.Sub(p.first), max(p.silence, now.Sub(p.last))
+	return now.Sub(p.first), max(p.Longest, now.Sub(p.last))
 }
 
 // Record records an event and returns the time since the first one.
@@ -34,7 +34,7 @@
 	if p.count == 0 {
 		p.first = now
 	} else {
-		p.silence = max(p.silence, now.Sub(p.last))
+		p.Longest = max(p.Longest, now.Sub(p.last))
 	}
 	p.last = now
 	p.count++
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -81,6 +81,7 @@
 // measure sets what the times between events tell.
 func (a *attempt) measure(p *sse.Pace, now time.Time) {
 	a.outcome.Gap, a.outcome.Pauses = p.Gap(), p.Pauses
+	a.outcome.Resumed = p.Longest
 	a.outcome.Streamed, a.outcome.Silence = p.Streamed(now)
 }
 
