--- a/router/direct/direct.go
+++ b/router/direct/direct.go
@@ -40,6 +40,7 @@
 	"hickoryvane.example/router/dial"
 	"hickoryvane.example/router/follow"
 	"hickoryvane.example/router/relay"
+	"hickoryvane.example/router/state"
 )
 
 // Catalogue reads the objects that the platform keeps in its store.
@@ -73,6 +74,7 @@
 	SetForwardHeaders(h http.Header, f Forward)
 	// Answer parses the status and headers of a target's answer.
 	Answer(status int, h http.Header) Answer
+	state.Dialect
 }
 
 // Call holds what a caller states in the headers of a request.
@@ -130,11 +132,13 @@
 
 // Router accepts requests of callers and sends them to targets. Its methods are safe for concurrent use.
 type Router struct {
-	cfg         conf.Direct
-	boot        ident.Boot
-	store       store.StatusStore
-	catalogue   Catalogue
-	dialect     Dialect
+	cfg       conf.Direct
+	boot      ident.Boot
+	store     store.StatusStore
+	catalogue Catalogue
+	dialect   Dialect
+	// states asks targets for their state.
+	states      *state.Client
 	log         *event.Logger
 	asyncWriter *event.AsyncWriter
 	meter       *meter.Meter
@@ -276,7 +280,7 @@
 func New(cfg conf.Direct, st store.StatusStore, c Catalogue, d Dialect, l *event.Logger, m *meter.Meter, opts ...Option) *Router {
 	now := time.Now()
 	r := &Router{
-		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, log: l, meter: m,
+		cfg: cfg, boot: ident.BootAt(now), started: now, store: st, catalogue: c, dialect: d, states: state.NewClient(d), log: l, meter: m,
 		regions: map[ident.DataCentre]ident.Region{}, conns: dial.New(), snapshots: relay.NewClient(), failedSources: map[string]time.Time{}, memory: budget.New(cfg.MemoryMB*(1<<20), cfg.Files), activity: map[ident.TargetID]*targetActivity{},
 		targetKeys: map[wire.TargetKey]ident.TargetID{}, reportedUsage: map[ident.AccountID]reportedUsage{},
 		pools: map[ident.Service]*sched.Pool{}, decisions: map[*sched.Job]chan decision{}, fleet: fleet.New(fleet.WithRemovalBound(conf.Milliseconds(cfg.DrainMillis))),
--- a/router/direct/env_test.go
+++ b/router/direct/env_test.go
@@ -27,6 +27,7 @@
 	"hickoryvane.example/core/prefix"
 	"hickoryvane.example/core/prop"
 	"hickoryvane.example/core/route"
+	"hickoryvane.example/core/sched"
 	"hickoryvane.example/core/store"
 	"hickoryvane.example/core/store/memory"
 	"hickoryvane.example/router/direct"
@@ -52,6 +53,15 @@
 	return c
 }
 
+func (dialect) StatePath() string { return statePath }
+
+// State reads a state as two numbers: those of TargetState.Waiting and Free.
+func (dialect) State(_ int, body []byte) (s sched.TargetState) {
+	n, err := fmt.Sscan(string(body), &s.Waiting, &s.Free)
+	s.Known = err == nil && n == 2
+	return s
+}
+
 func (dialect) SetForwardHeaders(h http.Header, f direct.Forward) {
 	h.Del("X-Key")
 	h.Set("X-Left", strconv.FormatInt(f.Remaining.Milliseconds(), 10))
@@ -295,8 +305,13 @@
 	// conns counts the connections, usedConns those that carried a request: the router also opens some to check the target.
 	conns, usedConns int
 	open             []net.Conn
+	// state is the answer to a call for the target's state; without one, such a call is not answered.
+	state string
 }
 
+// statePath is the path of the call for a target's state, which scripts do not see.
+const statePath = "/state"
+
 // startTarget starts a target that calls script for each request, with the number of requests so far; it closes
 // the connection when script returns false.
 func startTarget(t *testing.T, id string, script func(n int, r *http.Request, c net.Conn) (more bool)) *scriptedTarget {
@@ -344,6 +359,10 @@
 			return
 		}
 		b, _ := io.ReadAll(req.Body)
+		if req.URL.Path == statePath {
+			x.answerState(c)
+			return
+		}
 		x.mu.Lock()
 		if first {
 			x.usedConns++
@@ -358,6 +377,14 @@
 	}
 }
 
+func (x *scriptedTarget) answerState(c net.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.state != "" {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(x.state), x.state)
+	}
+}
+
 func (x *scriptedTarget) requests() []*http.Request {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/router/direct/serve.go
+++ b/router/direct/serve.go
@@ -266,7 +266,7 @@
 	prog.addresses = append(prog.addresses, t.Address)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stall := r.watchStall(c, t, prog, cancel)
+	stall := r.watchStall(attemptCtx, cancel, c, t, prog)
 	defer func() { next = stall.stop() }()
 	a.activity = stall.shared
 	req := r.newTargetRequest(c, t, prog)
--- a/router/direct/silence.go
+++ b/router/direct/silence.go
@@ -7,6 +7,7 @@
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/poison"
+	"hickoryvane.example/core/sched"
 )
 
 // Targets that fall silent.
@@ -84,7 +85,7 @@
 	for t, m := range r.unanswered {
 		due := false
 		for a, u := range m {
-			due = due || !u.reported && now.Sub(a.sent) >= stallTimeout(u.c.route, false) && a.silent(now)
+			due = due || !u.reported && now.Sub(a.sent) >= sched.StallTimeout(u.c.route, false) && a.silent(now)
 		}
 		if !due {
 			continue
--- a/router/direct/silence_test.go
+++ b/router/direct/silence_test.go
@@ -41,6 +41,38 @@
 	}
 }
 
+// Guards against a stream that leaves a target which has preempted it for lack of memory and goes on with it, so that it
+// runs twice, and against one that stays at a target which hangs although it has room.
+func TestStreamStaysWhileItsTargetMayGoOn(t *testing.T) {
+	for state, runs := range map[string]int{"0 50": 1, "1 5000": 1, "odd": 1, "0 5000": 2} {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			var n atomic.Int32
+			script := func(_ int, r *http.Request, c net.Conn) bool {
+				rest := r.Header.Get("Last-Event-Id") != ""
+				n.Add(1)
+				writeStreamHead(c, r)
+				if !rest {
+					writeChunk(c, streamEvent(1))
+					time.Sleep(2300 * time.Millisecond)
+				}
+				writeChunk(c, streamEvent(2))
+				_, err := io.WriteString(c, "0\r\n\r\n")
+				return err == nil
+			}
+			targets := []*scriptedTarget{startTarget(t, "t1", script), startTarget(t, "t2", script)}
+			for _, x := range targets {
+				x.state = state
+			}
+			e := startRouter(t, targets...)
+			a := e.request("POST", "/resume/", "p", "X-Tokens", "100")
+			e.g.Expect(a.err).NotTo(HaveOccurred())
+			e.g.Expect(a.body).To(Equal(streamEvent(1) + streamEvent(2)))
+			e.g.Expect(n.Load()).To(BeEquivalentTo(runs))
+		})
+	}
+}
+
 // silentScript is streamScript at a target that falls silent every 5 s, from offset on.
 func silentScript(gap, offset time.Duration) func(int, *http.Request, net.Conn) bool {
 	const every, silence = 5 * time.Second, 1400 * time.Millisecond
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -7,30 +7,16 @@
 	"time"
 
 	"hickoryvane.example/core/fleet"
-	"hickoryvane.example/core/route"
 	"hickoryvane.example/core/sched"
 )
 
-// When a request that may be repeated goes on at another target because its target is silent.
-//
-// Load pattern: targets that hang, or send bytes without ever completing an event, beside targets that are slow
-// because they are full, and sound ones that fall silent for a while and go on. A silent target is left only for one that
-// has a free slot now, as long as the route allows one more run and the retry budget a further target in case that one
-// refuses the request; otherwise the answer goes on however slow it is. Only complete events count as progress. A target
-// that sends events of other requests is slow rather than stalled, and gets twice the time.
-
-const (
-	// stallGoalFactor is the silence after which a stream is stalled, as a multiple of the goal of the route.
-	stallGoalFactor = 3
-	// plainStallFactor is the same for plain calls, whose callers have the whole answer or nothing.
-	plainStallFactor = 1.5
-	// busyStallFactor lengthens the time if the target sends events of other requests.
-	busyStallFactor = 2
-	// spareRetries are the retries that are reserved beside the one to the next target.
-	spareRetries = 1
-	// stallRetry is the pause after which a stalled request looks for another target again.
-	stallRetry = 50 * time.Millisecond
-)
+// The watch over a request that may be repeated and go on at another target; package sched decides when it does. A silent
+// target is left only for one that has a free slot now, as long as the route allows one more run and the retry budget a
+// further target in case that one refuses the request; otherwise the answer goes on however slow it is. Only complete
+// events count as progress.
+
+// spareRetries are the retries that are reserved beside the one to the next target.
+const spareRetries = 1
 
 // targetActivity tells what this router received from a target.
 type targetActivity struct {
@@ -50,6 +36,7 @@
 	r       *Router
 	c       *call
 	target  fleet.Target
+	ctx     context.Context
 	cancel  context.CancelFunc
 	shared  *targetActivity
 	enabled bool
@@ -58,43 +45,25 @@
 	mu      sync.Mutex
 	stopped bool
 	timer   *time.Timer
-	// timeout is the silence after which the target is stalled; lastEvent is the time of the last event, or the
-	// time at which the request was sent.
-	timeout   time.Duration
-	lastEvent time.Time
-	// started is true once the target has sent an event of this request, writing while it is written to the caller.
-	started, writing bool
-	next             *decision
+	stall   *sched.Stall
+	next    *decision
 }
 
 // watchStall watches an attempt until stop; it does nothing if the request may not run once more.
-func (r *Router) watchStall(c *call, t fleet.Target, prog *progress, cancel context.CancelFunc) *stallWatch {
-	s := &stallWatch{r: r, c: c, target: t, cancel: cancel, lastEvent: time.Now(), shared: r.activityOf(t)}
+func (r *Router) watchStall(ctx context.Context, cancel context.CancelFunc, c *call, t fleet.Target, prog *progress) *stallWatch {
+	s := &stallWatch{r: r, c: c, target: t, ctx: ctx, cancel: cancel, shared: r.activityOf(t)}
 	s.enabled = c.route.Repeatable() && prog.runs+1 < c.route.Attempts && prog.placements < placementsMax
 	if s.enabled {
-		s.timeout = stallTimeout(c.route, prog.started)
+		now := time.Now()
+		s.stall = sched.NewStall(now, c.route, c.job, prog.started)
+		_, again := s.stall.Next(now, now)
 		s.mu.Lock() // check may run before AfterFunc returns
 		defer s.mu.Unlock()
-		s.timer = time.AfterFunc(s.timeout, s.check)
+		s.timer = time.AfterFunc(again, s.check)
 	}
 	return s
 }
 
-// stallTimeout returns the silence after which a target is stalled. started is true once a part of the answer was
-// forwarded.
-func stallTimeout(rt *route.Route, started bool) time.Duration {
-	switch {
-	case rt.Kind != route.Stream:
-		return max(time.Duration(plainStallFactor*float64(rt.FirstEventGoal)), minPlainStall)
-	case started:
-		return max(sched.SoundSilence, stallGoalFactor*rt.EventGapGoal)
-	}
-	return max(sched.SoundSilence, stallGoalFactor*rt.FirstEventGoal)
-}
-
-// minPlainStall is the shortest silence after which a plain call is stalled, above the usual time of a call.
-const minPlainStall = 200 * time.Millisecond
-
 // activityOf returns the activity of a target, which it creates if needed.
 func (r *Router) activityOf(t fleet.Target) *targetActivity {
 	r.mu.Lock()
@@ -115,8 +84,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.started, s.writing = true, true
-	s.timeout = stallTimeout(s.c.route, true)
+	s.stall.RecordEvent()
 }
 
 // recordWritten records that the last event was written to the caller, who may read slowly.
@@ -126,40 +94,38 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastEvent, s.writing = now, false
+	s.stall.RecordWritten(now)
 }
 
 // check reserves a slot at another target and ends the attempt if the target is stalled.
 func (s *stallWatch) check() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
-		return
-	}
-	if s.writing {
-		s.timer.Reset(stallRetry)
-		return
-	}
-	now := time.Now()
-	if d := s.allowedSilence() - now.Sub(s.lastEvent); d > 0 {
-		s.timer.Reset(d)
+	for !s.stopped {
+		now := time.Now()
+		step, again := s.stall.Next(now, time.Unix(0, s.shared.lastEvent.Load()))
+		if step == sched.StallAsk {
+			s.askState()
+			continue
+		}
+		if step == sched.StallLeave {
+			if d, ok := s.r.placeElsewhere(now, s.c, s.target); ok {
+				s.next, s.stopped = &d, true
+				s.cancel()
+				return
+			}
+		}
+		s.timer.Reset(again)
 		return
 	}
-	if d, ok := s.r.placeElsewhere(now, s.c, s.target); ok {
-		s.next, s.stopped = &d, true
-		s.cancel()
-		return
-	}
-	s.timer.Reset(stallRetry)
 }
 
-// allowedSilence returns the silence that is allowed now; s.mu is held.
-func (s *stallWatch) allowedSilence() time.Duration {
-	last := time.Unix(0, s.shared.lastEvent.Load())
-	if s.started && last.Sub(s.lastEvent) > s.timeout/2 {
-		return busyStallFactor * s.timeout
-	}
-	return s.timeout
+// askState asks the target for its state; s.mu is held, but not meanwhile.
+func (s *stallWatch) askState() {
+	s.mu.Unlock()
+	state := s.r.states.Ask(s.ctx, s.target.Address, sched.StallAskTime)
+	s.mu.Lock()
+	s.stall.RecordState(time.Now(), state)
 }
 
 // stop ends the watch and returns the placement that it reserved, if any.
