--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -73,6 +73,22 @@
 // SetExtraRetries changes the number set by WithExtraRetries.
 func (b *Budget) SetExtraRetries(n float64) { b.extra = n }
 
+// SetLimits changes limits. What was counted in the period stays counted; if the period changes, it counts as of now.
+func (b *Budget) SetLimits(now time.Time, opts ...Option) {
+	b.advance(now)
+	before := b.slotTime
+	for _, o := range opts {
+		o(b)
+	}
+	if b.slotTime == before {
+		return
+	}
+	requests, retries := sum(b.requests), sum(b.retries)
+	b.requests, b.retries = [slots]int{}, [slots]int{}
+	b.newest = now.UnixNano() / int64(b.slotTime)
+	b.requests[b.newest%slots], b.retries[b.newest%slots] = requests, retries
+}
+
 // Allow reports whether the call may be retried and counts the retry if so. The first retry of a call has
 // attempt 1. The caller waits for delay, which is random between half and all of the bound
 // BaseDelay x 2^(attempt-1), limited to MaxDelay; WithDelays replaces both.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -83,3 +83,20 @@
 	g.Expect(b.Reserve(t0.Add(2*time.Second), 1)).To(BeTrue(), "one a second is free")
 	g.Expect(b.Reserve(t0.Add(4*time.Second), 2)).To(BeFalse(), "only one is free")
 }
+
+// Guards against changed limits that forget the retries of the last seconds, so that each change allows the whole budget
+// again.
+func TestChangedLimitsKeepWhatWasCounted(t *testing.T) {
+	g := NewWithT(t)
+	for _, period := range []time.Duration{10 * time.Second, 5 * time.Second, 20 * time.Second} {
+		b := retry.New(rand.New(rand.NewPCG(1, 2)), retry.WithRetryRatio(0), retry.WithExtraRetries(3), retry.WithPeriod(10*time.Second))
+		g.Expect(b.Reserve(t0, 3)).To(BeTrue())
+		b.SetLimits(t0.Add(500*time.Millisecond), retry.WithRetryRatio(0.5), retry.WithPeriod(period))
+		g.Expect(b.Reserve(t0.Add(800*time.Millisecond), 1)).To(BeFalse(), "%v", period)
+		for range 2 {
+			b.RecordRequest(t0.Add(800 * time.Millisecond))
+		}
+		g.Expect(b.Reserve(t0.Add(800*time.Millisecond), 1)).To(BeTrue(), "the new ratio")
+		g.Expect(b.Reserve(t0.Add(period+time.Second), 3)).To(BeTrue(), "the period is over")
+	}
+}
--- a/router/direct/export_test.go
+++ b/router/direct/export_test.go
@@ -56,3 +56,6 @@
 	}
 	return granted
 }
+
+// AllowRetry asks the retry budget of a service for one retry.
+func (r *Router) AllowRetry(s ident.Service) bool { return r.allowRetry(time.Now(), s) }
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -186,7 +186,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cfg.GraceSeconds, r.cfg.RetryRatio, r.cfg.ExtraRetries, r.cfg.RetryPeriodSeconds = cfg.GraceSeconds, cfg.RetryRatio, cfg.ExtraRetries, cfg.RetryPeriodSeconds
-	clear(r.retryBudgets) // they are created again with the new limits
+	for _, b := range r.retryBudgets {
+		b.SetLimits(time.Now(), r.retryLimits()...)
+	}
 	r.log.Log(event.SettingsReloaded, "grace", conf.Seconds(cfg.GraceSeconds), "ratio", cfg.RetryRatio, "spare", cfg.ExtraRetries, "span", conf.Seconds(cfg.RetryPeriodSeconds))
 }
 
@@ -222,12 +224,17 @@
 func (r *Router) retryBudget(s ident.Service) *retry.Budget {
 	b, ok := r.retryBudgets[s]
 	if !ok {
-		b = retry.New(r.rnd, retry.WithRetryRatio(retryBudgetFraction*r.cfg.RetryRatio), retry.WithPeriod(max(conf.Seconds(r.cfg.RetryPeriodSeconds), minRetryPeriod)))
+		b = retry.New(r.rnd, r.retryLimits()...)
 		r.retryBudgets[s] = b
 	}
 	return b
 }
 
+// retryLimits returns the limits of the settings; r.mu is held.
+func (r *Router) retryLimits() []retry.Option {
+	return []retry.Option{retry.WithRetryRatio(retryBudgetFraction * r.cfg.RetryRatio), retry.WithPeriod(max(conf.Seconds(r.cfg.RetryPeriodSeconds), minRetryPeriod))}
+}
+
 // logPlacement logs the inputs of a placement and counts it in the metrics.
 func (r *Router) logPlacement(c *call, d decision, try int) {
 	now, gain := time.Now(), d.placement.Prefix
