--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -16,6 +16,7 @@
 	"hickoryvane.example/core/avail"
 	"hickoryvane.example/core/ident"
 	"hickoryvane.example/core/prefix"
+	"hickoryvane.example/core/recent"
 )
 
 // Job is a request that waits for a target or runs on one.
@@ -181,6 +182,8 @@
 	stopAt time.Time
 	// silences is what was learnt of targets that fall silent; see silence.go.
 	silences silenceStats
+	// stated is what removed targets stated of themselves; see stated.go.
+	stated recent.Map[ident.TargetID, stated]
 	// sharers are the other routers between which the memory of the targets is divided, in the order of their hashes;
 	// sharersVersion counts their changes. See memory.go.
 	sharers        []sharer
@@ -197,7 +200,7 @@
 func New(self ident.ProcessID, c ident.DataCentre, r ident.Region, opts ...Option) *Pool {
 	p := &Pool{
 		self: self, reportInterval: initialReportInterval, waitingRouters: 1, demandShare: 1, centre: c, region: r, targets: map[ident.TargetID]*target{}, peers: map[ident.ProcessID]report{}, classes: map[class]*classStats{}, cold: map[ident.TargetID]*coldState{},
-		speed: poolSpeed{errors: newErrorStats()},
+		speed: poolSpeed{errors: newErrorStats()}, stated: newStated(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -216,6 +219,7 @@
 	}
 	n := newTarget(t)
 	n.hash = xxhash.Sum64String(string(p.self) + "/" + string(t.ID))
+	p.restoreStated(n, old)
 	if ok {
 		n.runs = old.runs
 		n.pendingPrompt, n.held = old.pendingPrompt, old.held
@@ -488,6 +492,7 @@
 // removeDrained removes a draining target without running jobs.
 func (p *Pool) removeDrained(t *target) {
 	if t.draining && len(t.runs) == 0 {
+		p.rememberStated(t)
 		delete(p.targets, t.ID)
 		p.prefixes.RemoveTarget(t.ID)
 		p.sorted = slices.DeleteFunc(p.sorted, func(x *target) bool { return x == t })
