router/direct: log what a silent target answers when it is asked

Cause: since a router asks a silent target for its state before a stream leaves it, but it dropped the error of that call. The log could not tell a target that refuses connections from one that answers without its state, which decides how long a stream stays.

Change: event 418 "silent target asked for its state" has the length of the silence and what the target told, or the error. state.Client.Ask returns it. An answer that comes after the stream has ended is neither recorded nor logged.

The tests of core/sched and those of silent targets in router/direct pass.

--- a/core/event/list.go
+++ b/core/event/list.go
@@ -55,6 +55,7 @@
 	RequestOnTrial        ID = 415
 	LimitReached          ID = 416
 	RequestsOnTrial       ID = 417
+	SilentTargetAsked     ID = 418
 	TargetCrashed         ID = 501
 	TargetUp              ID = 502
 	TargetSlow            ID = 503
@@ -131,6 +132,7 @@
 	{RequestOnTrial, log.InfoLevel, "request sent as a trial"},
 	{LimitReached, log.WarnLevel, "connection of a caller reached a limit"},
 	{RequestsOnTrial, log.InfoLevel, "requests put on trial"},
+	{SilentTargetAsked, log.InfoLevel, "silent target asked for its state"},
 	{TargetCrashed, log.WarnLevel, "target crashed"},
 	{TargetUp, log.InfoLevel, "target is reachable"},
 	{TargetSlow, log.WarnLevel, "target is slow"},
--- a/core/sched/stall.go
+++ b/core/sched/stall.go
@@ -110,10 +110,13 @@
 // RecordState records what the target answered to a call for its state.
 func (s *Stall) RecordState(now time.Time, t TargetState) { s.asked, s.state = now, t }
 
+// Silence returns the time since the last event, or since the request was sent.
+func (s *Stall) Silence(now time.Time) time.Duration { return now.Sub(s.lastEvent) }
+
 // Next returns the next step, and the time after which it is to be asked for again if that is StallWait or could not be
 // done. lastOther is the time of the last event that the target sent to any request.
 func (s *Stall) Next(now, lastOther time.Time) (step StallStep, again time.Duration) {
-	silent := now.Sub(s.lastEvent)
+	silent := s.Silence(now)
 	switch ask := s.timeout - s.askTime(); {
 	case s.writing:
 		return StallWait, stallRetry
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"hickoryvane.example/core/event"
 	"hickoryvane.example/core/fleet"
 	"hickoryvane.example/core/sched"
 )
@@ -123,9 +124,21 @@
 // askState asks the target for its state; s.mu is held, but not meanwhile.
 func (s *stallWatch) askState() {
 	s.mu.Unlock()
-	state := s.r.states.Ask(s.ctx, s.target.Address, sched.StallAskTime)
+	state, err := s.r.states.Ask(s.ctx, s.target.Address, sched.StallAskTime)
 	s.mu.Lock()
-	s.stall.RecordState(time.Now(), state)
+	if s.stopped {
+		return
+	}
+	now := time.Now()
+	s.stall.RecordState(now, state)
+	fields := []any{"id", s.c.ID, "target", s.target.ID, "silence", s.stall.Silence(now).Milliseconds()}
+	switch {
+	case err != nil:
+		fields = append(fields, "error", err)
+	case state.Known:
+		fields = append(fields, "waiting", state.Waiting, "free", state.Free)
+	}
+	s.r.log.Log(event.SilentTargetAsked, fields...)
 }
 
 // stop ends the watch and returns the placement that it reserved, if any.
--- a/router/state/state.go
+++ b/router/state/state.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hickoryvane.example/core/sched"
 )
 
@@ -35,24 +37,26 @@
 	}}
 }
 
-// Ask asks the target at an address, which has the given time to answer.
-func (c *Client) Ask(ctx context.Context, addr string, timeout time.Duration) (s sched.TargetState) {
+// Ask asks the target at an address, which has the given time to answer. The state after an error is that of a target that
+// did not answer.
+func (c *Client) Ask(ctx context.Context, addr string, timeout time.Duration) (s sched.TargetState, err error) {
+	defer func() { err = errors.Wrapf(err, "state of the target at %s", addr) }()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+c.dialect.StatePath(), nil)
 	if err != nil {
-		return s
+		return s, err
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return s // it has not answered, which is what the caller asks for
+		return s, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, bodyMax))
 	if err != nil {
-		return s
+		return s, err
 	}
 	s = c.dialect.State(res.StatusCode, body)
 	s.Answers = true
-	return s
+	return s, nil
 }
