--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -27,8 +27,8 @@
 	lastTargetDelay = 5 * time.Second
 	// trialWeight is the weight of a crash under a request on trial.
 	trialWeight = 2 * earlyWeight
-	// trialVerifyTime is the time after a lost answer in which its target is found down; trialSilentTime is that in which a silent
-	// target is replaced, or answers again.
+	// trialVerifyTime is the time after a lost answer in which its target is found down; trialSilentTime is that in
+	// which a silent target is replaced, or answers again.
 	trialVerifyTime = 500 * time.Millisecond
 	trialSilentTime = 4 * time.Second
 	// clearedMax bounds the features that passed a trial and are told to the other routers.
